--- /dev/null
+++ b/assembler/assembler.go
@@ -0,0 +1,311 @@
+// Package assembler runs a whole fleet with its surroundings in one process, for
+// the demo and for experiments.
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/configurer"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/imitator"
+	"monsoonswitch/logger"
+	"monsoonswitch/server"
+	"monsoonswitch/storer"
+)
+
+// ErrStart reports a fleet that did not become ready.
+var ErrStart = eris.New("fleet did not start")
+
+const (
+	loopback = "127.0.0.1:0"
+	// fleetKey proves membership among the instances of one process.
+	fleetKey = "assembled-fleet-key"
+	// readyWait bounds the start of a fleet.
+	readyWait = 20 * time.Second
+	readyPoll = 20 * time.Millisecond
+)
+
+// Group describes the backend servers of one service.
+type Group struct {
+	Service string
+	Count   int
+	Options imitator.BackendOptions
+}
+
+// Options describe a fleet.
+type Options struct {
+	Domains   []string
+	Instances int
+	Groups    []Group
+	Services  []declarer.Service
+	// Policy is one of those of configurer.
+	Policy string
+	// Keep is how long callers keep address answers.
+	Keep time.Duration
+	// Log receives the log events; nil drops them.
+	Log   io.Writer
+	Level string
+}
+
+// Backend is a backend server of the fleet.
+type Backend struct {
+	Service string
+	Listed  descriptor.Backend
+	Stand   *imitator.Backend
+	process *imitator.Process
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	options  Options
+	Store    *imitator.Store
+	store    *imitator.Process
+	Client   *storer.Client
+	Backends []*Backend
+
+	mu      sync.Mutex
+	servers []*server.Server
+	started int
+}
+
+// New starts a fleet and waits until every instance is ready.
+func New(o Options) (*Fleet, error) {
+	f := &Fleet{options: o, Store: imitator.NewStore()}
+	process, err := imitator.ServeStore(f.Store, loopback)
+	if err != nil {
+		return nil, err
+	}
+	f.store = process
+	f.Client = storer.NewClient(process.Address())
+	if err := f.startBackends(); err != nil {
+		return nil, err
+	}
+	if err := f.declare(); err != nil {
+		return nil, err
+	}
+	for range o.Instances {
+		if _, err := f.Start(); err != nil {
+			return nil, err
+		}
+	}
+	return f, f.waitReady()
+}
+
+func (f *Fleet) startBackends() error {
+	for _, g := range f.options.Groups {
+		for i := range g.Count {
+			b, err := f.startBackend(g, i)
+			if err != nil {
+				return err
+			}
+			f.Backends = append(f.Backends, b)
+			f.Store.Register(g.Service, b.Listed)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startBackend(g Group, i int) (*Backend, error) {
+	options := g.Options
+	options.Seed += uint64(i)
+	stand := imitator.NewBackend(options, time.Now())
+	process, err := imitator.ServeBackend(stand, loopback)
+	if err != nil {
+		return nil, err
+	}
+	listed := descriptor.Backend{
+		ID:      fmt.Sprintf("%s-%d", g.Service, i),
+		Address: process.Address(),
+		Domain:  f.options.Domains[i%len(f.options.Domains)],
+		Slots:   options.Slots,
+	}
+	return &Backend{Service: g.Service, Listed: listed, Stand: stand, process: process}, nil
+}
+
+// declare writes the declarations to the store.
+func (f *Fleet) declare() error {
+	for _, s := range f.options.Services {
+		data, err := json.Marshal(s)
+		if err != nil {
+			return eris.Wrap(err, "encode declaration")
+		}
+		if _, err := f.Client.Put(context.Background(), storer.ServiceKey(s.Name), data, 0, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start adds an instance to the fleet.
+func (f *Fleet) Start() (*server.Server, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	settings := f.settings(f.started)
+	f.started++
+	out := f.options.Log
+	if out == nil {
+		out = io.Discard
+	}
+	log, err := logger.New(out, settings.Log.Level, settings.Log.Format, settings.Instance.Name)
+	if err != nil {
+		return nil, err
+	}
+	s, err := server.New(settings, log)
+	if err != nil {
+		return nil, err
+	}
+	f.servers = append(f.servers, s)
+	return s, nil
+}
+
+// maxSeeds is the number of seeds of each instance.
+const maxSeeds = 3
+
+func (f *Fleet) settings(i int) configurer.Settings {
+	var s configurer.Settings
+	s.Instance.Name = fmt.Sprintf("entry-%d", i)
+	s.Instance.Domain = f.options.Domains[i%len(f.options.Domains)]
+	s.Callers.Listen = loopback
+	s.Callers.Keep = f.options.Keep
+	s.Callers.Header = "Caller"
+	s.Inner.Listen = loopback
+	s.Inner.Key = fleetKey
+	for _, other := range f.servers {
+		if len(s.Inner.Seeds) < maxSeeds {
+			s.Inner.Seeds = append(s.Inner.Seeds, other.Inner())
+		}
+	}
+	s.Operators.Listen = loopback
+	s.Platform.Address = f.store.Address()
+	s.Platform.Patience = time.Second
+	s.Log.Level = "info"
+	if f.options.Level != "" {
+		s.Log.Level = f.options.Level
+	}
+	s.Log.Format = "text"
+	s.Limits.HeadBytes = 64 << 10
+	s.Limits.HeadTimeout = 10 * time.Second
+	s.Limits.IdleTimeout = 2 * time.Minute
+	s.Limits.StallTimeout = time.Minute
+	s.Limits.Policy = f.options.Policy
+	return s
+}
+
+// waitReady waits until every instance is ready and knows all others.
+func (f *Fleet) waitReady() error {
+	deadline := time.Now().Add(readyWait)
+	for time.Now().Before(deadline) {
+		if f.ready() {
+			return nil
+		}
+		time.Sleep(readyPoll)
+	}
+	return eris.Wrapf(ErrStart, "after %v", readyWait)
+}
+
+func (f *Fleet) ready() bool {
+	for _, s := range f.Servers() {
+		d, ok := s.Dump()
+		if !ok || !d.Ready || len(d.Documents) < 2*len(f.options.Services) {
+			return false
+		}
+		ready := 0
+		for _, m := range d.Members {
+			if m.Ready {
+				ready++
+			}
+		}
+		if ready < f.options.Instances {
+			return false
+		}
+	}
+	return true
+}
+
+// Servers returns the instances that run.
+func (f *Fleet) Servers() []*server.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*server.Server(nil), f.servers...)
+}
+
+// Entries returns the addresses of the instances for callers.
+func (f *Fleet) Entries() []string {
+	var result []string
+	for _, s := range f.Servers() {
+		result = append(result, s.Public())
+	}
+	return result
+}
+
+// Backend returns the i-th backend server of a service.
+func (f *Fleet) Backend(service string, i int) (*Backend, bool) {
+	for _, b := range f.Backends {
+		if b.Service == service {
+			if i == 0 {
+				return b, true
+			}
+			i--
+		}
+	}
+	return nil, false
+}
+
+// Replace shuts the oldest instance down and starts a new one in its place.
+func (f *Fleet) Replace() error {
+	f.mu.Lock()
+	oldest := f.servers[0]
+	f.mu.Unlock()
+	if _, err := f.Start(); err != nil {
+		return err
+	}
+	oldest.Shutdown()
+	f.drop(oldest)
+	return nil
+}
+
+func (f *Fleet) drop(s *server.Server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.servers {
+		if f.servers[i] == s {
+			f.servers = append(f.servers[:i:i], f.servers[i+1:]...)
+			return
+		}
+	}
+}
+
+// Shutdown shuts all instances down in order.
+func (f *Fleet) Shutdown() {
+	var group sync.WaitGroup
+	for _, s := range f.Servers() {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			s.Shutdown()
+		}()
+	}
+	group.Wait()
+	f.mu.Lock()
+	f.servers = nil
+	f.mu.Unlock()
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, s := range f.Servers() {
+		s.Close()
+	}
+	for _, b := range f.Backends {
+		b.process.Close()
+	}
+	f.store.Close()
+}
--- /dev/null
+++ b/balancer/arrive.go
@@ -0,0 +1,307 @@
+package balancer
+
+import (
+	"time"
+
+	"monsoonswitch/container"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/limiter"
+	"monsoonswitch/picker"
+)
+
+// retryAfter is how long callers wait before they send refused work again.
+const retryAfter = time.Second
+
+// Arrive takes a request in.
+func (b *Balancer[E, D, P, L]) Arrive(e descriptor.Arrived) {
+	b.advance(e.At)
+	r := request{
+		id:          e.Request,
+		class:       b.classIndex(e.Class),
+		caller:      e.Caller,
+		fingerprint: e.Fingerprint,
+		replayable:  e.Replayable,
+		body:        e.Body,
+		deadline:    e.Deadline,
+		arrived:     e.At,
+	}
+	if r.class < 0 || b.classes[r.class].retired {
+		b.emit(descriptor.Refuse{Request: r.id, Reason: descriptor.UnknownRoute})
+		b.ended = append(b.ended, Ended{Request: r.id, Class: e.Class, Reason: descriptor.UnknownRoute})
+		return
+	}
+	if reason, retry := b.Barrier(e); reason != descriptor.Served {
+		b.refuse(r, reason, descriptor.NotRun, retry)
+		return
+	}
+	b.admit(r)
+}
+
+func (b *Balancer[E, D, P, L]) classIndex(name string) int {
+	for i := range b.classes {
+		if b.classes[i].declared.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Barrier returns why a request can't be taken in and when to send it again, or
+// Served if it can.
+func (b *Balancer[E, D, P, L]) Barrier(e descriptor.Arrived) (descriptor.Reason, time.Duration) {
+	switch {
+	case b.service.State == declarer.Closing:
+		return descriptor.ServiceClosing, 0
+	case b.service.State == declarer.Closed:
+		return descriptor.ServiceClosed, 0
+	case b.position < 0:
+		return descriptor.Misdirected, 0
+	case b.poisoned(e.Fingerprint):
+		return descriptor.Poisoned, 0
+	case b.backends.Len() == 0:
+		return descriptor.NoBackend, retryAfter
+	case b.queued >= maxQueued:
+		return descriptor.Overloaded, retryAfter
+	}
+	return descriptor.Served, 0
+}
+
+// admit starts a request or queues it.
+func (b *Balancer[E, D, P, L]) admit(r request) {
+	if b.queued == 0 && b.mayStart(r.class) && b.start(r) {
+		return
+	}
+	patience := b.limiter.Patience(b.work(r.class))
+	expires := r.arrived.Add(patience)
+	if !r.deadline.IsZero() && r.deadline.Before(expires) {
+		expires = r.deadline
+	}
+	if !expires.After(b.now) {
+		b.refuse(r, descriptor.Expired, descriptor.NotRun, 0)
+		return
+	}
+	r = r.WithQueued(expires)
+	b.requests.Put(r.id, r)
+	b.queued++
+	b.queues[r.class].Push(r.caller, r.id)
+	b.pump()
+}
+
+// work describes the queue of a class to the limiter.
+func (b *Balancer[E, D, P, L]) work(c int) limiter.Work {
+	declared := b.classes[c].declared
+	return limiter.Work{
+		Target:  declared.Target,
+		Typical: b.classes[c].reference.Quantile(0.5, 0),
+		Oldest:  b.oldest(c),
+	}
+}
+
+// oldest returns how long the oldest queued request of a class has waited. The
+// queue takes callers in turn, so the front of the first caller stands for it.
+func (b *Balancer[E, D, P, L]) oldest(c int) time.Duration {
+	id, ok := b.queues[c].Front()
+	if !ok {
+		return 0
+	}
+	r, ok := b.requests.Get(id)
+	if !ok {
+		return 0
+	}
+	return b.now.Sub(r.arrived)
+}
+
+// mayStart tells whether the limit on long work allows a class to start work.
+func (b *Balancer[E, D, P, L]) mayStart(c int) bool {
+	if !b.classes[c].declared.Long || !b.hasShort() {
+		return true
+	}
+	return b.longInFlight() < b.limiter.LongLimit(b.slots)
+}
+
+func (b *Balancer[E, D, P, L]) hasShort() bool {
+	for i := range b.classes {
+		if !b.classes[i].declared.Long && !b.classes[i].retired {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Balancer[E, D, P, L]) longInFlight() int {
+	sum := 0
+	for i := range b.classes {
+		if b.classes[i].declared.Long {
+			sum += b.classes[i].inFlight
+		}
+	}
+	return sum
+}
+
+// start sends a request to a backend server if one has a free slot.
+func (b *Balancer[E, D, P, L]) start(r request) bool {
+	position := b.pick(r)
+	if position < 0 {
+		return false
+	}
+	b.dispatch(r, position)
+	return true
+}
+
+// dispatch opens an attempt of r at the backend server at position.
+func (b *Balancer[E, D, P, L]) dispatch(r request, position int) {
+	if r.queued {
+		b.queued--
+	}
+	id, s := b.backends.At(position)
+	long := b.classes[r.class].declared.Long
+	r = r.WithAttempt(id, b.now)
+	b.requests.Put(r.id, r)
+	b.classes[r.class] = b.classes[r.class].WithInFlight(1)
+	b.place(position, s.WithStart(long))
+	b.emit(descriptor.Dispatch{Request: r.id, Attempt: r.last, Backend: s.listed})
+}
+
+// pick returns the position of a backend server for r, or -1.
+func (b *Balancer[E, D, P, L]) pick(r request) int {
+	if p := b.pickFrom(&b.preferred, r); p >= 0 {
+		return p
+	}
+	if b.wary.Len() == 0 || !b.mayRisk(r) {
+		return -1
+	}
+	return b.pickFrom(&b.wary, r)
+}
+
+// mayRisk tells whether r may go to a suspected backend server: work that can
+// be sent again may, and all work may if every backend server is suspected.
+func (b *Balancer[E, D, P, L]) mayRisk(r request) bool {
+	if b.classes[r.class].declared.Idempotent && r.replayable {
+		return true
+	}
+	return b.trusted == 0
+}
+
+// pickFrom returns the position of a member of set that may take r, or -1.
+func (b *Balancer[E, D, P, L]) pickFrom(set *container.Positions, r request) int {
+	n := set.Len()
+	if n == 0 {
+		return -1
+	}
+	b.turn++
+	at := b.candidate
+	if set != &b.preferred {
+		at = func(i int) picker.Candidate { return b.candidateAt(set, i) }
+	}
+	long := b.classes[r.class].declared.Long
+	first := b.picker.Pick(n, at, b.turn, b.random)
+	for k := range n {
+		position := set.At((first + k) % n)
+		id, s := b.backends.At(position)
+		if r.triedAt(id) || long && s.inFlight >= s.share {
+			continue
+		}
+		return position
+	}
+	return -1
+}
+
+func (b *Balancer[E, D, P, L]) candidateAt(set *container.Positions, i int) picker.Candidate {
+	position := set.At(i)
+	_, s := b.backends.At(position)
+	return picker.Candidate{Position: position, InFlight: s.inFlight, Share: max(1, s.share)}
+}
+
+// place stores the record at position and keeps the sets of free backend
+// servers in step.
+func (b *Balancer[E, D, P, L]) place(position int, s backend[E]) {
+	b.backends.SetAt(position, s)
+	free := s.inFlight < s.limit(b.now)
+	risky := s.avoided || s.mode == modeTrial
+	b.preferred.Set(position, free && !risky)
+	b.wary.Set(position, free && risky)
+}
+
+// pump starts queued requests while there are free slots.
+func (b *Balancer[E, D, P, L]) pump() {
+	b.pumpRetries()
+	for b.queued > 0 && b.preferred.Len()+b.wary.Len() > 0 {
+		c := b.nextClass()
+		if c < 0 || !b.startNext(c) {
+			return
+		}
+	}
+}
+
+func (b *Balancer[E, D, P, L]) pumpRetries() {
+	waiting := b.retries
+	b.retries = b.retries[:0]
+	for _, id := range waiting {
+		r, ok := b.requests.Get(id)
+		if ok && r.queued && !b.start(r) {
+			b.retries = append(b.retries, id)
+		}
+	}
+}
+
+// startNext starts the next queued request of class c and tells whether one
+// left the queue.
+func (b *Balancer[E, D, P, L]) startNext(c int) bool {
+	newest := b.limiter.Newest(b.work(c))
+	id, ok := b.queues[c].Pop(newest)
+	if !ok {
+		return false
+	}
+	r, ok := b.requests.Get(id)
+	if !ok || !r.queued {
+		return true
+	}
+	if !b.now.Before(r.expires) {
+		b.expire(r)
+		return true
+	}
+	if b.start(r) {
+		return true
+	}
+	b.queues[c].Return(r.caller, id, newest)
+	return false
+}
+
+// nextClass returns the class whose queue is served next, or -1: long work below
+// its share first, then the class whose oldest request is closest to its target.
+func (b *Balancer[E, D, P, L]) nextClass() int {
+	best := -1
+	var due time.Duration
+	for c := range b.classes {
+		if b.queues[c].Len() == 0 || !b.hasRoom(c) || !b.mayStart(c) {
+			continue
+		}
+		declared := b.classes[c].declared
+		if declared.Long && b.longInFlight() < b.limiter.LongShare(b.slots) {
+			return c
+		}
+		left := declared.Target - b.oldest(c)
+		if best < 0 || left < due {
+			best, due = c, left
+		}
+	}
+	return best
+}
+
+// hasRoom tells whether a class may use one of the free slots.
+func (b *Balancer[E, D, P, L]) hasRoom(c int) bool {
+	if b.preferred.Len() > 0 {
+		return true
+	}
+	return b.wary.Len() > 0 && (b.classes[c].declared.Idempotent || b.trusted == 0)
+}
+
+// expire refuses a request that can't meet its target any more.
+func (b *Balancer[E, D, P, L]) expire(r request) {
+	reason := descriptor.Overloaded
+	if !r.deadline.IsZero() && !b.now.Before(r.deadline) {
+		reason = descriptor.Expired
+	}
+	b.refuse(r, reason, r.outcome(), retryAfter)
+}
--- /dev/null
+++ b/balancer/backend.go
@@ -0,0 +1,238 @@
+package balancer
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// mode tells which work a backend server may get.
+type mode int
+
+const (
+	// modeReady allows all work.
+	modeReady mode = iota
+	// modeTrial allows single replayable requests after an ejection.
+	modeTrial
+	// modeEjected allows no new work until the hold-off ends.
+	modeEjected
+	// modeDown allows no new work until a connection is accepted again.
+	modeDown
+	// modeLeaving allows no new work.
+	modeLeaving
+)
+
+// String returns the name used in dumps.
+func (m mode) String() string {
+	names := [...]string{"ready", "trial", "ejected", "down", "leaving"}
+	return names[m]
+}
+
+// Times of the life of a backend server.
+const (
+	// rampTime is how long a backend server takes to its full share after a
+	// start, a breakdown or an ejection.
+	rampTime = 5 * time.Second
+	// coldTime is how long the service times of a started backend server are
+	// no evidence.
+	coldTime = 10 * time.Second
+	// drainTime is how long one announced drain holds.
+	drainTime = 30 * time.Second
+	// probeFirst and probeLast bound the waits between probes of a backend
+	// server that is down.
+	probeFirst = 100 * time.Millisecond
+	probeLast  = 5 * time.Second
+	// trialGoal is the number of good answers that end a trial.
+	trialGoal = 5
+)
+
+// backend is the record of one backend server at this instance.
+type backend[E any] struct {
+	listed descriptor.Backend
+	mode   mode
+	// share is this instance's part of the slots.
+	share int
+	// borrowed slots may be used until borrowedUntil.
+	borrowed      int
+	borrowedUntil time.Time
+	// lent slots may not be used until lentUntil.
+	lent      int
+	lentUntil time.Time
+	// inFlight counts attempts that hold a slot; long is those of long work.
+	inFlight int
+	long     int
+	// cap limits inFlight after a shed; it grows with answers and is at least 1.
+	cap float64
+	// evidence is what this instance observed; open is the weight of its
+	// overdue requests at the last tick.
+	evidence E
+	open     float64
+	// fleet is the score over all serving instances at the last tick.
+	fleet float64
+	// recent counts observations since the last evidence message.
+	recent int
+	// avoided tells that other backend servers are preferred until avoidUntil.
+	avoided    bool
+	avoidUntil time.Time
+	avoidance  int
+	// rampFrom is when the share began to grow; zero means it is in full.
+	rampFrom time.Time
+	// coldUntil is until when service times are no evidence.
+	coldUntil time.Time
+	// drainUntil is until when an announced drain holds.
+	drainUntil time.Time
+	// probeAt is when a backend server that is down is probed next.
+	probeAt   time.Time
+	probeWait time.Duration
+	// brokenAt is when connections to it broke last.
+	brokenAt time.Time
+	// good counts the answers of the present trial, which began at trialFrom.
+	good      int
+	trialFrom time.Time
+}
+
+// unlimited is the cap of a backend server that did not shed.
+const unlimited = 1 << 20
+
+func newBackend[E any](listed descriptor.Backend) backend[E] {
+	return backend[E]{listed: listed, cap: unlimited}
+}
+
+// WithListed returns b as the platform lists it now.
+func (b backend[E]) WithListed(listed descriptor.Backend) backend[E] {
+	b.listed = listed
+	return b
+}
+
+// WithMode returns b in mode m.
+func (b backend[E]) WithMode(m mode) backend[E] {
+	b.mode = m
+	return b
+}
+
+// WithShare returns b with n slots of this instance.
+func (b backend[E]) WithShare(n int) backend[E] {
+	b.share = n
+	return b
+}
+
+// WithStart returns b with one attempt more in flight.
+func (b backend[E]) WithStart(long bool) backend[E] {
+	b.inFlight++
+	if long {
+		b.long++
+	}
+	return b
+}
+
+// WithEnd returns b with one attempt less in flight.
+func (b backend[E]) WithEnd(long bool) backend[E] {
+	b.inFlight--
+	if long {
+		b.long--
+	}
+	return b
+}
+
+// WithEvidence returns b with evidence e after one more observation.
+func (b backend[E]) WithEvidence(e E) backend[E] {
+	b.evidence = e
+	b.recent++
+	return b
+}
+
+// WithAnswer returns b after an answer: the cap grows and a trial advances.
+func (b backend[E]) WithAnswer() backend[E] {
+	if b.cap < unlimited {
+		b.cap += 1 / b.cap
+	}
+	if b.cap > float64(b.listed.Slots) {
+		b.cap = unlimited
+	}
+	if b.mode == modeTrial {
+		b.good++
+	}
+	return b
+}
+
+// WithShed returns b after it refused work at the present load.
+func (b backend[E]) WithShed() backend[E] {
+	b.cap = max(1, float64(b.inFlight-1))
+	return b
+}
+
+// WithDown returns b after it refused a connection.
+func (b backend[E]) WithDown(now time.Time) backend[E] {
+	if b.mode == modeReady || b.mode == modeTrial {
+		b.mode = modeDown
+	}
+	b.probeWait = min(probeLast, max(probeFirst, 2*b.probeWait))
+	b.probeAt = now.Add(b.probeWait)
+	return b
+}
+
+// WithUp returns b after it accepted a connection again.
+func (b backend[E]) WithUp(now time.Time) backend[E] {
+	b.mode = modeReady
+	b.probeWait = 0
+	b.rampFrom = now
+	b.coldUntil = now.Add(coldTime)
+	return b
+}
+
+// WithDrain returns b after it announced that it leaves.
+func (b backend[E]) WithDrain(now time.Time) backend[E] {
+	b.mode = modeLeaving
+	b.drainUntil = now.Add(drainTime)
+	return b
+}
+
+// WithEjection returns b without work, suspicion or evidence.
+func (b backend[E]) WithEjection() backend[E] {
+	var fresh E
+	b.mode = modeEjected
+	b.evidence = fresh
+	b.avoided = false
+	return b
+}
+
+// WithTrial returns b at the end of a hold-off.
+func (b backend[E]) WithTrial(now time.Time) backend[E] {
+	b.mode = modeTrial
+	b.trialFrom = now
+	b.good = 0
+	return b
+}
+
+// WithReturn returns b after a trial that went well.
+func (b backend[E]) WithReturn(now time.Time, e E) backend[E] {
+	b.mode = modeReady
+	b.evidence = e
+	b.rampFrom = now
+	b.avoided = false
+	return b
+}
+
+// limit returns how many attempts may be in flight at now.
+func (b backend[E]) limit(now time.Time) int {
+	switch b.mode {
+	case modeEjected, modeDown, modeLeaving:
+		return 0
+	case modeTrial:
+		return min(1, b.share)
+	}
+	n := b.share
+	if now.Before(b.borrowedUntil) {
+		n += b.borrowed
+	}
+	if now.Before(b.lentUntil) {
+		n -= b.lent
+	}
+	if grown := now.Sub(b.rampFrom); !b.rampFrom.IsZero() && grown < rampTime && n > 0 {
+		n = max(1, int(float64(n)*float64(grown)/float64(rampTime)))
+	}
+	return max(0, min(n, int(b.cap)))
+}
+
+// healthy tells whether b counts as capacity that may take work.
+func (b backend[E]) healthy() bool { return b.mode == modeReady || b.mode == modeTrial }
--- /dev/null
+++ b/balancer/dump.go
@@ -0,0 +1,69 @@
+package balancer
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// Dump returns the state of the service at now.
+func (b *Balancer[E, D, P, L]) Dump(now time.Time) descriptor.ServiceDump {
+	d := descriptor.ServiceDump{
+		Name:      b.service.Name,
+		Revision:  b.revision,
+		State:     b.service.State.String(),
+		Live:      b.backends.Len(),
+		Floor:     b.service.Keep(b.backends.Len()),
+		Ejections: b.ejections.Ejections,
+		Refused:   b.refusal,
+		Budget:    b.budget.Left,
+		Suspect:   b.crashes.Len(),
+	}
+	for _, m := range b.serving {
+		d.Serving = append(d.Serving, m.ID)
+	}
+	for c := range b.classes {
+		d.Classes = append(d.Classes, b.dumpClass(c))
+	}
+	for id, s := range b.backends.All {
+		d.Backends = append(d.Backends, b.dumpBackend(id, s, now))
+	}
+	return d
+}
+
+func (b *Balancer[E, D, P, L]) dumpClass(c int) descriptor.ClassDump {
+	class := b.classes[c]
+	limit := b.slots
+	if class.declared.Long && b.hasShort() {
+		limit = b.limiter.LongLimit(b.slots)
+	}
+	return descriptor.ClassDump{
+		Name:     class.declared.Name,
+		Queued:   b.queues[c].Len(),
+		InFlight: class.inFlight,
+		Limit:    limit,
+		Median:   class.reference.Quantile(0.5, 0),
+		Tail:     class.reference.Quantile(0.99, 0),
+	}
+}
+
+func (b *Balancer[E, D, P, L]) dumpBackend(id string, s backend[E], now time.Time) descriptor.BackendDump {
+	d := descriptor.BackendDump{
+		ID:       id,
+		Address:  s.listed.Address,
+		Share:    s.share,
+		InFlight: s.inFlight,
+		Long:     s.long,
+		State:    s.mode.String(),
+		Local:    b.detector.Score(s.evidence) + s.open,
+		Fleet:    s.fleet,
+		Avoided:  s.avoided,
+	}
+	if now.Before(s.borrowedUntil) {
+		d.Borrowed = s.borrowed
+	}
+	if now.Before(s.lentUntil) {
+		d.Lent = s.lent
+	}
+	return d
+}
--- /dev/null
+++ b/balancer/list.go
@@ -0,0 +1,165 @@
+package balancer
+
+import (
+	"strconv"
+	"time"
+
+	"monsoonswitch/allocator"
+	"monsoonswitch/descriptor"
+)
+
+// List puts a list of backend servers in force. Those that are no longer listed
+// finish what they run.
+func (b *Balancer[E, D, P, L]) List(now time.Time, list []descriptor.Backend) {
+	b.advance(now)
+	present := make(map[string]bool, len(list))
+	for _, listed := range list {
+		present[listed.ID] = true
+		b.enlist(listed)
+	}
+	b.listed = true
+	for _, id := range b.backendIDs() {
+		if !present[id] {
+			b.delist(id)
+		}
+	}
+	b.refresh()
+	b.pump()
+}
+
+func (b *Balancer[E, D, P, L]) backendIDs() []string {
+	ids := make([]string, 0, b.backends.Len())
+	for id := range b.backends.All {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (b *Balancer[E, D, P, L]) enlist(listed descriptor.Backend) {
+	s, ok := b.backends.Get(listed.ID)
+	if !ok {
+		s = newBackend[E](listed)
+		if b.listed {
+			s.rampFrom = b.now
+			s.coldUntil = b.now.Add(coldTime)
+		}
+	}
+	s = s.WithListed(listed).WithShare(b.shareOf(listed))
+	if listed.Leaving {
+		s = s.WithMode(modeLeaving)
+	}
+	b.backends.Put(listed.ID, s)
+}
+
+func (b *Balancer[E, D, P, L]) delist(id string) {
+	s, _ := b.backends.Get(id)
+	if s.inFlight == 0 {
+		b.remove(id)
+		return
+	}
+	listed := s.listed
+	listed.Leaving = true
+	b.backends.Put(id, s.WithListed(listed).WithMode(modeLeaving))
+}
+
+// isListed tells whether the platform still names a backend server.
+func (b *Balancer[E, D, P, L]) isListed(id string) bool {
+	s, ok := b.backends.Get(id)
+	return ok && !s.listed.Leaving
+}
+
+// remove forgets a backend server. Positions change, so the sets are rebuilt.
+func (b *Balancer[E, D, P, L]) remove(id string) {
+	b.backends.Delete(id)
+	b.refresh()
+}
+
+func (b *Balancer[E, D, P, L]) shareOf(listed descriptor.Backend) int {
+	return allocator.Share(listed.Slots, len(b.serving), b.position, listed.ID)
+}
+
+// Serve puts the instances that serve the service in force.
+func (b *Balancer[E, D, P, L]) Serve(now time.Time, serving []descriptor.Member) {
+	b.advance(now)
+	b.serving = serving
+	b.position = -1
+	for i, m := range serving {
+		if m.ID == b.options.Self {
+			b.position = i
+		}
+	}
+	for i := range b.backends.Len() {
+		_, s := b.backends.At(i)
+		b.backends.SetAt(i, s.WithShare(b.shareOf(s.listed)))
+	}
+	b.forgetPeers()
+	b.refresh()
+	if b.position < 0 {
+		b.dismiss()
+		return
+	}
+	b.pump()
+}
+
+// Serves tells whether this instance serves the service.
+func (b *Balancer[E, D, P, L]) Serves() bool { return b.position >= 0 }
+
+// Serving returns the instances that serve the service.
+func (b *Balancer[E, D, P, L]) Serving() []descriptor.Member { return b.serving }
+
+// dismiss refuses all queued requests: other instances serve them now.
+func (b *Balancer[E, D, P, L]) dismiss() {
+	for _, r := range b.queuedRequests() {
+		b.refuse(r, descriptor.Misdirected, r.outcome(), 0)
+	}
+	b.retries = b.retries[:0]
+}
+
+func (b *Balancer[E, D, P, L]) queuedRequests() []request {
+	var result []request
+	for _, r := range b.requests.All {
+		if r.queued {
+			result = append(result, r)
+		}
+	}
+	return result
+}
+
+// refresh brings everything that depends on the present time or on positions
+// into step.
+func (b *Balancer[E, D, P, L]) refresh() {
+	b.preferred.Clear()
+	b.wary.Clear()
+	b.slots = 0
+	b.trusted = 0
+	for i := range b.backends.Len() {
+		_, s := b.backends.At(i)
+		b.slots += s.limit(b.now)
+		if s.mode == modeReady && !s.avoided && s.share > 0 {
+			b.trusted++
+		}
+		b.place(i, s)
+	}
+}
+
+// tell sends a message to the other serving instances.
+func (b *Balancer[E, D, P, L]) tell(m descriptor.Message) {
+	for _, p := range b.serving {
+		if p.ID != b.options.Self {
+			b.emit(descriptor.Send{To: p, Message: m})
+		}
+	}
+}
+
+// HearDrain takes in a drain announced to another serving instance.
+func (b *Balancer[E, D, P, L]) HearDrain(now time.Time, m descriptor.Drain) {
+	b.advance(now)
+	p := b.backends.Position(m.Backend)
+	if p < 0 {
+		return
+	}
+	_, s := b.backends.At(p)
+	b.place(p, s.WithDrain(b.now))
+}
+
+func count(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/commander/serve.go
@@ -0,0 +1,45 @@
+package commander
+
+import (
+	"context"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/configurer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/logger"
+	"monsoonswitch/server"
+	"monsoonswitch/stopper"
+)
+
+// serveCommand runs an entry instance.
+type serveCommand struct{ settings string }
+
+func (c *serveCommand) register(app *kingpin.Application) *kingpin.CmdClause {
+	clause := app.Command("serve", "Run an entry instance until SIGTERM; it then finishes every request in flight.")
+	clause.Flag("settings", "Settings file in INI form.").Short('s').Required().StringVar(&c.settings)
+	return clause
+}
+
+func (c *serveCommand) run(_ context.Context, _, log io.Writer) error {
+	settings, err := configurer.Load(c.settings)
+	if err != nil {
+		return err
+	}
+	l, err := logger.New(log, settings.Log.Level, settings.Log.Format, settings.Instance.Name)
+	if err != nil {
+		return eris.Wrapf(configurer.ErrInvalid, "%v", err)
+	}
+	stop := stopper.New()
+	s, err := server.New(settings, l)
+	if err != nil {
+		return err
+	}
+	<-stop.Asked()
+	l.Event(descriptor.NoteSignal, "", settings.Instance.Name, stop.Reason())
+	s.Shutdown()
+	stop.Finish()
+	return nil
+}
--- /dev/null
+++ b/configurer/settings.go
@@ -0,0 +1,79 @@
+// Package configurer loads and checks the settings of a process: an INI file
+// with one Go file and one function for each section.
+package configurer
+
+import (
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+)
+
+// ErrInvalid reports settings that can't be used.
+var ErrInvalid = eris.New("invalid settings")
+
+// Settings are all settings of an entry instance.
+type Settings struct {
+	Instance  Instance
+	Callers   Callers
+	Inner     Inner
+	Operators Operators
+	Platform  Platform
+	Log       Log
+	Limits    Limits
+}
+
+// loaders holds the function of each section.
+var loaders = map[string]func(*section, *Settings){
+	"instance":  loadInstance,
+	"callers":   loadCallers,
+	"inner":     loadInner,
+	"operators": loadOperators,
+	"platform":  loadPlatform,
+	"log":       loadLog,
+	"limits":    loadLimits,
+}
+
+// Load reads the settings file at path.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrapf(ErrInvalid, "%v", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings; file names the source in errors.
+func Parse(file string, data []byte) (Settings, error) {
+	var s Settings
+	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, data)
+	if err != nil {
+		return s, eris.Wrapf(ErrInvalid, "%s: %v", file, err)
+	}
+	for _, sec := range f.Sections() {
+		if _, ok := loaders[sec.Name()]; !ok && (sec.Name() != ini.DefaultSection || len(sec.Keys()) > 0) {
+			return s, eris.Wrapf(ErrInvalid, "%s: [%s]: unknown section; known are %s", file, sec.Name(), sectionNames())
+		}
+	}
+	for _, name := range sortedSections() {
+		sec := newSection(file, name, f)
+		loaders[name](sec, &s)
+		if err := sec.finish(); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func sortedSections() []string {
+	names := make([]string, 0, len(loaders))
+	for name := range loaders {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func sectionNames() string { return strings.Join(sortedSections(), ", ") }
--- /dev/null
+++ b/container/generation.go
@@ -0,0 +1,64 @@
+package container
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Generations is a bounded map that forgets whole generations of keys: when
+// the newest generation is full, the oldest one is dropped.
+type Generations[K cmp.Ordered, V any] struct {
+	// current and previous never hold the same key.
+	current  map[K]V
+	previous map[K]V
+	// limit is the number of keys of one generation.
+	limit int
+}
+
+// NewGenerations returns a map that holds at most 2*limit keys.
+func NewGenerations[K cmp.Ordered, V any](limit int) *Generations[K, V] {
+	return &Generations[K, V]{current: make(map[K]V), previous: make(map[K]V), limit: limit}
+}
+
+// Get returns the value of k and whether it is held.
+func (g *Generations[K, V]) Get(k K) (V, bool) {
+	if v, ok := g.current[k]; ok {
+		return v, true
+	}
+	v, ok := g.previous[k]
+	return v, ok
+}
+
+// Put stores v under k and reports whether a generation was dropped for it.
+func (g *Generations[K, V]) Put(k K, v V) bool {
+	delete(g.previous, k)
+	if _, ok := g.current[k]; !ok && len(g.current) >= g.limit {
+		g.previous = g.current
+		g.current = map[K]V{k: v}
+		return true
+	}
+	g.current[k] = v
+	return false
+}
+
+// Delete removes k.
+func (g *Generations[K, V]) Delete(k K) {
+	delete(g.current, k)
+	delete(g.previous, k)
+}
+
+// Len returns the number of keys held.
+func (g *Generations[K, V]) Len() int { return len(g.current) + len(g.previous) }
+
+// Keys returns all keys in ascending order.
+func (g *Generations[K, V]) Keys() []K {
+	result := make([]K, 0, g.Len())
+	for k := range g.current {
+		result = append(result, k)
+	}
+	for k := range g.previous {
+		result = append(result, k)
+	}
+	slices.Sort(result)
+	return result
+}
--- /dev/null
+++ b/decider/decider.go
@@ -0,0 +1,311 @@
+// Package decider composes the decisions of an entry instance: one state machine
+// that takes events and returns actions. It does no I/O, reads no clock and
+// encodes no message; the same events give the same actions.
+package decider
+
+import (
+	"time"
+
+	"monsoonswitch/allocator"
+	"monsoonswitch/balancer"
+	"monsoonswitch/container"
+	"monsoonswitch/counter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/detector"
+	"monsoonswitch/gossiper"
+	"monsoonswitch/keeper"
+	"monsoonswitch/limiter"
+	"monsoonswitch/picker"
+	"monsoonswitch/spreader"
+)
+
+const (
+	// watchRole is the name under which the instances that follow the
+	// platform's store are chosen; no service has such a name.
+	watchRole = "~watch"
+	// watchers is the number of those instances.
+	watchers = 3
+	// keptNotes is the number of log events kept for dumps.
+	keptNotes = 64
+)
+
+// Options are the constant parts of a decider.
+type Options struct {
+	// Self is the first record of this instance.
+	Self descriptor.Member
+	// Seed makes the choices repeatable.
+	Seed uint64
+	// Patience is how long an instance waits for others before it reads the
+	// platform's store itself.
+	Patience time.Duration
+}
+
+// served is a service that this instance serves or finishes.
+type served[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy] struct {
+	balancer *balancer.Balancer[E, D, P, L]
+	inForce  time.Time
+	accepted time.Time
+}
+
+// Decider is the state of one instance. It belongs to one goroutine.
+type Decider[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy] struct {
+	options  Options
+	now      time.Time
+	started  time.Time
+	writes   descriptor.WriteID
+	gossiper *gossiper.Gossiper
+	spreader *spreader.Spreader
+	keeper   *keeper.Keeper
+	counter  *counter.Counter
+	writer   *counter.Writer
+	index    *allocator.Index
+	// declared holds the declaration of each service.
+	declared *container.Table[string, declarer.Service]
+	served   *container.Table[string, *served[E, D, P, L]]
+	// requests maps each open request to its service.
+	requests *container.Table[descriptor.RequestID, string]
+	notes    *container.Ring[descriptor.Note]
+
+	// synced tells that the configuration is known; watching that this
+	// instance follows the platform's store.
+	synced, watching bool
+	dirty            bool
+	gossipAt         time.Time
+	tallyAt          time.Time
+	publishAt        time.Time
+	digestAt         time.Time
+	quit             leave
+
+	actions []descriptor.Action
+	ended   []balancer.Ended
+}
+
+// Standard is the decider with the policies of production.
+type Standard = Decider[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]
+
+// RoundRobin is the baseline without ejection.
+type RoundRobin = Decider[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open]
+
+// Consecutive is the baseline that ejects after five failures in a row.
+type Consecutive = Decider[int, detector.Consecutive, picker.LeastLoaded, limiter.Open]
+
+// New returns the decider of an instance that starts at now.
+func New[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](o Options, now time.Time) *Decider[E, D, P, L] {
+	d := &Decider[E, D, P, L]{
+		options:  o,
+		now:      now,
+		started:  now,
+		gossiper: gossiper.New(o.Self, now),
+		spreader: spreader.New(),
+		counter:  counter.New(o.Self),
+		index:    allocator.NewIndex(),
+		declared: container.NewTable[string, declarer.Service](),
+		served:   container.NewTable[string, *served[E, D, P, L]](),
+		requests: container.NewTable[descriptor.RequestID, string](),
+		notes:    container.NewRing[descriptor.Note](keptNotes),
+		dirty:    true,
+	}
+	d.keeper = keeper.New(o.Self, d.gossiper, d.nextWrite, now)
+	d.writer = counter.NewWriter(o.Self, d.nextWrite)
+	d.index.SetService(watchRole, watchers)
+	return d
+}
+
+// NewStandard returns a decider with the policies of production.
+func NewStandard(o Options, now time.Time) *Standard {
+	return New[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive](o, now)
+}
+
+func (d *Decider[E, D, P, L]) nextWrite() descriptor.WriteID {
+	d.writes++
+	return d.writes
+}
+
+// Busy tells whether there are requests that have not ended.
+func (d *Decider[E, D, P, L]) Busy() bool { return d.requests.Len() > 0 }
+
+// Step takes one event in and returns the actions that follow. The slice is
+// valid until the next call.
+func (d *Decider[E, D, P, L]) Step(event descriptor.Event) []descriptor.Action {
+	clear(d.actions)
+	d.actions = d.actions[:0]
+	d.now = event.When()
+	switch e := event.(type) {
+	case descriptor.Arrived:
+		d.arrive(e)
+	case descriptor.Sent:
+		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Sent(e) })
+	case descriptor.Answered:
+		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Answered(e) })
+	case descriptor.Finished:
+		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Finished(e) })
+	case descriptor.Failed:
+		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Failed(e) })
+	case descriptor.Gone:
+		d.gone(e)
+	case descriptor.Probed:
+		d.onService(e.Service, func(s *served[E, D, P, L]) { s.balancer.Probed(e) })
+	case descriptor.Ticked:
+		d.tick()
+	case descriptor.Received:
+		d.receive(e)
+	case descriptor.LinkOpened:
+		d.gossiper.LinkOpened(e)
+	case descriptor.LinkClosed:
+		d.gossiper.LinkClosed(e)
+		d.spreader.Forget(e.Peer)
+	case descriptor.Learned:
+		d.learn(e)
+	case descriptor.Written:
+		d.written(e)
+	case descriptor.Quit:
+		d.startLeaving()
+	}
+	d.followMembers()
+	return d.actions
+}
+
+func (d *Decider[E, D, P, L]) emit(a descriptor.Action) {
+	d.inspect(a)
+	d.actions = append(d.actions, a)
+}
+
+func (d *Decider[E, D, P, L]) emitAll(list []descriptor.Action) {
+	for _, a := range list {
+		d.emit(a)
+	}
+}
+
+func (d *Decider[E, D, P, L]) note(number int, subject, detail string) {
+	d.emit(descriptor.Note{Number: number, Subject: subject, Detail: detail})
+}
+
+// countEjection counts an ejection at the instance that decided it.
+func (d *Decider[E, D, P, L]) countEjection(n descriptor.Note) {
+	document, _ := d.spreader.Get(descriptor.KindEjections, n.Service)
+	for _, e := range document.Ejections {
+		if e.Backend == n.Subject && e.By == d.options.Self.ID {
+			d.counter.Eject(d.now, n.Service)
+		}
+	}
+}
+
+// onService runs f on a served service and collects what follows.
+func (d *Decider[E, D, P, L]) onService(service string, f func(*served[E, D, P, L])) {
+	s, ok := d.served.Get(service)
+	if !ok {
+		return
+	}
+	f(s)
+	d.collect(service, s)
+}
+
+func (d *Decider[E, D, P, L]) onRequest(id descriptor.RequestID, f func(*served[E, D, P, L])) {
+	if service, ok := d.requests.Get(id); ok {
+		d.onService(service, f)
+	}
+}
+
+// collect takes over the actions of a service and the ends of its requests.
+func (d *Decider[E, D, P, L]) collect(service string, s *served[E, D, P, L]) {
+	before := len(d.actions)
+	d.actions, d.ended = s.balancer.Flush(d.actions, d.ended[:0])
+	for _, a := range d.actions[before:] {
+		d.inspect(a)
+	}
+	for _, e := range d.ended {
+		d.requests.Delete(e.Request)
+		d.counter.End(d.now, service, e.Class, e.Reason, e.Outcome, e.Bytes, e.Latency)
+		d.emitAll(d.keeper.End(e.Request, e.Outcome))
+	}
+}
+
+// inspect keeps the notes among the actions.
+func (d *Decider[E, D, P, L]) inspect(a descriptor.Action) {
+	n, ok := a.(descriptor.Note)
+	if !ok {
+		return
+	}
+	d.notes.Add(n)
+	if n.Number == descriptor.NoteEjected {
+		d.countEjection(n)
+	}
+}
+
+// arrive takes a request in.
+func (d *Decider[E, D, P, L]) arrive(e descriptor.Arrived) {
+	declared, ok := d.declared.Get(e.Service)
+	if !ok {
+		d.emit(descriptor.Refuse{Request: e.Request, Reason: descriptor.UnknownService})
+		return
+	}
+	d.counter.Receive(e.At, e.Service)
+	s, ok := d.served.Get(e.Service)
+	if !ok {
+		d.refuse(e, d.unserved(declared), descriptor.NotRun, 0)
+		return
+	}
+	class, ok := declared.Class(e.Class)
+	if !ok || class.Idempotent {
+		d.admit(e, s)
+		return
+	}
+	if reason, retry := s.balancer.Barrier(e); reason != descriptor.Served {
+		d.refuse(e, reason, descriptor.NotRun, retry)
+		return
+	}
+	decision, actions := d.keeper.Begin(e, class.Keyless)
+	d.emitAll(actions)
+	d.settle(keeper.Settled{Arrived: e, Decision: decision})
+}
+
+// unserved returns the reason to refuse work for a service not served here.
+func (d *Decider[E, D, P, L]) unserved(s declarer.Service) descriptor.Reason {
+	switch {
+	case s.State == declarer.Closing:
+		return descriptor.ServiceClosing
+	case s.State == declarer.Closed:
+		return descriptor.ServiceClosed
+	case len(d.index.Get(s.Name)) == 0:
+		return descriptor.Starting
+	}
+	return descriptor.Misdirected
+}
+
+// settle goes on with a request whose key was decided.
+func (d *Decider[E, D, P, L]) settle(s keeper.Settled) {
+	e := s.Arrived
+	switch s.Decision.Verdict {
+	case keeper.Proceed:
+		e.At = d.now
+		if service, ok := d.served.Get(e.Service); ok {
+			d.admit(e, service)
+			return
+		}
+		d.emitAll(d.keeper.End(e.Request, descriptor.NotRun))
+		d.refuse(e, descriptor.Misdirected, descriptor.NotRun, 0)
+	case keeper.Reject:
+		d.refuse(e, s.Decision.Reason, s.Decision.Outcome, 0)
+	}
+}
+
+func (d *Decider[E, D, P, L]) admit(e descriptor.Arrived, s *served[E, D, P, L]) {
+	d.requests.Put(e.Request, e.Service)
+	s.balancer.Arrive(e)
+	d.collect(e.Service, s)
+}
+
+// refuse ends a request that no balancer knows.
+func (d *Decider[E, D, P, L]) refuse(e descriptor.Arrived, reason descriptor.Reason, outcome descriptor.Outcome, retry time.Duration) {
+	d.emit(descriptor.Refuse{Request: e.Request, Reason: reason, Outcome: outcome, Retry: retry})
+	d.counter.End(d.now, e.Service, e.Class, reason, outcome, 0, 0)
+}
+
+func (d *Decider[E, D, P, L]) gone(e descriptor.Gone) {
+	if arrived, ok := d.keeper.Forget(e.Request); ok {
+		d.refuse(arrived, descriptor.Abandoned, descriptor.NotRun, 0)
+		return
+	}
+	d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Gone(e) })
+}
--- /dev/null
+++ b/decider/dump.go
@@ -0,0 +1,32 @@
+package decider
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// Dump returns the state of the instance at now.
+func (d *Decider[E, D, P, L]) Dump(now time.Time) descriptor.Dump {
+	dump := descriptor.Dump{
+		At:        now,
+		Instance:  d.gossiper.Self(),
+		Ready:     d.synced && !d.quit.started,
+		Leaving:   d.quit.started,
+		Watching:  d.watching,
+		Links:     d.gossiper.Links(),
+		Members:   d.gossiper.Members(),
+		Documents: d.spreader.List(),
+		Keys:      d.keeper.Dump(),
+		Pending:   d.requests.Len(),
+		Notes:     d.notes.Slice(),
+	}
+	for service, s := range d.served.All {
+		state := s.balancer.Dump(now)
+		state.InForce = s.inForce
+		state.Accepted = s.accepted
+		state.Tally, _ = d.counter.Tally(now, service)
+		dump.Services = append(dump.Services, state)
+	}
+	return dump
+}
--- /dev/null
+++ b/decider/tick.go
@@ -0,0 +1,120 @@
+package decider
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// Times of periodic work.
+const (
+	gossipEvery  = 200 * time.Millisecond
+	tallyEvery   = 500 * time.Millisecond
+	publishEvery = 50 * time.Millisecond
+	// digestEvery is the time between digests of an instance that is not ready.
+	digestEvery = 500 * time.Millisecond
+)
+
+// tick does everything that depends on time alone.
+func (d *Decider[E, D, P, L]) tick() {
+	for _, settled := range d.keeper.Tick(d.now) {
+		d.settle(settled)
+	}
+	for i := range d.served.Len() {
+		service, s := d.served.At(i)
+		s.balancer.Tick(d.now)
+		d.collect(service, s)
+	}
+	d.spread()
+	if d.now.Sub(d.gossipAt) >= gossipEvery {
+		d.gossipAt = d.now
+		d.gossiper.Tick(d.now, d.spreader.Digest())
+		d.askForSync()
+		d.retire()
+		d.followStore()
+	}
+	if d.now.Sub(d.tallyAt) >= tallyEvery {
+		d.tallyAt = d.now
+		d.tally()
+	}
+	d.leaveStep()
+	d.publish()
+}
+
+// spread passes fresh documents on over all links.
+func (d *Decider[E, D, P, L]) spread() {
+	for _, batch := range d.spreader.Fresh(d.gossiper.Links()) {
+		to, ok := d.gossiper.Member(batch.To)
+		if !ok {
+			continue
+		}
+		for _, m := range batch.Messages {
+			d.send(to, m)
+		}
+	}
+}
+
+// askForSync sends digests until the configuration is known.
+func (d *Decider[E, D, P, L]) askForSync() {
+	if d.synced || d.now.Sub(d.digestAt) < digestEvery {
+		return
+	}
+	d.digestAt = d.now
+	for _, id := range d.gossiper.Links() {
+		if m, ok := d.gossiper.Member(id); ok {
+			d.sendDigest(m)
+		}
+	}
+}
+
+// followStore decides whether this instance follows the platform's store: a few
+// chosen ones do, and one that found no others for a while.
+func (d *Decider[E, D, P, L]) followStore() {
+	chosen := includes(d.index.Get(watchRole), d.options.Self.ID)
+	alone := !d.synced && d.now.Sub(d.started) >= d.options.Patience
+	active := (chosen || alone) && !d.quit.started
+	if active == d.watching {
+		return
+	}
+	d.watching = active
+	d.emit(descriptor.Watch{Active: active})
+	if active {
+		d.note(descriptor.NoteWatching, d.options.Self.ID, "follows the store")
+	}
+}
+
+// tally reports changed counts to the writers and writes those held here.
+func (d *Decider[E, D, P, L]) tally() {
+	for _, t := range d.counter.Due(d.now) {
+		writer, ok := d.tallyWriter(t.Service)
+		if !ok {
+			continue
+		}
+		if writer.ID == d.options.Self.ID {
+			d.writer.Merge(t)
+			continue
+		}
+		d.send(writer, descriptor.TallyReport{Tally: t})
+	}
+	d.emitAll(d.writer.Due(d.now))
+}
+
+// tallyWriter returns the instance that writes the tallies of a service. The
+// last instance of a fleet writes its own.
+func (d *Decider[E, D, P, L]) tallyWriter(service string) (descriptor.Member, bool) {
+	serving := d.index.Get(service)
+	if len(serving) > 0 {
+		return serving[0], true
+	}
+	return d.gossiper.Self(), d.quit.started
+}
+
+// publish gives traffic a new directory if anything in it changed.
+func (d *Decider[E, D, P, L]) publish() {
+	if !d.dirty || d.now.Sub(d.publishAt) < publishEvery {
+		return
+	}
+	d.dirty = false
+	d.publishAt = d.now
+	d.emit(descriptor.Publish{Directory: d.directory()})
+}
--- /dev/null
+++ b/declarer/check.go
@@ -0,0 +1,89 @@
+package declarer
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Check reports the first rule that s breaks; file names its source.
+func (s Service) Check(file string) error {
+	p := problem{file, "service", "name"}
+	if !namePattern.MatchString(s.Name) {
+		return p.errorf("%q is no name of lower-case letters, digits and dashes", s.Name)
+	}
+	if len(s.Classes) == 0 || len(s.Classes) > MaxClasses {
+		return problem{file, "class", "-"}.errorf("a service has 1 to %d classes, not %d", MaxClasses, len(s.Classes))
+	}
+	if len(s.Routes) > MaxRoutes {
+		return problem{file, "route", "-"}.errorf("a service has at most %d routes, not %d", MaxRoutes, len(s.Routes))
+	}
+	if len(s.Routes) == 0 && s.State == Open {
+		return problem{file, "route", "-"}.errorf("an open service has a route")
+	}
+	if err := s.checkClasses(file); err != nil {
+		return err
+	}
+	return s.checkRoutes(file)
+}
+
+func (s Service) checkClasses(file string) error {
+	seen := make(map[string]bool, len(s.Classes))
+	for _, c := range s.Classes {
+		section := "class " + c.Name
+		if !namePattern.MatchString(c.Name) || seen[c.Name] {
+			return problem{file, section, "-"}.errorf("%q is no name or stands twice", c.Name)
+		}
+		seen[c.Name] = true
+		if c.Target <= 0 || c.Target > MaxTarget {
+			return problem{file, section, "target"}.errorf("%v is not in (0, %v]", c.Target, MaxTarget)
+		}
+		if c.Idempotent && c.Keyless {
+			return problem{file, section, "keyless"}.errorf("only non-idempotent work has keys")
+		}
+	}
+	return nil
+}
+
+func (s Service) checkRoutes(file string) error {
+	seen := make(map[string]bool, len(s.Routes))
+	for _, r := range s.Routes {
+		section := "route " + r.Name
+		if r.Name == "" || seen[r.Name] {
+			return problem{file, section, "-"}.errorf("%q is empty or stands twice", r.Name)
+		}
+		seen[r.Name] = true
+		if !strings.HasPrefix(r.Path, "/") {
+			return problem{file, section, "path"}.errorf("%q does not begin with a slash", r.Path)
+		}
+		if strings.HasPrefix(r.Path, "/-/") {
+			return problem{file, section, "path"}.errorf("/-/ belongs to the instances")
+		}
+		c, ok := s.Class(r.Class)
+		if !ok {
+			return problem{file, section, "class"}.errorf("there is no class %q", r.Class)
+		}
+		if err := r.checkMethods(file, section, c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkMethods refuses safe methods on non-idempotent work: HTTP libraries
+// between the caller and the backend server may send those again by themselves.
+func (r Route) checkMethods(file, section string, c Class) error {
+	p := problem{file, section, "method"}
+	if c.Idempotent {
+		return nil
+	}
+	if len(r.Methods) == 0 {
+		return p.errorf("a route of non-idempotent work names its methods")
+	}
+	for _, m := range r.Methods {
+		switch m {
+		case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+			return p.errorf("%s can't carry non-idempotent work", m)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/declarer/service.go
@@ -0,0 +1,135 @@
+// Package declarer defines what operators declare: services, their classes of
+// work with targets, their routes and floors. It reads and checks declarations.
+package declarer
+
+import (
+	"math"
+	"strings"
+	"time"
+)
+
+// State is the lifecycle state of a service.
+type State int
+
+// States of a service.
+const (
+	Open State = iota
+	Closing
+	Closed
+)
+
+// String returns the name used in declarations.
+func (s State) String() string {
+	switch s {
+	case Closing:
+		return "closing"
+	case Closed:
+		return "closed"
+	}
+	return "open"
+}
+
+// Class is one kind of work of a service.
+type Class struct {
+	// Name is unique within the service.
+	Name string
+	// Target is the time in which work of the class should be answered; it is
+	// positive.
+	Target time.Duration
+	// Idempotent work may run more than once.
+	Idempotent bool
+	// Long work has a limited share of slots and is never cut once started.
+	Long bool
+	// Keyless admits non-idempotent work without an idempotency key.
+	Keyless bool
+}
+
+// Route assigns requests to a class.
+type Route struct {
+	// Name is unique within the service.
+	Name string
+	// Methods lists upper-case HTTP methods; empty means every method.
+	Methods []string
+	// Path is a prefix that begins with a slash.
+	Path string
+	// Class names a class of the same service.
+	Class string
+}
+
+// Service is one declared service.
+type Service struct {
+	// Name is unique within the fleet.
+	Name string
+	// State tells whether the service takes new work.
+	State State
+	// Floor is the number of backend servers that ejection must leave.
+	Floor int
+	// Share is the fraction of backend servers that ejection must leave, from
+	// 0 to 1. The larger of Floor and Share binds.
+	Share float64
+	// Classes is not empty.
+	Classes []Class
+	// Routes is not empty unless the service is closed.
+	Routes []Route
+	// Change identifies the write that stored this declaration.
+	Change string
+}
+
+// WithState returns s in state st.
+func (s Service) WithState(st State) Service {
+	s.State = st
+	return s
+}
+
+// WithChange returns s marked with the identifier of a write.
+func (s Service) WithChange(id string) Service {
+	s.Change = id
+	return s
+}
+
+// Keep returns how many of n live backend servers ejection must leave.
+func (s Service) Keep(n int) int {
+	share := int(math.Ceil(s.Share*float64(n) - 1e-9))
+	return min(n, max(s.Floor, share))
+}
+
+// Class returns the class with the given name.
+func (s Service) Class(name string) (Class, bool) {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return Class{}, false
+}
+
+// Match returns the class of a request by its method and longest path prefix.
+func (s Service) Match(method, path string) (Class, bool) {
+	best := -1
+	name := ""
+	for _, r := range s.Routes {
+		if len(r.Path) > best && r.matches(method, path) {
+			best = len(r.Path)
+			name = r.Class
+		}
+	}
+	if best < 0 {
+		return Class{}, false
+	}
+	return s.Class(name)
+}
+
+func (r Route) matches(method, path string) bool {
+	if !strings.HasPrefix(path, r.Path) {
+		return false
+	}
+	if len(r.Methods) == 0 {
+		return true
+	}
+	for _, m := range r.Methods {
+		if m == method {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/descriptor/notes.go
@@ -0,0 +1,30 @@
+package descriptor
+
+// Numbers of log events. docs/EVENTS.md is their catalogue.
+const (
+	NoteStarted       = 1001
+	NoteReady         = 1002
+	NoteLeaving       = 1003
+	NoteStopped       = 1004
+	NoteSignal        = 1005
+	NoteRevision      = 2001
+	NoteStoreAway     = 2002
+	NoteStoreBack     = 2003
+	NoteBadDocument   = 2004
+	NoteWatching      = 2005
+	NoteMemberNew     = 3001
+	NoteMemberSuspect = 3002
+	NoteMemberDead    = 3003
+	NoteMemberLeft    = 3004
+	NoteLinkBad       = 3006
+	NoteEjected       = 4001
+	NoteReturned      = 4003
+	NoteAvoided       = 4004
+	NoteDown          = 4005
+	NoteUp            = 4006
+	NoteDrain         = 4007
+	NotePoison        = 4008
+	NoteTrial         = 4009
+	NoteTallyLate     = 5001
+	NoteTallyFinal    = 5002
+)
--- /dev/null
+++ b/forwarder/attempt.go
@@ -0,0 +1,181 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// attempt is one try of a session at a backend server.
+type attempt struct {
+	session *session
+	id      descriptor.AttemptID
+	backend descriptor.Backend
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// response is set before Answered is posted.
+	response *http.Response
+	closing  sync.Once
+}
+
+// run sends the request and posts what comes of it.
+func (t *attempt) run() {
+	s := t.session
+	service := s.owner.careful
+	if s.class.Idempotent {
+		service = s.owner.reusing
+	}
+	response, err := service.DoRequest(t.request())
+	if err != nil {
+		t.fail(err)
+		return
+	}
+	health := descriptor.ParseHealth(response.Header.Get(headerState))
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != "" {
+		_ = response.Body.Close()
+		t.post(descriptor.FaultShed, health)
+		return
+	}
+	t.response = response
+	s.owner.control.Post(descriptor.Answered{
+		At:      time.Now(),
+		Request: s.id,
+		Attempt: t.id,
+		Status:  response.StatusCode,
+		Health:  health,
+		Free:    freeSlots(response.Header.Get(headerLoad)),
+	})
+}
+
+// request builds the request for the backend server.
+func (t *attempt) request() *http.Request {
+	s := t.session
+	r := &http.Request{
+		Method:        s.r.Method,
+		URL:           &url.URL{Scheme: "http", Host: t.backend.Address, Path: s.r.URL.Path, RawPath: s.r.URL.RawPath, RawQuery: s.r.URL.RawQuery},
+		Host:          s.r.Host,
+		Header:        forwardHeader(s.r),
+		ContentLength: s.r.ContentLength,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+	}
+	if s.body != nil {
+		r.Body = &attemptBody{callerBody: s.body, attempt: t}
+	} else {
+		r.ContentLength = 0
+	}
+	return r.WithContext(t.ctx)
+}
+
+// fail posts a failed attempt, unless it was cancelled.
+func (t *attempt) fail(err error) {
+	if t.ctx.Err() != nil {
+		return
+	}
+	t.session.owner.recorder.Fault()
+	t.post(t.faultOf(err), descriptor.HealthUnknown)
+}
+
+func (t *attempt) faultOf(err error) descriptor.Fault {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return descriptor.FaultConnect
+	}
+	if t.session.body.broken() {
+		return descriptor.FaultSource
+	}
+	return descriptor.FaultBroken
+}
+
+func (t *attempt) post(fault descriptor.Fault, health descriptor.Health) {
+	s := t.session
+	s.owner.control.Post(descriptor.Failed{
+		At:        time.Now(),
+		Request:   s.id,
+		Attempt:   t.id,
+		Fault:     fault,
+		Health:    health,
+		Untouched: s.body.untouched(),
+	})
+}
+
+// close releases the answer.
+func (t *attempt) close() {
+	t.closing.Do(func() {
+		if t.response != nil {
+			_ = t.response.Body.Close()
+		}
+	})
+}
+
+// callerBody is the body of a caller's request. A nil callerBody stands for no
+// body.
+type callerBody struct {
+	source     io.ReadCloser
+	controller *http.ResponseController
+	stall      time.Duration
+	read       atomic.Uint64
+	failed     atomic.Bool
+}
+
+func newCallerBody(s *session) *callerBody {
+	if s.r.Body == nil || s.r.Body == http.NoBody || s.r.ContentLength == 0 {
+		return nil
+	}
+	return &callerBody{
+		source:     s.r.Body,
+		controller: http.NewResponseController(s.w),
+		stall:      s.owner.options.StallTimeout,
+	}
+}
+
+func (b *callerBody) untouched() bool { return b == nil || b.read.Load() == 0 }
+
+func (b *callerBody) broken() bool { return b != nil && b.failed.Load() }
+
+// Read reads on and fails if the caller sends nothing for too long.
+func (b *callerBody) Read(p []byte) (int, error) {
+	_ = b.controller.SetReadDeadline(time.Now().Add(b.stall))
+	n, err := b.source.Read(p)
+	b.read.Add(uint64(n))
+	if err != nil {
+		_ = b.controller.SetReadDeadline(time.Time{})
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// attemptBody is the caller's body as one attempt sends it.
+type attemptBody struct {
+	*callerBody
+	attempt *attempt
+	sent    atomic.Bool
+}
+
+// Read implements io.Reader and posts that the whole body was sent.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	if err := b.attempt.ctx.Err(); err != nil {
+		return 0, err
+	}
+	n, err := b.callerBody.Read(p)
+	if errors.Is(err, io.EOF) && !b.sent.Swap(true) {
+		s := b.attempt.session
+		s.owner.control.Post(descriptor.Sent{At: time.Now(), Request: s.id, Attempt: b.attempt.id})
+	}
+	return n, err
+}
+
+// Close implements io.Closer. The caller's body stays open: another attempt may
+// send it if nothing of it was read.
+func (b *attemptBody) Close() error { return nil }
--- /dev/null
+++ b/forwarder/own.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonswitch/descriptor"
+	"monsoonswitch/keeper"
+)
+
+// Paths that instances answer themselves.
+const (
+	ownPath     = "/-/"
+	AddressPath = "/-/addresses"
+	ReadyPath   = "/-/ready"
+)
+
+func isOwnPath(path string) bool { return strings.HasPrefix(path, ownPath) }
+
+// AddressAnswer tells a caller which addresses to use for a service.
+type AddressAnswer struct {
+	Service string `json:"service"`
+	// Addresses are to be tried in this order.
+	Addresses []Address `json:"addresses"`
+	// Keep is how long to use this answer, in seconds.
+	Keep     float64 `json:"keep"`
+	Revision uint64  `json:"revision"`
+	State    string  `json:"state"`
+}
+
+// Address is one instance that serves a service.
+type Address struct {
+	// Address is host:port.
+	Address string `json:"address"`
+	// Ticket begins the idempotency keys of work that is sent to this address
+	// first.
+	Ticket string `json:"ticket"`
+}
+
+// problem is the body of an answer to a request that can't be met.
+type problem struct {
+	Reason string `json:"reason"`
+}
+
+func (f *Forwarder) serveOwn(w http.ResponseWriter, r *http.Request) {
+	directory := f.directory.Load()
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		writeJSON(w, http.StatusMethodNotAllowed, problem{"method"})
+	case r.URL.Path == ReadyPath && directory.Ready && !directory.Leaving:
+		writeJSON(w, http.StatusOK, problem{"ready"})
+	case r.URL.Path == ReadyPath:
+		writeJSON(w, http.StatusServiceUnavailable, problem{descriptor.Starting.String()})
+	case r.URL.Path == AddressPath:
+		f.serveAddresses(w, r, directory)
+	default:
+		writeJSON(w, http.StatusNotFound, problem{"path"})
+	}
+}
+
+// serveAddresses answers which addresses to use for a service.
+func (f *Forwarder) serveAddresses(w http.ResponseWriter, r *http.Request, d *descriptor.Directory) {
+	if !d.Ready {
+		w.Header().Set("Retry-After", "1")
+		writeJSON(w, http.StatusServiceUnavailable, problem{descriptor.Starting.String()})
+		return
+	}
+	name := r.URL.Query().Get("service")
+	entry, ok := d.Services[name]
+	if !ok {
+		writeJSON(w, http.StatusNotFound, problem{descriptor.UnknownService.String()})
+		return
+	}
+	domain := r.URL.Query().Get("domain")
+	if domain == "" {
+		domain = f.options.Domain
+	}
+	writeJSON(w, http.StatusOK, AddressAnswer{
+		Service:   name,
+		Addresses: addresses(entry, domain, hostOf(r.RemoteAddr)+r.URL.Query().Get("caller")),
+		Keep:      f.options.Keep.Seconds(),
+		Revision:  entry.Revision,
+		State:     entry.Service.State.String(),
+	})
+}
+
+// addresses lists the serving instances, those in the given failure domain
+// first. Within each part different callers start at different instances.
+func addresses(e *descriptor.Entry, domain, caller string) []Address {
+	var near, far []Address
+	now := time.Now()
+	for _, m := range e.Serving {
+		a := Address{Address: m.Public, Ticket: keeper.TicketOf(m, now).String()}
+		if m.Domain == domain {
+			near = append(near, a)
+		} else {
+			far = append(far, a)
+		}
+	}
+	turn := xxhash.Sum64String(caller)
+	return append(rotate(near, turn), rotate(far, turn)...)
+}
+
+func rotate(list []Address, turn uint64) []Address {
+	if len(list) == 0 {
+		return nil
+	}
+	k := int(turn % uint64(len(list)))
+	return append(append([]Address(nil), list[k:]...), list[:k]...)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Date", time.Now().UTC().Format(http.TimeFormat))
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,85 @@
+// Package limiter decides how work shares the slots of a service: in which order
+// queued work starts, how long it may wait, and how many slots long work holds.
+package limiter
+
+import "time"
+
+// Work describes the queue of one class of work.
+type Work struct {
+	// Target is the declared target.
+	Target time.Duration
+	// Typical is the usual service time.
+	Typical time.Duration
+	// Oldest is how long the oldest queued request has waited.
+	Oldest time.Duration
+}
+
+// Policy decides the order of queued work and the share of long work.
+type Policy interface {
+	// Patience returns how long a request may wait before it is refused.
+	Patience(w Work) time.Duration
+	// Newest tells whether the newest queued request starts first.
+	Newest(w Work) bool
+	// LongLimit returns how many of slots long work may hold while the service
+	// also has short work.
+	LongLimit(slots int) int
+	// LongShare returns how many of slots long work gets ahead of short work.
+	LongShare(slots int) int
+}
+
+// Parameters of Adaptive.
+const (
+	// leastPatience is the least share of the target that work may wait.
+	leastPatience = 0.25
+	// overload is the share of its patience after which the oldest request
+	// shows that the queue does not drain.
+	overload = 0.5
+	// longShare is the share of slots that long work may hold.
+	longShare = 0.5
+	// longLeast is the share of slots that long work gets first.
+	longLeast = 0.2
+)
+
+// Adaptive starts the oldest request first until the queue stops draining and
+// the newest first from then on: under overload the newest requests are those
+// that can still meet their target.
+type Adaptive struct{}
+
+// Patience implements Policy.
+func (Adaptive) Patience(w Work) time.Duration {
+	least := time.Duration(leastPatience * float64(w.Target))
+	return max(w.Target-w.Typical, least)
+}
+
+// Newest implements Policy.
+func (a Adaptive) Newest(w Work) bool {
+	return float64(w.Oldest) > overload*float64(a.Patience(w))
+}
+
+// LongLimit implements Policy.
+func (Adaptive) LongLimit(slots int) int { return max(1, int(longShare*float64(slots))) }
+
+// LongShare implements Policy.
+func (Adaptive) LongShare(slots int) int { return max(1, int(longLeast*float64(slots))) }
+
+// Ordered starts the oldest request first, always.
+type Ordered struct{ Adaptive }
+
+// Newest implements Policy.
+func (Ordered) Newest(Work) bool { return false }
+
+// Open is the baseline: the oldest request first, no early refusal and no limit
+// on long work.
+type Open struct{}
+
+// Patience implements Policy.
+func (Open) Patience(w Work) time.Duration { return w.Target }
+
+// Newest implements Policy.
+func (Open) Newest(Work) bool { return false }
+
+// LongLimit implements Policy.
+func (Open) LongLimit(slots int) int { return slots }
+
+// LongShare implements Policy.
+func (Open) LongShare(int) int { return 0 }
--- /dev/null
+++ b/loader/fault.go
@@ -0,0 +1,85 @@
+package loader
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"monsoonswitch/imitator"
+)
+
+// inject switches one fault on and off at its times.
+func (r *Runner) inject(ctx context.Context, f Fault) {
+	if !sleepUntil(ctx, r.started.Add(f.From)) {
+		return
+	}
+	fmt.Fprintf(r.progress, "      fault %s begins\n", f.Name)
+	switch f.Kind {
+	case FaultOutage, FaultSlow, FaultLost:
+		r.injectStore(ctx, f)
+	case FaultReplace:
+		r.replaceAll(ctx, f)
+	default:
+		r.injectBackend(ctx, f)
+	}
+}
+
+func (r *Runner) injectStore(ctx context.Context, f Fault) {
+	fault := imitator.StoreFault{}
+	switch f.Kind {
+	case FaultOutage:
+		fault.Outage = true
+	case FaultSlow:
+		fault.Slow = f.Time
+	default:
+		fault.Lost = f.Share
+	}
+	r.fleet.Store.SetFault(fault)
+	sleepUntil(ctx, r.started.Add(f.To))
+	r.fleet.Store.SetFault(imitator.StoreFault{})
+}
+
+func (r *Runner) injectBackend(ctx context.Context, f Fault) {
+	b, ok := r.fleet.Backend(f.Service, f.Index)
+	if !ok {
+		return
+	}
+	fault := imitator.BackendFault{}
+	switch f.Kind {
+	case FaultStall:
+		fault.Stall = true
+	case FaultErrors:
+		fault.Errors = f.Share
+	case FaultCut:
+		fault.Cut = f.Share
+	case FaultLate:
+		fault.Late = f.Time
+	case FaultFlap:
+		fault.Flap = f.Time
+	case FaultDrain:
+		fault.Drain = true
+	}
+	now := time.Now()
+	if f.Kind == FaultDrain {
+		r.watch.expectDrain(b)
+	} else {
+		r.watch.expectGray(b, now)
+	}
+	b.Stand.SetFault(fault, now)
+	sleepUntil(ctx, r.started.Add(f.To))
+	b.Stand.SetFault(imitator.BackendFault{}, time.Now())
+}
+
+// replaceAll replaces every instance, one after the other.
+func (r *Runner) replaceAll(ctx context.Context, f Fault) {
+	for range r.scenario.Instances {
+		if ctx.Err() != nil {
+			return
+		}
+		if err := r.fleet.Replace(); err != nil {
+			fmt.Fprintf(r.progress, "      fault %s: %v\n", f.Name, err)
+			return
+		}
+	}
+	fmt.Fprintf(r.progress, "      fault %s: every instance was replaced\n", f.Name)
+}
--- /dev/null
+++ b/loader/record.go
@@ -0,0 +1,176 @@
+package loader
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"monsoonswitch/caller"
+	"monsoonswitch/imitator"
+)
+
+// Bounds of latency histograms in microseconds.
+const (
+	histogramLow    = 10
+	histogramHigh   = 300_000_000
+	histogramDigits = 3
+)
+
+// tally is what callers saw of one kind of work.
+type tally struct {
+	sent, served, notRun, mayHaveRun, ran, unknown, skipped uint64
+	tries                                                   uint64
+	reasons                                                 map[string]uint64
+	latency                                                 *hdrhistogram.Histogram
+	// lateRefusals counts work refused as overloaded after its target.
+	lateRefusals uint64
+	// bad counts answers that were not whole or not the caller's own.
+	bad uint64
+	// perSecond holds the served work and the refusals by second of sending.
+	perSecond []second
+}
+
+// second is what callers saw of one second.
+type second struct {
+	served, refused uint64
+	latency         *hdrhistogram.Histogram
+}
+
+// token is work that a backend server must have run at most so many times.
+type token struct {
+	text string
+	// never tells that an instance said it was not run.
+	never bool
+}
+
+// record is what callers saw.
+type record struct {
+	mu      sync.Mutex
+	tallies []tally
+	keyed   []token
+	notRun  []token
+	targets []time.Duration
+	// poisonSent and poisonRefused count marked requests.
+	poisonSent, poisonRefused uint64
+}
+
+func newRecord(s Scenario) *record {
+	r := &record{tallies: make([]tally, len(s.Work))}
+	seconds := int(s.Duration.Seconds()) + 2
+	d, _ := deploymentOf(s.Deployment)
+	for i, w := range s.Work {
+		r.tallies[i] = tally{
+			reasons:   make(map[string]uint64),
+			latency:   newHistogram(),
+			perSecond: make([]second, seconds),
+		}
+		service, _ := d.service(w.Service)
+		class, _ := service.Class(w.Class)
+		r.targets = append(r.targets, class.Target)
+	}
+	return r
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(histogramLow, histogramHigh, histogramDigits)
+}
+
+func (r *record) skip(index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tallies[index].skipped++
+}
+
+// totals returns the work served and refused so far.
+func (r *record) totals() (uint64, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var served, refused uint64
+	for i := range r.tallies {
+		served += r.tallies[i].served
+		refused += r.tallies[i].notRun + r.tallies[i].mayHaveRun + r.tallies[i].ran
+	}
+	return served, refused
+}
+
+// add records what became of one piece of work.
+func (r *record) add(index int, at time.Duration, text string, w Work, result caller.Result, err error, poisoned bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := &r.tallies[index]
+	t.sent++
+	t.tries += uint64(result.Tries)
+	if poisoned {
+		r.addPoison(result)
+		return
+	}
+	if w.Keyed {
+		r.keyed = append(r.keyed, token{text: text})
+	}
+	s := t.secondAt(at)
+	switch {
+	case err != nil:
+		t.unknown++
+		t.reasons["no-answer"]++
+		s.refused++
+	case result.Refused():
+		s.refused++
+		r.addRefusal(t, text, result, r.targets[index])
+	default:
+		t.addServed(s, text, w, result)
+	}
+}
+
+func (r *record) addPoison(result caller.Result) {
+	r.poisonSent++
+	if result.Reason == "poisoned" {
+		r.poisonRefused++
+	}
+}
+
+func (t *tally) secondAt(at time.Duration) *second {
+	i := min(int(at.Seconds()), len(t.perSecond)-1)
+	s := &t.perSecond[i]
+	if s.latency == nil {
+		s.latency = newHistogram()
+	}
+	return s
+}
+
+func (r *record) addRefusal(t *tally, text string, result caller.Result, target time.Duration) {
+	t.reasons[result.Reason]++
+	switch result.Outcome {
+	case "not-run":
+		t.notRun++
+		r.notRun = append(r.notRun, token{text: text, never: true})
+	case "may-have-run":
+		t.mayHaveRun++
+	default:
+		t.ran++
+	}
+	if result.Reason == "overloaded" && result.Tries == 1 && result.Latency > target+lateSlack {
+		t.lateRefusals++
+	}
+}
+
+// lateSlack allows for the time that a refusal takes to its caller.
+const lateSlack = 30 * time.Millisecond
+
+func (t *tally) addServed(s *second, text string, w Work, result caller.Result) {
+	if result.Status >= 500 {
+		t.reasons["status-5xx"]++
+		t.unknown++
+		return
+	}
+	t.served++
+	s.served++
+	if string(result.Body) != imitator.Body(text, w.Size) || !strings.HasPrefix(string(result.Body), text+":") {
+		t.bad++
+	}
+	micros := result.Latency.Microseconds()
+	// Values out of range are cut to it.
+	_ = t.latency.RecordValue(min(histogramHigh, max(histogramLow, micros)))
+	_ = s.latency.RecordValue(min(histogramHigh, max(histogramLow, micros)))
+}
--- /dev/null
+++ b/loader/scenario.go
@@ -0,0 +1,336 @@
+// Package loader runs experiments: callers, faults by timetable and a fleet, with
+// the promises checked against what callers and backend servers counted.
+package loader
+
+import (
+	"embed"
+	"fmt"
+	"io/fs"
+	"net/http"
+	"os"
+	"path"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"gopkg.in/ini.v1"
+
+	"monsoonswitch/declarer"
+)
+
+//go:embed deployments scenarios
+var embedded embed.FS
+
+// ErrScenario reports a scenario that can't be run.
+var ErrScenario = eris.New("invalid scenario")
+
+// Scenario describes one experiment.
+type Scenario struct {
+	Name string
+	// Deployment names the deployment in deployments.
+	Deployment string
+	Duration   time.Duration
+	Seed       uint64
+	Instances  int
+	Policy     string
+	Work       []Work
+	Faults     []Fault
+}
+
+// Work describes callers that send the same kind of work.
+type Work struct {
+	Name    string
+	Service string
+	Class   string
+	Method  string
+	Path    string
+	// Rate is the mean number of requests a second.
+	Rate float64
+	// Crest multiplies the rate between CrestFrom and CrestTo.
+	Crest              float64
+	CrestFrom, CrestTo time.Duration
+	// Callers is the number of distinct callers.
+	Callers int
+	// Size is the length of answers in bytes.
+	Size int
+	// Weight is the service time in multiples of the median.
+	Weight float64
+	// Body is the length of request bodies in bytes, sent at BodyRate bytes a
+	// second; 0 means at once.
+	Body     int
+	BodyRate int
+	Keyed    bool
+	// Idempotent tells that broken work is sent again without a key.
+	Idempotent bool
+	Timeout    time.Duration
+	// Poison marks this many requests, which bring backend servers down.
+	Poison int
+}
+
+// FaultKind is a kind of fault.
+type FaultKind string
+
+// Kinds of faults.
+const (
+	FaultStall   FaultKind = "stall"
+	FaultErrors  FaultKind = "errors"
+	FaultCut     FaultKind = "cut"
+	FaultLate    FaultKind = "late"
+	FaultFlap    FaultKind = "flap"
+	FaultDrain   FaultKind = "drain"
+	FaultOutage  FaultKind = "outage"
+	FaultSlow    FaultKind = "slow"
+	FaultLost    FaultKind = "lost"
+	FaultReplace FaultKind = "replace"
+)
+
+// Fault is one fault of the timetable.
+type Fault struct {
+	Name string
+	Kind FaultKind
+	From time.Duration
+	To   time.Duration
+	// Service and Index choose a backend server.
+	Service string
+	Index   int
+	// Share is the part of work concerned, and Time a length of time, where
+	// the kind has one.
+	Share float64
+	Time  time.Duration
+}
+
+// Load reads a scenario from a file, or the embedded one with that name.
+func Load(name string) (Scenario, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		var embeddedErr error
+		data, embeddedErr = embedded.ReadFile(path.Join("scenarios", name+".ini"))
+		if embeddedErr != nil {
+			return Scenario{}, eris.Wrapf(ErrScenario, "%s: %v; embedded are %s", name, err, strings.Join(Names(), ", "))
+		}
+	}
+	return Parse(name, data)
+}
+
+// Names returns the names of the embedded scenarios.
+func Names() []string {
+	files, _ := fs.Glob(embedded, "scenarios/*.ini")
+	names := make([]string, 0, len(files))
+	for _, f := range files {
+		names = append(names, strings.TrimSuffix(path.Base(f), ".ini"))
+	}
+	return names
+}
+
+// Parse reads a scenario; file names the source in errors.
+func Parse(file string, data []byte) (Scenario, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, data)
+	if err != nil {
+		return Scenario{}, eris.Wrapf(ErrScenario, "%s: %v", file, err)
+	}
+	var s Scenario
+	for _, sec := range f.Sections() {
+		kind, name, _ := strings.Cut(sec.Name(), " ")
+		k := &keys{file: file, section: sec}
+		switch kind {
+		case ini.DefaultSection:
+		case "scenario":
+			s.load(k)
+		case "work":
+			s.Work = append(s.Work, loadWork(k, name))
+		case "fault":
+			s.Faults = append(s.Faults, loadFault(k, name))
+		default:
+			k.fail("-", "unknown section")
+		}
+		if err := k.finish(); err != nil {
+			return s, err
+		}
+	}
+	return s, s.check(file)
+}
+
+func (s *Scenario) load(k *keys) {
+	s.Name = k.text("name", "")
+	s.Deployment = k.text("deployment", "pelletier")
+	s.Duration = k.duration("duration", 10*time.Second)
+	s.Seed = uint64(k.number("seed", 1))
+	s.Instances = int(k.number("instances", 3))
+	s.Policy = k.text("policy", "standard")
+}
+
+func loadWork(k *keys, name string) Work {
+	return Work{
+		Name:       name,
+		Service:    k.text("service", ""),
+		Class:      k.text("class", ""),
+		Method:     k.text("method", http.MethodGet),
+		Path:       k.text("path", "/"),
+		Rate:       k.number("rate", 10),
+		Crest:      k.number("crest", 1),
+		CrestFrom:  k.duration("crestfrom", 0),
+		CrestTo:    k.duration("crestto", 0),
+		Callers:    int(k.number("callers", 20)),
+		Size:       int(k.number("size", 256)),
+		Weight:     k.number("weight", 1),
+		Body:       int(k.number("body", 0)),
+		BodyRate:   int(k.number("bodyrate", 0)),
+		Keyed:      k.flag("keyed"),
+		Idempotent: k.flag("idempotent"),
+		Timeout:    k.duration("timeout", 10*time.Second),
+		Poison:     int(k.number("poison", 0)),
+	}
+}
+
+func loadFault(k *keys, name string) Fault {
+	return Fault{
+		Name:    name,
+		Kind:    FaultKind(k.text("kind", "")),
+		From:    k.duration("from", 0),
+		To:      k.duration("to", time.Hour),
+		Service: k.text("service", ""),
+		Index:   int(k.number("index", 0)),
+		Share:   k.number("share", 0),
+		Time:    k.duration("time", 0),
+	}
+}
+
+// maxDuration bounds an experiment.
+const maxDuration = 5 * time.Minute
+
+func (s *Scenario) check(file string) error {
+	if s.Duration <= 0 || s.Duration > maxDuration {
+		return eris.Wrapf(ErrScenario, "%s: duration %v is not in (0, %v]", file, s.Duration, maxDuration)
+	}
+	if s.Instances < 1 || s.Instances > 48 {
+		return eris.Wrapf(ErrScenario, "%s: %d instances are not from 1 to 48", file, s.Instances)
+	}
+	d, err := deploymentOf(s.Deployment)
+	if err != nil {
+		return err
+	}
+	for _, w := range s.Work {
+		if err := w.check(file, d); err != nil {
+			return err
+		}
+	}
+	for _, f := range s.Faults {
+		if err := f.check(file, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w Work) check(file string, d deployment) error {
+	service, ok := d.service(w.Service)
+	if !ok {
+		return eris.Wrapf(ErrScenario, "%s: work %s: no service %q", file, w.Name, w.Service)
+	}
+	class, ok := service.Match(w.Method, w.Path)
+	if !ok || class.Name != w.Class {
+		return eris.Wrapf(ErrScenario, "%s: work %s: %s %s is class %q", file, w.Name, w.Method, w.Path, class.Name)
+	}
+	if w.Rate <= 0 || w.Rate*max(1, w.Crest) > 20000 {
+		return eris.Wrapf(ErrScenario, "%s: work %s: rate out of range", file, w.Name)
+	}
+	return nil
+}
+
+func (f Fault) check(file string, d deployment) error {
+	switch f.Kind {
+	case FaultOutage, FaultSlow, FaultLost, FaultReplace:
+		return nil
+	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain:
+		if _, ok := d.service(f.Service); !ok {
+			return eris.Wrapf(ErrScenario, "%s: fault %s: no service %q", file, f.Name, f.Service)
+		}
+		return nil
+	}
+	return eris.Wrapf(ErrScenario, "%s: fault %s: unknown kind %q", file, f.Name, f.Kind)
+}
+
+// keys takes typed keys out of one section and remembers the first error.
+type keys struct {
+	file    string
+	section *ini.Section
+	known   []string
+	err     error
+}
+
+func (k *keys) fail(key, format string, args ...any) {
+	if k.err == nil {
+		detail := fmt.Sprintf(format, args...)
+		k.err = eris.Wrapf(ErrScenario, "%s: [%s] %s: %s", k.file, k.section.Name(), key, detail)
+	}
+}
+
+func (k *keys) text(key, fallback string) string {
+	k.known = append(k.known, key)
+	if !k.section.HasKey(key) {
+		return fallback
+	}
+	return k.section.Key(key).String()
+}
+
+func (k *keys) duration(key string, fallback time.Duration) time.Duration {
+	d, err := time.ParseDuration(k.text(key, fallback.String()))
+	if err != nil {
+		k.fail(key, "%v", err)
+	}
+	return d
+}
+
+func (k *keys) number(key string, fallback float64) float64 {
+	v, err := strconv.ParseFloat(k.text(key, strconv.FormatFloat(fallback, 'g', -1, 64)), 64)
+	if err != nil {
+		k.fail(key, "%v", err)
+	}
+	return v
+}
+
+func (k *keys) flag(key string) bool {
+	v, err := strconv.ParseBool(k.text(key, "false"))
+	if err != nil {
+		k.fail(key, "%v", err)
+	}
+	return v
+}
+
+func (k *keys) finish() error {
+	if k.err != nil {
+		return k.err
+	}
+	for _, v := range k.section.Keys() {
+		found := false
+		for _, name := range k.known {
+			found = found || name == v.Name()
+		}
+		if !found {
+			k.fail(v.Name(), "unknown key; known are %s", strings.Join(k.known, ", "))
+		}
+	}
+	return k.err
+}
+
+// declarations reads the embedded declarations of a deployment.
+func declarations(name string) ([]declarer.Service, error) {
+	files, err := fs.Glob(embedded, "deployments/"+name+"/*.ini")
+	if err != nil || len(files) == 0 {
+		return nil, eris.Wrapf(ErrScenario, "no deployment %q", name)
+	}
+	var result []declarer.Service
+	for _, f := range files {
+		data, err := embedded.ReadFile(f)
+		if err != nil {
+			return nil, eris.Wrap(err, "read declaration")
+		}
+		s, err := declarer.Parse(f, data)
+		if err != nil {
+			return nil, err
+		}
+		result = append(result, s)
+	}
+	return result, nil
+}
--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,92 @@
+// Package logger writes the numbered log events. docs/EVENTS.md is their
+// catalogue.
+package logger
+
+import (
+	"io"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"monsoonswitch/descriptor"
+)
+
+// ErrSetting reports a log setting that can't be used.
+var ErrSetting = eris.New("invalid log setting")
+
+// Event is one kind of log event.
+type Event struct {
+	Level logrus.Level
+	Text  string
+}
+
+// Catalogue holds every event by number.
+var Catalogue = map[int]Event{
+	descriptor.NoteStarted:       {logrus.InfoLevel, "instance started"},
+	descriptor.NoteReady:         {logrus.InfoLevel, "instance ready"},
+	descriptor.NoteLeaving:       {logrus.InfoLevel, "instance leaving"},
+	descriptor.NoteStopped:       {logrus.InfoLevel, "instance stopped"},
+	descriptor.NoteSignal:        {logrus.InfoLevel, "signal received"},
+	descriptor.NoteRevision:      {logrus.InfoLevel, "declaration in force"},
+	descriptor.NoteStoreAway:     {logrus.WarnLevel, "platform unreachable"},
+	descriptor.NoteStoreBack:     {logrus.InfoLevel, "platform reachable again"},
+	descriptor.NoteBadDocument:   {logrus.ErrorLevel, "document in store can't be used"},
+	descriptor.NoteWatching:      {logrus.InfoLevel, "following the platform"},
+	descriptor.NoteMemberNew:     {logrus.InfoLevel, "instance known"},
+	descriptor.NoteMemberSuspect: {logrus.WarnLevel, "instance suspected"},
+	descriptor.NoteMemberDead:    {logrus.WarnLevel, "instance given up"},
+	descriptor.NoteMemberLeft:    {logrus.InfoLevel, "instance left"},
+	descriptor.NoteLinkBad:       {logrus.WarnLevel, "link refused"},
+	descriptor.NoteEjected:       {logrus.WarnLevel, "backend server ejected"},
+	descriptor.NoteReturned:      {logrus.InfoLevel, "backend server back from ejection"},
+	descriptor.NoteAvoided:       {logrus.InfoLevel, "backend server avoided"},
+	descriptor.NoteDown:          {logrus.WarnLevel, "backend server down"},
+	descriptor.NoteUp:            {logrus.InfoLevel, "backend server up"},
+	descriptor.NoteDrain:         {logrus.InfoLevel, "backend server draining"},
+	descriptor.NotePoison:        {logrus.ErrorLevel, "request brings backend servers down"},
+	descriptor.NoteTrial:         {logrus.InfoLevel, "backend server on trial"},
+	descriptor.NoteTallyLate:     {logrus.WarnLevel, "tallies unconfirmed"},
+	descriptor.NoteTallyFinal:    {logrus.InfoLevel, "tallies confirmed"},
+}
+
+// Logger writes events of one instance. It is safe for use by many goroutines.
+type Logger struct{ entry *logrus.Entry }
+
+// New returns a logger with the given level and format, which is text or json.
+func New(w io.Writer, level, format, instance string) (*Logger, error) {
+	l := logrus.New()
+	l.SetOutput(w)
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, eris.Wrapf(ErrSetting, "level %q", level)
+	}
+	l.SetLevel(parsed)
+	switch format {
+	case "text":
+		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	case "json":
+		l.SetFormatter(&logrus.JSONFormatter{})
+	default:
+		return nil, eris.Wrapf(ErrSetting, "format %q", format)
+	}
+	return &Logger{entry: l.WithField("instance", instance)}, nil
+}
+
+// Event writes one numbered event. An unknown number is written as an error.
+func (l *Logger) Event(number int, service, subject, detail string) {
+	e, ok := Catalogue[number]
+	if !ok {
+		e = Event{logrus.ErrorLevel, "unknown event"}
+	}
+	fields := logrus.Fields{"event": number, "subject": subject}
+	if service != "" {
+		fields["service"] = service
+	}
+	if detail != "" {
+		fields["detail"] = detail
+	}
+	l.entry.WithFields(fields).Log(e.Level, e.Text)
+}
+
+// Note writes the event of an action.
+func (l *Logger) Note(n descriptor.Note) { l.Event(n.Number, n.Service, n.Subject, n.Detail) }
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,174 @@
+// Package operator serves operators: health, status, dump and metrics of one
+// process, as JSON.
+package operator
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// Paths of the operators' listener.
+const (
+	HealthPath  = "/health"
+	StatusPath  = "/status"
+	DumpPath    = "/dump"
+	MetricsPath = "/metrics"
+)
+
+// Source gives the state of the process.
+type Source interface {
+	// Dump returns the state at one instant, and false during shutdown.
+	Dump() (descriptor.Dump, bool)
+	// WriteMetrics writes all metrics as JSON.
+	WriteMetrics(io.Writer)
+	// Settings returns the settings without secrets.
+	Settings() any
+}
+
+// Status is the short state of an instance.
+type Status struct {
+	Instance    string    `json:"instance"`
+	Incarnation int64     `json:"incarnation"`
+	Domain      string    `json:"domain"`
+	Ready       bool      `json:"ready"`
+	Leaving     bool      `json:"leaving"`
+	Members     []Peer    `json:"members"`
+	Services    []InForce `json:"services"`
+}
+
+// Peer is an instance as another one knows it.
+type Peer struct {
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	Domain   string `json:"domain"`
+	State    string `json:"state"`
+	Ready    bool   `json:"ready"`
+}
+
+// InForce is the revision of a declaration that an instance has in force.
+type InForce struct {
+	Service  string `json:"service"`
+	Revision uint64 `json:"revision"`
+	// Serving tells that the instance serves the service.
+	Serving bool `json:"serving"`
+	// Seconds is the time from the acceptance of the revision to its being in
+	// force here, where the instance serves the service.
+	Seconds float64 `json:"seconds,omitempty"`
+}
+
+// FullDump is the state with the settings.
+type FullDump struct {
+	Settings any             `json:"settings"`
+	State    descriptor.Dump `json:"state"`
+}
+
+// Operator answers operators.
+type Operator struct{ source Source }
+
+// New returns a handler for operators.
+func New(s Source) *Operator { return &Operator{source: s} }
+
+// ServeHTTP implements http.Handler.
+func (o *Operator) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+		return
+	}
+	switch r.URL.Path {
+	case HealthPath:
+		o.serveHealth(w)
+	case StatusPath:
+		o.serveStatus(w)
+	case DumpPath:
+		o.serveDump(w)
+	case MetricsPath:
+		w.Header().Set("Content-Type", "application/json")
+		o.source.WriteMetrics(w)
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (o *Operator) serveHealth(w http.ResponseWriter) {
+	d, ok := o.source.Dump()
+	if !ok || !d.Ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, struct {
+		Health string `json:"health"`
+	}{"ready"})
+}
+
+func (o *Operator) serveStatus(w http.ResponseWriter) {
+	d, ok := o.source.Dump()
+	if !ok {
+		http.Error(w, "stopped", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, StatusOf(d))
+}
+
+func (o *Operator) serveDump(w http.ResponseWriter) {
+	d, ok := o.source.Dump()
+	if !ok {
+		http.Error(w, "stopped", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, FullDump{Settings: o.source.Settings(), State: d})
+}
+
+// StatusOf returns the short form of a dump.
+func StatusOf(d descriptor.Dump) Status {
+	s := Status{
+		Instance:    d.Instance.ID,
+		Incarnation: d.Instance.Incarnation,
+		Domain:      d.Instance.Domain,
+		Ready:       d.Ready,
+		Leaving:     d.Leaving,
+	}
+	for _, m := range d.Members {
+		s.Members = append(s.Members, Peer{
+			Instance: m.ID,
+			Address:  m.Public,
+			Domain:   m.Domain,
+			State:    m.State.String(),
+			Ready:    m.Ready,
+		})
+	}
+	served := make(map[string]descriptor.ServiceDump)
+	for _, v := range d.Services {
+		served[v.Name] = v
+	}
+	for _, r := range d.Documents {
+		if r.Kind != descriptor.KindService {
+			continue
+		}
+		v, ok := served[r.Name]
+		s.Services = append(s.Services, InForce{
+			Service:  r.Name,
+			Revision: r.Revision,
+			Serving:  ok,
+			Seconds:  delay(v.Accepted, v.InForce),
+		})
+	}
+	return s
+}
+
+func delay(from, to time.Time) float64 {
+	if from.IsZero() || to.Before(from) {
+		return 0
+	}
+	return to.Sub(from).Seconds()
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	_ = e.Encode(v)
+}
--- /dev/null
+++ b/picker/picker.go
@@ -0,0 +1,75 @@
+// Package picker chooses a backend server among those with a free slot.
+package picker
+
+// Candidate is a backend server with a free slot.
+type Candidate struct {
+	// Position identifies the candidate to the caller of Pick.
+	Position int
+	// InFlight is below Share.
+	InFlight int
+	// Share is the number of slots that may be used; it is positive.
+	Share int
+}
+
+// Source draws numbers; the same seed gives the same sequence.
+type Source interface {
+	// Uint64 returns the next number.
+	Uint64() uint64
+}
+
+// Policy chooses one of n candidates.
+type Policy interface {
+	// Pick returns the index of the chosen candidate. n is positive and turn
+	// grows by one with each call.
+	Pick(n int, at func(int) Candidate, turn uint64, s Source) int
+}
+
+// sampleSize is the number of candidates that Sampled compares.
+const sampleSize = 3
+
+// Sampled takes the least loaded of a few random candidates, so that its cost
+// does not grow with the service.
+type Sampled struct{}
+
+// Pick implements Policy.
+func (Sampled) Pick(n int, at func(int) Candidate, _ uint64, s Source) int {
+	best := -1
+	var chosen Candidate
+	draw := s.Uint64()
+	for range min(n, sampleSize) {
+		i := int(uint32(draw) % uint32(n))
+		draw = draw>>21 | draw<<43
+		c := at(i)
+		if best < 0 || lighter(c, chosen) {
+			best, chosen = i, c
+		}
+	}
+	return best
+}
+
+// LeastLoaded takes the candidate with the smallest share of its slots in use.
+type LeastLoaded struct{}
+
+// Pick implements Policy.
+func (LeastLoaded) Pick(n int, at func(int) Candidate, turn uint64, _ Source) int {
+	start := int(turn % uint64(n))
+	best := start
+	chosen := at(start)
+	for k := 1; k < n; k++ {
+		i := (start + k) % n
+		if c := at(i); lighter(c, chosen) {
+			best, chosen = i, c
+		}
+	}
+	return best
+}
+
+func lighter(a, b Candidate) bool { return a.InFlight*b.Share < b.InFlight*a.Share }
+
+// RoundRobin takes the candidates in turn.
+type RoundRobin struct{}
+
+// Pick implements Policy.
+func (RoundRobin) Pick(n int, _ func(int) Candidate, turn uint64, _ Source) int {
+	return int(turn % uint64(n))
+}
--- /dev/null
+++ b/server/gate.go
@@ -0,0 +1,44 @@
+package server
+
+import (
+	"net/http"
+	"sync"
+
+	"monsoonswitch/operator"
+)
+
+// gate is a handler that holds requests until the handler behind it exists.
+type gate struct {
+	once    sync.Once
+	opened  chan struct{}
+	handler http.Handler
+}
+
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
+
+func (g *gate) open(h http.Handler) {
+	g.once.Do(func() {
+		g.handler = h
+		close(g.opened)
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case <-g.opened:
+		g.handler.ServeHTTP(w, r)
+	case <-r.Context().Done():
+	}
+}
+
+// gates are those of the three listeners.
+type gates struct{ callers, inner, operators *gate }
+
+func newGates() *gates { return &gates{newGate(), newGate(), newGate()} }
+
+func (g *gates) open(s *Server) {
+	g.callers.open(s.forwarder)
+	g.inner.open(s.linker)
+	g.operators.open(operator.New(s))
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,245 @@
+// Package server assembles an entry instance from its parts.
+package server
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/configurer"
+	"monsoonswitch/controller"
+	"monsoonswitch/decider"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/detector"
+	"monsoonswitch/forwarder"
+	"monsoonswitch/limiter"
+	"monsoonswitch/linker"
+	"monsoonswitch/listener"
+	"monsoonswitch/logger"
+	"monsoonswitch/picker"
+	"monsoonswitch/recorder"
+	"monsoonswitch/storer"
+)
+
+// closeTime bounds the closing of idle connections at the end of a shutdown.
+const closeTime = time.Second
+
+// Server is a running entry instance.
+type Server struct {
+	settings   configurer.Settings
+	log        *logger.Logger
+	self       descriptor.Member
+	recorder   *recorder.Recorder
+	controller *controller.Controller
+	forwarder  *forwarder.Forwarder
+	linker     *linker.Linker
+	follower   *storer.Follower
+	writer     *storer.Writer
+	callers    *listener.Listener
+	inner      *listener.Listener
+	operators  *listener.Listener
+	left       chan struct{}
+	isLeft     atomic.Bool
+}
+
+// New starts an entry instance. The settings have been checked.
+func New(settings configurer.Settings, log *logger.Logger) (*Server, error) {
+	s := &Server{
+		settings: settings,
+		log:      log,
+		recorder: recorder.New(),
+		left:     make(chan struct{}),
+	}
+	now := time.Now()
+	s.self = descriptor.Member{
+		ID:          settings.Instance.Name,
+		Domain:      settings.Instance.Domain,
+		Incarnation: now.UnixMicro(),
+	}
+	gates := newGates()
+	if err := s.listen(gates); err != nil {
+		s.closeListeners()
+		return nil, err
+	}
+	s.start(now)
+	gates.open(s)
+	s.log.Event(descriptor.NoteStarted, "", s.self.ID, "callers "+s.self.Public+" inner "+s.self.Inner)
+	return s, nil
+}
+
+// listen opens the listeners first: the addresses belong to the record of the
+// instance, and port 0 chooses free ones.
+func (s *Server) listen(g *gates) error {
+	limits := s.settings.Limits
+	options := listener.Options{
+		Address:       s.settings.Callers.Listen,
+		HeaderTimeout: limits.HeadTimeout,
+		IdleTimeout:   limits.IdleTimeout,
+		HeaderBytes:   limits.HeadBytes,
+		Plain2:        true,
+	}
+	var err error
+	if s.callers, err = listener.New(options, g.callers); err != nil {
+		return eris.Wrap(err, "callers")
+	}
+	options.Plain2 = false
+	options.Address = s.settings.Inner.Listen
+	if s.inner, err = listener.New(options, g.inner); err != nil {
+		return eris.Wrap(err, "inner")
+	}
+	options.Address = s.settings.Operators.Listen
+	if s.operators, err = listener.New(options, g.operators); err != nil {
+		return eris.Wrap(err, "operators")
+	}
+	s.self.Public = advertised(s.settings.Callers.Advertise, s.callers)
+	s.self.Inner = advertised(s.settings.Inner.Advertise, s.inner)
+	return nil
+}
+
+func advertised(address string, l *listener.Listener) string {
+	if address != "" {
+		return address
+	}
+	return l.Address()
+}
+
+// start creates the parts behind the listeners.
+func (s *Server) start(now time.Time) {
+	client := storer.NewClient(s.settings.Platform.Address)
+	control := newLate()
+	s.linker = linker.New(linker.Options{
+		Self:  func() descriptor.Member { return s.self },
+		Key:   s.settings.Inner.Key,
+		Seeds: s.settings.Inner.Seeds,
+		Reject: func(peer string, err error) {
+			s.log.Event(descriptor.NoteLinkBad, "", peer, err.Error())
+		},
+	}, control)
+	s.follower = storer.NewFollower(client, control, platformReporter{s.log})
+	s.writer = storer.NewWriter(client, control)
+	s.forwarder = forwarder.New(forwarder.Options{
+		CallerHeader: s.settings.Callers.Header,
+		StallTimeout: s.settings.Limits.StallTimeout,
+		Keep:         s.settings.Callers.Keep,
+		Domain:       s.settings.Instance.Domain,
+	}, control, s.recorder)
+	s.controller = controller.New(s.machine(now), s)
+	control.set(s.controller)
+	s.recorder.Gauge("links.sentbytes", func() int64 { return int64(s.linker.Traffic().SentBytes) })
+	s.recorder.Gauge("links.receivedbytes", func() int64 { return int64(s.linker.Traffic().ReceivedBytes) })
+	s.recorder.Gauge("links.sentmessages", func() int64 { return int64(s.linker.Traffic().SentMessages) })
+	s.recorder.Gauge("links.dropped", func() int64 { return int64(s.linker.Traffic().Dropped) })
+}
+
+// machine returns the decisions with the policies that the settings name.
+func (s *Server) machine(now time.Time) controller.Machine {
+	o := decider.Options{
+		Self:     s.self,
+		Seed:     uint64(now.UnixNano()),
+		Patience: s.settings.Platform.Patience,
+	}
+	switch s.settings.Limits.Policy {
+	case configurer.PolicyRoundRobin:
+		return decider.New[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open](o, now)
+	case configurer.PolicyConsecutive:
+		return decider.New[int, detector.Consecutive, picker.LeastLoaded, limiter.Open](o, now)
+	}
+	return decider.NewStandard(o, now)
+}
+
+// Do implements controller.Effects.
+func (s *Server) Do(action descriptor.Action) {
+	switch a := action.(type) {
+	case descriptor.Send:
+		s.linker.Send(a.To, a.Message)
+	case descriptor.Connect:
+		s.linker.Connect(a.Peers)
+	case descriptor.Publish:
+		s.forwarder.SetDirectory(a.Directory)
+	case descriptor.Probe:
+		s.forwarder.Probe(a)
+	case descriptor.Write, descriptor.WriteTallies, descriptor.WriteClaim:
+		s.writer.Do(a)
+	case descriptor.Watch:
+		s.follower.SetActive(a.Active)
+	case descriptor.Note:
+		s.log.Note(a)
+	case descriptor.Leave:
+		if !s.isLeft.Swap(true) {
+			close(s.left)
+		}
+	}
+}
+
+// Public returns the address that callers are told.
+func (s *Server) Public() string { return s.self.Public }
+
+// Inner returns the address that instances are told.
+func (s *Server) Inner() string { return s.self.Inner }
+
+// Operators returns the address of the operators' listener.
+func (s *Server) Operators() string { return s.operators.Address() }
+
+// Dump implements operator.Source.
+func (s *Server) Dump() (descriptor.Dump, bool) { return s.controller.Dump() }
+
+// WriteMetrics implements operator.Source.
+func (s *Server) WriteMetrics(w io.Writer) { s.recorder.Write(w) }
+
+// Settings implements operator.Source.
+func (s *Server) Settings() any {
+	settings := s.settings
+	settings.Inner.Key = ""
+	return settings
+}
+
+// Shutdown finishes every request in flight, hands over what others need and
+// ends the instance. It takes as long as the longest request.
+func (s *Server) Shutdown() {
+	s.controller.Post(descriptor.Quit{At: time.Now()})
+	<-s.left
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	// What is still open then are idle connections and requests that were
+	// told where to go.
+	_ = s.callers.Shutdown(ctx)
+	s.Close()
+	s.log.Event(descriptor.NoteStopped, "", s.self.ID, "")
+}
+
+// Close ends the instance at once.
+func (s *Server) Close() {
+	s.follower.SetActive(false)
+	s.writer.Close()
+	s.linker.Close()
+	s.closeListeners()
+	s.controller.Close()
+}
+
+func (s *Server) closeListeners() {
+	for _, l := range []*listener.Listener{s.callers, s.inner, s.operators} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// platformReporter logs the state of the platform.
+type platformReporter struct{ log *logger.Logger }
+
+// Reachable implements storer.Reporter.
+func (p platformReporter) Reachable(source string, ok bool, err error) {
+	if ok {
+		p.log.Event(descriptor.NoteStoreBack, "", source, "")
+		return
+	}
+	p.log.Event(descriptor.NoteStoreAway, "", source, err.Error())
+}
+
+// BadDocument implements storer.Reporter.
+func (p platformReporter) BadDocument(key string, err error) {
+	p.log.Event(descriptor.NoteBadDocument, "", key, err.Error())
+}
--- /dev/null
+++ b/storer/documents.go
@@ -0,0 +1,72 @@
+package storer
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+)
+
+// Prefixes of keys in the store.
+const (
+	// ConfigPrefix begins the keys that instances follow.
+	ConfigPrefix  = "config/"
+	servicePrefix = ConfigPrefix + "service/"
+	ejectPrefix   = ConfigPrefix + "eject/"
+	tallyPrefix   = "tally/"
+	claimPrefix   = "claim/"
+)
+
+// ServiceKey returns the key of a declaration.
+func ServiceKey(service string) string { return servicePrefix + service }
+
+// EjectKey returns the key of a set of ejections.
+func EjectKey(service string) string { return ejectPrefix + service }
+
+// TallyKey returns the key of the tallies of a service.
+func TallyKey(service string) string { return tallyPrefix + service }
+
+// ParseDocument returns the document that an item under ConfigPrefix holds.
+func ParseDocument(item Item) (descriptor.Document, error) {
+	d := descriptor.Document{Revision: item.Revision, At: item.At}
+	if name, ok := strings.CutPrefix(item.Key, servicePrefix); ok {
+		var s declarer.Service
+		if err := json.Unmarshal(item.Value, &s); err != nil {
+			return d, eris.Wrapf(ErrGarbage, "%s: %v", item.Key, err)
+		}
+		if err := s.Check(item.Key); err != nil {
+			return d, err
+		}
+		if s.Name != name {
+			return d, eris.Wrapf(ErrGarbage, "%s declares %q", item.Key, s.Name)
+		}
+		d.Kind = descriptor.KindService
+		d.Name = name
+		d.Service = &s
+		return d, nil
+	}
+	if name, ok := strings.CutPrefix(item.Key, ejectPrefix); ok {
+		d.Kind = descriptor.KindEjections
+		d.Name = name
+		if err := json.Unmarshal(item.Value, &d.Ejections); err != nil {
+			return d, eris.Wrapf(ErrGarbage, "%s: %v", item.Key, err)
+		}
+		return d, nil
+	}
+	return d, eris.Wrapf(ErrGarbage, "key %q", item.Key)
+}
+
+// backendsDocument returns the document of a service's backend servers. Those
+// that can't be used are left out.
+func backendsDocument(l ServiceListing) descriptor.Document {
+	d := descriptor.Document{Kind: descriptor.KindBackends, Name: l.Name, Revision: l.Version}
+	for _, b := range l.Backends {
+		if b.ID != "" && b.Address != "" && b.Slots > 0 {
+			d.Backends = append(d.Backends, b)
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/storer/settle.go
@@ -0,0 +1,72 @@
+package storer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Parameters of reading back.
+const (
+	settleTries = 5
+	settleWait  = 200 * time.Millisecond
+)
+
+func isDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// PutSettled writes like Put, and reads a write with an unknown outcome back
+// until it is known. The value must differ from that of every other writer, for
+// example by the identifier of the change.
+func (c *Client) PutSettled(ctx context.Context, key string, value []byte, expect uint64, lease time.Duration) (Item, error) {
+	item, err := c.Put(ctx, key, value, expect, lease)
+	if !errors.Is(err, ErrUnknown) {
+		return item, err
+	}
+	for try := range settleTries {
+		if waitFor(ctx, settleWait<<try) != nil {
+			return Item{}, err
+		}
+		found, getErr := c.Get(ctx, key)
+		switch {
+		case errors.Is(getErr, ErrNotFound) && expect == 0:
+			return c.Put(ctx, key, value, expect, lease)
+		case getErr != nil:
+			continue
+		case sameJSON(found.Value, value):
+			return found, nil
+		case found.Revision == expect:
+			return c.Put(ctx, key, value, expect, lease)
+		default:
+			return found, eris.Wrap(ErrConflict, key)
+		}
+	}
+	return Item{}, err
+}
+
+func waitFor(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// sameJSON tells whether two values are equal but for white space.
+func sameJSON(a, b []byte) bool {
+	var x, y bytes.Buffer
+	if json.Compact(&x, a) != nil || json.Compact(&y, b) != nil {
+		return false
+	}
+	return bytes.Equal(x.Bytes(), y.Bytes())
+}
--- /dev/null
+++ b/storer/writer.go
@@ -0,0 +1,157 @@
+package storer
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/descriptor"
+)
+
+const (
+	// writeWorkers is the number of writes under way at once.
+	writeWorkers = 4
+	// writeQueue is the number of writes that may wait.
+	writeQueue = 256
+	// claimLease is how long a claim on a key made by a caller is kept.
+	claimLease = 24 * time.Hour
+)
+
+// Writer carries out writes to the store in the background.
+type Writer struct {
+	client *Client
+	poster Poster
+	queue  chan descriptor.Action
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// NewWriter returns a writer.
+func NewWriter(c *Client, p Poster) *Writer {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &Writer{client: c, poster: p, queue: make(chan descriptor.Action, writeQueue), ctx: ctx, cancel: cancel}
+	for range writeWorkers {
+		go func() {
+			for {
+				select {
+				case a := <-w.queue:
+					w.write(a)
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	}
+	return w
+}
+
+// Close ends all writes.
+func (w *Writer) Close() { w.cancel() }
+
+// Do queues a write. One that finds the queue full is unavailable.
+func (w *Writer) Do(a descriptor.Action) {
+	select {
+	case w.queue <- a:
+	default:
+		go w.post(writeID(a), descriptor.Written{Result: descriptor.WriteUnavailable})
+	}
+}
+
+func writeID(a descriptor.Action) descriptor.WriteID {
+	switch a := a.(type) {
+	case descriptor.Write:
+		return a.Write
+	case descriptor.WriteTallies:
+		return a.Write
+	case descriptor.WriteClaim:
+		return a.Write
+	}
+	return 0
+}
+
+func (w *Writer) post(id descriptor.WriteID, e descriptor.Written) {
+	e.At = time.Now()
+	e.Write = id
+	w.poster.Post(e)
+}
+
+func (w *Writer) write(action descriptor.Action) {
+	switch a := action.(type) {
+	case descriptor.Write:
+		w.post(a.Write, w.writeEjections(a))
+	case descriptor.WriteTallies:
+		w.post(a.Write, w.writeTallies(a))
+	case descriptor.WriteClaim:
+		w.post(a.Write, w.writeClaim(a))
+	}
+}
+
+func (w *Writer) writeEjections(a descriptor.Write) descriptor.Written {
+	key := EjectKey(a.Document.Name)
+	item, err := w.put(key, a.Document.Ejections, a.Expect, 0)
+	e := written(item, err)
+	if e.Result == descriptor.WriteConflict {
+		if d, err := ParseDocument(item); err == nil {
+			e.Current = d
+		}
+	}
+	return e
+}
+
+func (w *Writer) writeTallies(a descriptor.WriteTallies) descriptor.Written {
+	item, err := w.put(TallyKey(a.Service), a.Tallies, a.Expect, 0)
+	e := written(item, err)
+	if e.Result == descriptor.WriteConflict {
+		if err := json.Unmarshal(item.Value, &e.Tallies); err != nil {
+			e.Result = descriptor.WriteUnavailable
+		}
+	}
+	return e
+}
+
+// claim is the value of a claimed key.
+type claim struct {
+	Instance    string `json:"instance"`
+	Incarnation int64  `json:"incarnation"`
+	Write       uint64 `json:"write"`
+}
+
+func (w *Writer) writeClaim(a descriptor.WriteClaim) descriptor.Written {
+	value := claim{Instance: a.Instance, Incarnation: a.Incarnation, Write: uint64(a.Write)}
+	item, err := w.put(claimKey(a.Service, a.Key), value, 0, claimLease)
+	return written(item, err)
+}
+
+// claimKey returns a key of bounded length and safe characters.
+func claimKey(service, key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return claimPrefix + service + "/" + hex.EncodeToString(sum[:16])
+}
+
+func (w *Writer) put(key string, value any, expect uint64, lease time.Duration) (Item, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return Item{}, eris.Wrapf(ErrUnavailable, "%s: %v", key, err)
+	}
+	return w.client.PutSettled(w.ctx, key, data, expect, lease)
+}
+
+func written(item Item, err error) descriptor.Written {
+	e := descriptor.Written{Revision: item.Revision}
+	switch {
+	case err == nil:
+		e.Result = descriptor.WriteAccepted
+	case errors.Is(err, ErrConflict):
+		e.Result = descriptor.WriteConflict
+	case errors.Is(err, ErrUnknown):
+		e.Result = descriptor.WriteUnknown
+	default:
+		e.Result = descriptor.WriteUnavailable
+	}
+	return e
+}
