Conviction where one instance alone has work; unknown classes borrow the pooled times

Ruled out: too little evidence (it stood at 28 of 20). Change: an instance convicts alone, at 1.5 times the evidence, if all others report no work there; little known short classes are judged by the pooled times.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"monsoonswitch/descriptor"
 	"monsoonswitch/detector"
@@ -83,15 +84,11 @@
 		return s
 	}
 	reference := b.classes[c].reference
-	age := b.now.Sub(a.clock)
-	if a.clock.IsZero() {
-		age = 0
-	}
-	o := detector.Observation{
-		Failed: failed,
-		Tail:   reference.Tail(age, b.classes[c].declared.Target),
-		Base:   reference.FailureRate(),
+	var age time.Duration
+	if !a.clock.IsZero() {
+		age = b.now.Sub(a.clock)
 	}
+	o := detector.Observation{Failed: failed, Tail: b.tail(c, age), Base: reference.FailureRate()}
 	s = s.WithEvidence(b.detector.Observe(s.evidence, o))
 	if b.detector.Score(s.evidence) >= b.detector.Caution()/2 {
 		return s
@@ -100,11 +97,33 @@
 		reference = reference.WithFailure()
 	} else if !a.clock.IsZero() {
 		reference = reference.WithDuration(age)
+		b.pool(c, age)
 	}
 	b.classes[c] = b.classes[c].WithReference(reference)
 	return s
 }
 
+// poolFactor is how many times longer work of a little known class may take than
+// that of the other short classes.
+const poolFactor = 3
+
+// pool adds an answer to the distribution over all short classes.
+func (b *Balancer[E, D, P, L]) pool(c int, age time.Duration) {
+	if !b.classes[c].declared.Long {
+		b.pooled = b.pooled.WithDuration(age)
+	}
+}
+
+// tail returns the probability that a healthy backend server takes longer than
+// age for work of a class.
+func (b *Balancer[E, D, P, L]) tail(c int, age time.Duration) float64 {
+	class := b.classes[c]
+	if !class.reference.Known() && !class.declared.Long && b.pooled.Known() {
+		return b.pooled.Tail(age/poolFactor, class.declared.Target)
+	}
+	return class.reference.Tail(age, class.declared.Target)
+}
+
 // drained returns s after it announced its leaving, and tells the other
 // serving instances.
 func (b *Balancer[E, D, P, L]) drained(s backend[E]) backend[E] {
@@ -142,11 +161,10 @@
 	p := b.backends.Position(a.backend)
 	if p >= 0 && !a.answered && !a.clock.IsZero() {
 		_, s := b.backends.At(p)
-		reference := b.classes[r.class].reference
 		o := detector.Observation{
 			Late: true,
-			Tail: reference.Tail(b.now.Sub(a.clock), b.classes[r.class].declared.Target),
-			Base: reference.FailureRate(),
+			Tail: b.tail(r.class, b.now.Sub(a.clock)),
+			Base: b.classes[r.class].reference.FailureRate(),
 		}
 		if !b.now.Before(s.coldUntil) {
 			b.backends.SetAt(p, s.WithEvidence(b.detector.Observe(s.evidence, o)))
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -61,6 +61,9 @@
 	classes []class
 	queues  []*container.Fair[string, descriptor.RequestID]
 	queued  int
+	// pooled is the distribution over all short classes; it stands in for a
+	// class with few observations.
+	pooled detector.Reference
 	// retries lists requests that wait for another backend server.
 	retries []descriptor.RequestID
 
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -24,6 +24,9 @@
 	proposalWait = time.Second
 	// evidenceTime is how long the evidence of a silent instance holds.
 	evidenceTime = 10 * time.Second
+	// aloneFactor is how many times more evidence an instance needs that alone
+	// has work at a backend server.
+	aloneFactor = 1.5
 	// accuserShare is the part of the limit that makes an instance an accuser.
 	accuserShare = 0.2
 )
@@ -77,9 +80,10 @@
 	position int
 	// own and total are relative to the median of the peers.
 	own, total float64
-	// accusers counts the instances with evidence against it, and witnesses
-	// those that observed it lately.
-	accusers, witnesses int
+	// accusers counts the instances with evidence against it.
+	accusers int
+	// alone tells that every other instance reported that it had no work there.
+	alone bool
 }
 
 // judge weighs the evidence and decides which backend servers to avoid here and
@@ -122,28 +126,27 @@
 
 func (b *Balancer[E, D, P, L]) weigh(i int) verdict {
 	id, s := b.backends.At(i)
-	v := verdict{position: i, own: b.detector.Score(s.evidence) + s.open}
+	v := verdict{position: i, own: b.detector.Score(s.evidence) + s.open, alone: true}
 	v.total = v.own
 	least := accuserShare * b.detector.Limit()
 	if v.own >= least {
 		v.accusers++
 	}
 	for _, m := range b.serving {
-		p, ok := b.peers[m.ID]
-		if !ok || b.now.Sub(p.at) > evidenceTime {
+		if m.ID == b.options.Self {
 			continue
 		}
-		score, ok := p.scores.Get(id)
-		if !ok {
+		p, ok := b.peers[m.ID]
+		if !ok || b.now.Sub(p.at) > evidenceTime {
+			v.alone = false
 			continue
 		}
+		score, _ := p.scores.Get(id)
 		v.total += score.Value
 		if score.Value >= least {
 			v.accusers++
 		}
-		if score.Recent > 0 {
-			v.witnesses++
-		}
+		v.alone = v.alone && score.Recent == 0
 	}
 	return v
 }
@@ -196,7 +199,8 @@
 }
 
 // convicted returns the positions of backend servers to eject, worst first. A
-// fault that only one of several instances sees is a fault of its path.
+// fault that only one of several instances sees is a fault of its path, unless
+// no other one has work there.
 func (b *Balancer[E, D, P, L]) convicted(verdicts []verdict) []verdict {
 	var result []verdict
 	needed := min(2, len(b.serving))
@@ -206,7 +210,9 @@
 		if s.mode == modeTrial {
 			limit = b.detector.Caution()
 		}
-		if s.healthy() && v.total >= limit && v.accusers >= needed {
+		together := v.accusers >= needed && v.total >= limit
+		alone := v.alone && v.own >= aloneFactor*limit
+		if s.healthy() && (together || alone) {
 			result = append(result, v)
 		}
 	}
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -119,10 +119,10 @@
 	}
 	c := b.classes[r.class]
 	age := b.now.Sub(a.clock)
-	if age < c.reference.Quantile(0.5, c.declared.Target) {
+	if age < c.reference.Quantile(0.5, 0) {
 		return
 	}
-	weight := b.detector.Overdue(c.reference.Tail(age, c.declared.Target))
+	weight := b.detector.Overdue(b.tail(r.class, age))
 	if weight > 0 {
 		s.open += weight
 		b.backends.SetAt(p, s)
--- a/loader/run.go
+++ b/loader/run.go
@@ -27,7 +27,8 @@
 	scenario   Scenario
 	deployment deployment
 	fleet      *assembler.Fleet
-	caller     *caller.Caller
+	// callers holds one caller for each failure domain.
+	callers []*caller.Caller
 	started    time.Time
 	progress   io.Writer
 	record     *record
@@ -56,10 +57,12 @@
 		scenario:   s,
 		deployment: d,
 		fleet:      fleet,
-		caller:     caller.New(fleet.Entries(), d.domains[0]),
 		progress:   progress,
 		record:     newRecord(s),
 	}
+	for _, domain := range d.domains {
+		r.callers = append(r.callers, caller.New(fleet.Entries(), domain))
+	}
 	return r.run(ctx)
 }
 
@@ -194,7 +197,8 @@
 		work.Body = func() io.Reader { return newSlowBody(w.Body, w.BodyRate) }
 	}
 	at := time.Since(r.started)
-	result, err := r.caller.Do(context.Background(), work)
+	from := r.callers[n%len(r.callers)]
+	result, err := from.Do(context.Background(), work)
 	r.record.add(index, at, token, w, result, err, poisoned)
 }
 
