--- a/allocator/index.go
+++ b/allocator/index.go
@@ -133,8 +133,8 @@
 		return true
 	}
 	for _, s := range r.serving {
-		comparable := s.Domain == m.Domain || !domains[m.Domain]
-		if comparable && weight > Weight(service, s.ID) {
+		rival := s.Domain == m.Domain || !domains[m.Domain]
+		if rival && weight > Weight(service, s.ID) {
 			return true
 		}
 	}
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -69,8 +69,9 @@
 	open     float64
 	// fleet is the score over all serving instances at the last tick.
 	fleet float64
-	// recent counts observations since the last evidence message.
-	recent int
+	// recent counts the observations of the present window, and before those
+	// of the window before it.
+	recent, before int
 	// avoided tells that other backend servers are preferred until avoidUntil.
 	avoided    bool
 	avoidUntil time.Time
@@ -141,6 +142,16 @@
 	return b
 }
 
+// WithWindow returns b with a new window of recent observations.
+func (b backend[E]) WithWindow() backend[E] {
+	b.before = b.recent
+	b.recent = 0
+	return b
+}
+
+// seen counts the recent observations.
+func (b backend[E]) seen() int { return b.recent + b.before }
+
 // WithAnswer returns b after an answer: the cap grows and a trial advances.
 func (b backend[E]) WithAnswer() backend[E] {
 	if b.cap < unlimited {
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -27,8 +27,11 @@
 	// aloneFactor is how many times more evidence an instance needs that alone
 	// has work at a backend server.
 	aloneFactor = 1.5
-	// accuserShare is the part of the limit that makes an instance an accuser.
-	accuserShare = 0.2
+	// urgentShare is the part of the limit from which evidence is told at once.
+	urgentShare = 0.2
+	// restShare is the part of the limit that the evidence of all instances but
+	// the strongest accuser must reach.
+	restShare = 0.6
 )
 
 // proposal is a write of the set of ejections on its way to the store.
@@ -80,8 +83,8 @@
 	position int
 	// own and total are relative to the median of the peers.
 	own, total float64
-	// accusers counts the instances with evidence against it.
-	accusers int
+	// rest is the evidence without that of the strongest accuser.
+	rest float64
 	// alone tells that every other instance reported that it had no work there.
 	alone bool
 }
@@ -128,10 +131,7 @@
 	id, s := b.backends.At(i)
 	v := verdict{position: i, own: b.detector.Score(s.evidence) + s.open, alone: true}
 	v.total = v.own
-	least := accuserShare * b.detector.Limit()
-	if v.own >= least {
-		v.accusers++
-	}
+	strongest := v.own
 	for _, m := range b.serving {
 		if m.ID == b.options.Self {
 			continue
@@ -143,11 +143,10 @@
 		}
 		score, _ := p.scores.Get(id)
 		v.total += score.Value
-		if score.Value >= least {
-			v.accusers++
-		}
+		strongest = max(strongest, score.Value)
 		v.alone = v.alone && score.Recent == 0
 	}
+	v.rest = v.total - strongest
 	return v
 }
 
@@ -203,14 +202,13 @@
 // no other one has work there.
 func (b *Balancer[E, D, P, L]) convicted(verdicts []verdict) []verdict {
 	var result []verdict
-	needed := min(2, len(b.serving))
 	for _, v := range verdicts {
 		_, s := b.backends.At(v.position)
 		limit := b.detector.Limit()
 		if s.mode == modeTrial {
 			limit = b.detector.Caution()
 		}
-		together := v.accusers >= needed && v.total >= limit
+		together := v.total >= limit && v.rest >= restShare*limit
 		alone := v.alone && v.own >= aloneFactor*limit
 		if s.healthy() && (together || alone) {
 			result = append(result, v)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -163,3 +163,9 @@
 }
 
 func count(n int) string { return strconv.Itoa(n) }
+
+// Avoids tells whether a backend server gets no work as long as others can.
+func (b *Balancer[E, D, P, L]) Avoids(id string) bool {
+	s, ok := b.backends.Get(id)
+	return !ok || s.avoided || s.mode != modeReady
+}
--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -63,7 +63,7 @@
 
 func (b *Balancer[E, D, P, L]) crashedElsewhere(fingerprint uint64, id string) bool {
 	c, ok := b.crashes.Get(fingerprint)
-	return ok && c.count > 0 && !(c.count == 1 && c.has(id))
+	return ok && (c.count > 1 || c.count == 1 && !c.has(id))
 }
 
 // recordCrash adds a breakdown and tells the other serving instances.
--- a/balancer/share.go
+++ b/balancer/share.go
@@ -42,13 +42,19 @@
 		return
 	}
 	b.lastEvidence = b.now
-	b.lastFull = b.now
+	if b.now.Sub(b.lastFull) >= evidenceFull {
+		b.lastFull = b.now
+		b.rotateRecent()
+	}
+	b.tell(descriptor.Evidence{Service: b.service.Name, Scores: scores})
+}
+
+// rotateRecent begins a new window of recent observations.
+func (b *Balancer[E, D, P, L]) rotateRecent() {
 	for i := range b.backends.Len() {
 		_, s := b.backends.At(i)
-		s.recent = 0
-		b.backends.SetAt(i, s)
+		b.backends.SetAt(i, s.WithWindow())
 	}
-	b.tell(descriptor.Evidence{Service: b.service.Name, Scores: scores})
 }
 
 // scores returns the evidence worth telling and whether any of it is urgent.
@@ -57,11 +63,11 @@
 	urgent := false
 	for id, s := range b.backends.All {
 		value := b.detector.Score(s.evidence) + s.open
-		if !s.healthy() || value < leastScore && s.recent == 0 {
+		if !s.healthy() || value < leastScore && s.seen() == 0 {
 			continue
 		}
-		urgent = urgent || value >= accuserShare*b.detector.Limit()
-		scores = append(scores, descriptor.Score{Backend: id, Value: value, Recent: s.recent})
+		urgent = urgent || value >= urgentShare*b.detector.Limit()
+		scores = append(scores, descriptor.Score{Backend: id, Value: value, Recent: s.seen()})
 	}
 	return scores, urgent
 }
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -131,7 +131,7 @@
 
 // hedge opens second attempts of overdue requests that may run twice.
 func (b *Balancer[E, D, P, L]) hedge() {
-	if b.queued > 0 {
+	if b.queued > 0 || !b.limiter.Hedges() {
 		return
 	}
 	for _, id := range b.overdueRequests() {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -12,6 +12,7 @@
 
 	"monsoonswitch/configurer"
 	"monsoonswitch/declarer"
+	"monsoonswitch/listener"
 	"monsoonswitch/loader"
 	"monsoonswitch/storer"
 )
@@ -57,11 +58,13 @@
 		&standinBackendCommand{},
 		&demoCommand{},
 		&loadCommand{},
+		&trialCommand{},
 	}
 }
 
 // Run runs the subcommand that the arguments name and returns the exit code.
 func Run(args []string, out, log io.Writer) int {
+	listener.Configure()
 	app := kingpin.New("monsoonswitch", "A proxy fleet for services whose backend servers fail grayly.")
 	app.UsageWriter(out)
 	app.ErrorWriter(log)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -25,6 +25,8 @@
 	LongLimit(slots int) int
 	// LongShare returns how many of slots long work gets ahead of short work.
 	LongShare(slots int) int
+	// Hedges tells whether overdue work is sent to a second backend server.
+	Hedges() bool
 }
 
 // Parameters of Adaptive.
@@ -35,7 +37,7 @@
 	// shows that the queue does not drain.
 	overload = 0.5
 	// longShare is the share of slots that long work may hold.
-	longShare = 0.5
+	longShare = 0.34
 	// longLeast is the share of slots that long work gets first.
 	longLeast = 0.2
 )
@@ -62,6 +64,9 @@
 // LongShare implements Policy.
 func (Adaptive) LongShare(slots int) int { return max(1, int(longLeast*float64(slots))) }
 
+// Hedges implements Policy.
+func (Adaptive) Hedges() bool { return true }
+
 // Ordered starts the oldest request first, always.
 type Ordered struct{ Adaptive }
 
@@ -83,3 +88,6 @@
 
 // LongShare implements Policy.
 func (Open) LongShare(int) int { return 0 }
+
+// Hedges implements Policy.
+func (Open) Hedges() bool { return false }
--- a/loader/run.go
+++ b/loader/run.go
@@ -28,11 +28,11 @@
 	deployment deployment
 	fleet      *assembler.Fleet
 	// callers holds one caller for each failure domain.
-	callers []*caller.Caller
-	started    time.Time
-	progress   io.Writer
-	record     *record
-	watch      *watch
+	callers  []*caller.Caller
+	started  time.Time
+	progress io.Writer
+	record   *record
+	watch    *watch
 }
 
 // Run runs a scenario with a fleet in this process and reports progress.
--- a/loader/watch.go
+++ b/loader/watch.go
@@ -27,8 +27,7 @@
 type drain struct {
 	backend *assembler.Backend
 	since   time.Time
-	before  imitator.BackendCounts
-	// late is the number of requests it was sent 2 s after the announcement.
+	// after holds the counts drainTime after the announcement.
 	after *imitator.BackendCounts
 }
 
