--- a/allocator/index.go
+++ b/allocator/index.go
@@ -119,26 +119,43 @@
 	return changed
 }
 
-// enters tells whether a new member may be among the serving instances.
+// standing is what the serving instances of one failure domain amount to.
+type standing struct {
+	count int
+	best  uint64
+}
+
+// enters tells whether a new member may be among the serving instances: its
+// place within its failure domain must be in a round before the last one, or in
+// the last one ahead of a failure domain that has a place there.
 func enters(service string, r demandRecord, m descriptor.Member) bool {
 	if len(r.serving) < r.count {
 		return true
 	}
 	weight := Weight(service, m.ID)
-	domains := make(map[string]bool, len(r.serving))
+	domains := make(map[string]standing, len(r.serving))
+	place, rounds := 0, 0
 	for _, s := range r.serving {
-		domains[s.Domain] = true
+		w := Weight(service, s.ID)
+		d := domains[s.Domain]
+		d.count++
+		d.best = max(d.best, w)
+		domains[s.Domain] = d
+		rounds = max(rounds, d.count)
+		if s.Domain == m.Domain && w > weight {
+			place++
+		}
 	}
-	if !domains[m.Domain] && len(domains) < r.count {
-		return true
+	if place != rounds-1 {
+		return place < rounds
 	}
-	for _, s := range r.serving {
-		rival := s.Domain == m.Domain || !domains[m.Domain]
-		if rival && weight > Weight(service, s.ID) {
+	best := max(weight, domains[m.Domain].best)
+	for _, d := range domains {
+		if d.count == rounds && best > d.best {
 			return true
 		}
 	}
-	return false
+	return domains[m.Domain].count == rounds
 }
 
 func contains(list []descriptor.Member, id string) bool {
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -209,7 +209,7 @@
 			limit = b.detector.Caution()
 		}
 		together := v.total >= limit && v.rest >= restShare*limit
-		alone := v.alone && v.own >= aloneFactor*limit
+		alone := v.alone && v.own >= aloneLimit(limit, len(b.serving))
 		if s.healthy() && (together || alone) {
 			result = append(result, v)
 		}
@@ -218,6 +218,14 @@
 	return result
 }
 
+// aloneLimit returns the evidence with which one instance convicts by itself.
+func aloneLimit(limit float64, instances int) float64 {
+	if instances == 1 {
+		return limit
+	}
+	return aloneFactor * limit
+}
+
 // propose writes a larger set of ejections to the store if the floor allows.
 func (b *Balancer[E, D, P, L]) propose(verdicts []verdict) {
 	b.refusal = ""
--- /dev/null
+++ b/balancer/eject_test.go
@@ -0,0 +1,182 @@
+package balancer
+
+import (
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+)
+
+// accuse gives the balancer overwhelming evidence of its own and of another
+// instance against backend servers.
+func (x *bench) accuse(ids ...string) {
+	m := descriptor.Evidence{Service: "fieldbook"}
+	for _, id := range ids {
+		p := x.b.backends.Position(id)
+		_, s := x.b.backends.At(p)
+		s.evidence = s.evidence.WithStep(40)
+		x.b.backends.SetAt(p, s)
+		m.Scores = append(m.Scores, descriptor.Score{Backend: id, Value: 40, Recent: 9})
+	}
+	x.b.HearEvidence(x.now, "entry-1", m)
+}
+
+// proposal returns the set of ejections proposed to the store, if any.
+func (x *bench) proposal() *descriptor.Write {
+	for _, a := range x.actions {
+		if w, ok := a.(descriptor.Write); ok {
+			return &w
+		}
+	}
+	return nil
+}
+
+// accept answers a proposal as the store would.
+func (x *bench) accept(w *descriptor.Write, revision uint64) {
+	d, ok := x.b.Written(descriptor.Written{At: x.now, Write: w.Write, Revision: revision})
+	asserter.True(x.t, "accepted", ok)
+	x.b.Eject(x.now, d)
+	x.take()
+}
+
+func TestFloor(t *testing.T) {
+	t.Run("a proposal leaves the floor", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0", "b1")
+		x.run(50 * time.Millisecond)
+		w := x.proposal()
+		asserter.True(t, "proposed", w != nil)
+		asserter.AtMost(t, "ejected at first", len(w.Document.Ejections), 2)
+	})
+	t.Run("capacity that is down counts as gone", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		for _, id := range []string{"b4", "b5"} {
+			x.b.Probed(descriptor.Probed{At: x.now, Backend: id})
+		}
+		x.take()
+		x.accuse("b0")
+		x.run(50 * time.Millisecond)
+		asserter.True(t, "nothing proposed", x.proposal() == nil)
+		asserter.Equal(t, "reason", x.b.Dump(x.now).Refused, "floor")
+	})
+	t.Run("an ejection gives way when capacity is lost later", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0", "b1")
+		x.run(50 * time.Millisecond)
+		x.accept(x.proposal(), 7)
+		asserter.Equal(t, "ejected", ejectedCount(x), 2)
+		x.b.Probed(descriptor.Probed{At: x.now, Backend: "b5"})
+		x.run(50 * time.Millisecond)
+		asserter.Equal(t, "ejected with one down", ejectedCount(x), 1)
+	})
+	t.Run("an older set never replaces a newer one", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		until := x.now.Add(time.Minute)
+		x.b.Eject(x.now, descriptor.Document{Revision: 9, Ejections: []descriptor.Ejection{{Backend: "b0", Until: until}}})
+		got := x.b.Eject(x.now, descriptor.Document{Revision: 8})
+		asserter.Equal(t, "took the older set", got, false)
+		asserter.Equal(t, "ejected", ejectedCount(x), 1)
+	})
+	t.Run("a conflict takes the set of the other instance", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0")
+		x.run(50 * time.Millisecond)
+		w := x.proposal()
+		theirs := descriptor.Document{Revision: 4, Ejections: []descriptor.Ejection{
+			{Backend: "b2", Until: x.now.Add(time.Minute)}, {Backend: "b3", Until: x.now.Add(time.Minute)},
+		}}
+		d, ok := x.b.Written(descriptor.Written{At: x.now, Write: w.Write, Result: descriptor.WriteConflict, Current: theirs})
+		asserter.True(t, "has a set", ok)
+		x.b.Eject(x.now, d)
+		x.run(100 * time.Millisecond)
+		asserter.True(t, "no third ejection", x.proposal() == nil)
+		asserter.Equal(t, "reason", x.b.Dump(x.now).Refused, "floor")
+	})
+	t.Run("without the store others are preferred", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0")
+		x.run(50 * time.Millisecond)
+		_, _ = x.b.Written(descriptor.Written{At: x.now, Write: x.proposal().Write, Result: descriptor.WriteUnavailable})
+		x.take()
+		asserter.Equal(t, "reason", x.b.Dump(x.now).Refused, "store unavailable")
+		for range 5 {
+			_, p := x.arrive("visit", nil)
+			asserter.True(t, "elsewhere", p != nil && p.Backend.ID != "b0")
+		}
+	})
+}
+
+func ejectedCount(x *bench) int {
+	n := 0
+	for _, s := range x.b.backends.All {
+		if s.mode == modeEjected {
+			n++
+		}
+	}
+	return n
+}
+
+func TestConviction(t *testing.T) {
+	t.Run("a fault seen by one of two instances ejects nothing", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		p := x.b.backends.Position("b0")
+		_, s := x.b.backends.At(p)
+		s.evidence = s.evidence.WithStep(40)
+		x.b.backends.SetAt(p, s)
+		x.b.HearEvidence(x.now, "entry-1", descriptor.Evidence{Scores: []descriptor.Score{{Backend: "b0", Recent: 20}}})
+		x.run(100 * time.Millisecond)
+		asserter.True(t, "nothing proposed", x.proposal() == nil)
+		asserter.True(t, "avoided here", x.b.Avoids("b0"))
+	})
+	t.Run("if all are slow nobody is ejected", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0", "b1", "b2", "b3", "b4", "b5")
+		x.run(100 * time.Millisecond)
+		asserter.True(t, "nothing proposed", x.proposal() == nil)
+	})
+	t.Run("a stall counts while it stalls", func(t *testing.T) {
+		x := newBench(t, 1, 6, 3)
+		x.warm()
+		var other []descriptor.Dispatch
+		for range 18 {
+			_, p := x.arrive("booking", nil)
+			if p.Backend.ID != "b0" {
+				other = append(other, *p)
+			}
+		}
+		asserter.Equal(t, "work elsewhere", len(other), 15)
+		for _, p := range other {
+			x.serve(p, time.Millisecond, 200)
+		}
+		x.run(15 * time.Second)
+		asserter.True(t, "proposed", x.proposal() != nil)
+		asserter.Equal(t, "backend", x.proposal().Document.Ejections[0].Backend, "b0")
+	})
+	t.Run("a stopped process convicts nobody", func(t *testing.T) {
+		x := newBench(t, 1, 6, 3)
+		x.warm()
+		for range 3 {
+			x.arrive("booking", nil)
+		}
+		x.now = x.now.Add(time.Minute)
+		x.run(100 * time.Millisecond)
+		asserter.True(t, "nothing proposed", x.proposal() == nil)
+	})
+	t.Run("a trial ends in return or in a longer hold-off", func(t *testing.T) {
+		x := newBench(t, 2, 6, 3)
+		x.accuse("b0")
+		x.run(50 * time.Millisecond)
+		x.accept(x.proposal(), 3)
+		x.run(holdFirst + 100*time.Millisecond)
+		_, s := x.b.backends.At(x.b.backends.Position("b0"))
+		asserter.Equal(t, "mode", s.mode, modeTrial)
+		x.accuse("b0")
+		x.run(50 * time.Millisecond)
+		again := x.proposal()
+		asserter.True(t, "ejected again", again != nil)
+		e := again.Document.Ejections[0]
+		asserter.Equal(t, "strikes", e.Strikes, 2)
+		asserter.Equal(t, "hold-off", e.Until.Sub(e.Since), 2*holdFirst)
+	})
+}
--- /dev/null
+++ b/decider/driver_test.go
@@ -0,0 +1,293 @@
+package decider
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// driver runs deciders in memory with fake time: a second front end beside the
+// one that serves HTTP. Messages, writes and answers take no time of their own;
+// they are carried between ticks.
+type driver struct {
+	t        *testing.T
+	now      time.Time
+	nodes    map[string]*Standard
+	order    []string
+	links    map[[2]string]bool
+	store    map[string]descriptor.Document
+	tallies  map[string][]descriptor.Tally
+	versions map[string]uint64
+	revision uint64
+	outage   bool
+	// log holds every event and action of the first node as text.
+	log      strings.Builder
+	recorded []descriptor.Event
+	// runs counts the dispatches by request.
+	dispatched []descriptor.Dispatch
+	refused    []descriptor.Refuse
+	writes     []descriptor.Action
+	left       map[string]bool
+	claims     map[string]bool
+}
+
+func newDriver(t *testing.T, n int) *driver {
+	d := &driver{
+		t:        t,
+		now:      time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
+		nodes:    make(map[string]*Standard),
+		links:    make(map[[2]string]bool),
+		store:    make(map[string]descriptor.Document),
+		tallies:  make(map[string][]descriptor.Tally),
+		versions: make(map[string]uint64),
+		left:     make(map[string]bool),
+		claims:   make(map[string]bool),
+	}
+	for i := range n {
+		d.add(fmt.Sprintf("entry-%d", i))
+	}
+	return d
+}
+
+func (d *driver) add(id string) {
+	d.order = append(d.order, id)
+	d.nodes[id] = NewStandard(d.options(id), d.now)
+}
+
+func (d *driver) options(id string) Options {
+	return Options{
+		Self:     descriptor.Member{ID: id, Incarnation: 1, Domain: "worcester", Public: id + ":80", Inner: id + ":81"},
+		Seed:     1,
+		Patience: time.Second,
+	}
+}
+
+func testDeclaration(state declarer.State) declarer.Service {
+	return declarer.Service{
+		Name:  "billing",
+		Floor: 2,
+		State: state,
+		Classes: []declarer.Class{
+			{Name: "read", Target: 400 * time.Millisecond, Idempotent: true},
+			{Name: "invoice", Target: time.Second},
+		},
+		Routes: []declarer.Route{
+			{Name: "show", Methods: []string{"GET"}, Path: "/invoices", Class: "read"},
+			{Name: "close", Methods: []string{"POST"}, Path: "/invoices", Class: "invoice"},
+		},
+	}
+}
+
+// configure puts a declaration and a list of backend servers into the store and
+// tells one node, as if it watched.
+func (d *driver) configure(to string, state declarer.State, backends int) {
+	d.revision++
+	s := testDeclaration(state)
+	documents := []descriptor.Document{{Kind: descriptor.KindService, Name: s.Name, Revision: d.revision, At: d.now, Service: &s}}
+	var list []descriptor.Backend
+	for i := range backends {
+		list = append(list, descriptor.Backend{ID: fmt.Sprintf("b%d", i), Address: fmt.Sprintf("b%d:80", i), Slots: 3})
+	}
+	documents = append(documents, descriptor.Document{Kind: descriptor.KindBackends, Name: s.Name, Revision: d.revision, Backends: list})
+	d.step(to, descriptor.Learned{At: d.now, Documents: documents, Complete: true, Kind: descriptor.KindService})
+}
+
+// step gives one event to a node and carries out what follows.
+func (d *driver) step(id string, e descriptor.Event) {
+	node := d.nodes[id]
+	if node == nil || d.left[id] {
+		return
+	}
+	actions := append([]descriptor.Action(nil), node.Step(e)...)
+	if id == d.order[0] {
+		d.recorded = append(d.recorded, e)
+		d.write("event", e)
+		for _, a := range actions {
+			d.write("  action", a)
+		}
+	}
+	for _, a := range actions {
+		d.do(id, a)
+	}
+}
+
+func (d *driver) write(kind string, v any) {
+	data, err := json.Marshal(v)
+	asserter.NoError(d.t, "encode", err)
+	if s, ok := v.(descriptor.Send); ok {
+		kind += " " + strings.TrimPrefix(fmt.Sprintf("%T", s.Message), "descriptor.")
+	}
+	fmt.Fprintf(&d.log, "%s %s %s\n", kind, strings.TrimPrefix(fmt.Sprintf("%T", v), "descriptor."), data)
+}
+
+func (d *driver) do(id string, action descriptor.Action) {
+	switch a := action.(type) {
+	case descriptor.Connect:
+		for _, p := range a.Peers {
+			d.link(id, p.ID)
+		}
+	case descriptor.Send:
+		d.step(a.To.ID, descriptor.Received{At: d.now, From: id, Message: a.Message})
+	case descriptor.Dispatch:
+		d.dispatched = append(d.dispatched, a)
+	case descriptor.Refuse:
+		d.refused = append(d.refused, a)
+	case descriptor.Write:
+		d.writes = append(d.writes, a)
+		d.step(id, d.put(a))
+	case descriptor.WriteTallies:
+		d.step(id, d.putTallies(a))
+	case descriptor.WriteClaim:
+		d.step(id, d.claim(a))
+	case descriptor.Leave:
+		d.left[id] = true
+	}
+}
+
+func (d *driver) link(from, to string) {
+	if d.links[[2]string{from, to}] || d.links[[2]string{to, from}] || d.nodes[to] == nil {
+		return
+	}
+	d.links[[2]string{from, to}] = true
+	a, b := d.nodes[from].gossiper.Self(), d.nodes[to].gossiper.Self()
+	d.step(from, descriptor.LinkOpened{At: d.now, Peer: b})
+	d.step(to, descriptor.LinkOpened{At: d.now, Peer: a})
+}
+
+// put is the store: compare-and-swap.
+func (d *driver) put(a descriptor.Write) descriptor.Written {
+	e := descriptor.Written{At: d.now, Write: a.Write}
+	key := a.Document.Kind.String() + "/" + a.Document.Name
+	current := d.store[key]
+	switch {
+	case d.outage:
+		e.Result = descriptor.WriteUnavailable
+	case current.Revision != a.Expect:
+		e.Result = descriptor.WriteConflict
+		e.Current = current
+	default:
+		d.revision++
+		a.Document.Revision = d.revision
+		d.store[key] = a.Document
+		e.Revision = d.revision
+	}
+	return e
+}
+
+func (d *driver) putTallies(a descriptor.WriteTallies) descriptor.Written {
+	e := descriptor.Written{At: d.now, Write: a.Write}
+	switch {
+	case d.outage:
+		e.Result = descriptor.WriteUnavailable
+	case d.versions[a.Service] != a.Expect:
+		e.Result = descriptor.WriteConflict
+		e.Revision = d.versions[a.Service]
+		e.Tallies = d.tallies[a.Service]
+	default:
+		d.revision++
+		d.versions[a.Service] = d.revision
+		d.tallies[a.Service] = a.Tallies
+		e.Revision = d.revision
+	}
+	return e
+}
+
+func (d *driver) claim(a descriptor.WriteClaim) descriptor.Written {
+	e := descriptor.Written{At: d.now, Write: a.Write}
+	key := a.Service + "/" + a.Key
+	switch {
+	case d.outage:
+		e.Result = descriptor.WriteUnavailable
+	case d.claims[key]:
+		e.Result = descriptor.WriteConflict
+	default:
+		d.claims[key] = true
+	}
+	return e
+}
+
+// run ticks every node for a while.
+func (d *driver) run(span time.Duration) {
+	for end := d.now.Add(span); d.now.Before(end); {
+		d.now = d.now.Add(50 * time.Millisecond)
+		for _, id := range d.order {
+			d.step(id, descriptor.Ticked{At: d.now})
+		}
+	}
+}
+
+// arrive gives a request to a node.
+func (d *driver) arrive(to string, id descriptor.RequestID, class, key string) {
+	d.step(to, descriptor.Arrived{
+		At:          d.now,
+		Request:     id,
+		Service:     "billing",
+		Class:       class,
+		Caller:      "c",
+		Key:         key,
+		Fingerprint: uint64(id),
+		Replayable:  true,
+	})
+}
+
+// serve answers the newest dispatch of a request.
+func (d *driver) serve(at string, id descriptor.RequestID) {
+	for i := len(d.dispatched) - 1; i >= 0; i-- {
+		p := d.dispatched[i]
+		if p.Request != id {
+			continue
+		}
+		d.step(at, descriptor.Answered{At: d.now, Request: id, Attempt: p.Attempt, Status: 200, Free: -1})
+		d.step(at, descriptor.Finished{At: d.now, Request: id, Attempt: p.Attempt, Bytes: 10})
+		return
+	}
+	d.t.Fatalf("request %d: got no dispatch, want one", id)
+}
+
+func (d *driver) dispatches(id descriptor.RequestID) int {
+	n := 0
+	for _, p := range d.dispatched {
+		if p.Request == id {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *driver) refusal(id descriptor.RequestID) descriptor.Refuse {
+	for _, r := range d.refused {
+		if r.Request == id {
+			return r
+		}
+	}
+	return descriptor.Refuse{Reason: -1}
+}
+
+// golden compares text with a file.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		asserter.NoError(t, "write golden file", os.WriteFile(path, []byte(got), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	asserter.NoError(t, "read golden file", err)
+	gotLines, wantLines := strings.Split(got, "\n"), strings.Split(string(want), "\n")
+	for i := range min(len(gotLines), len(wantLines)) {
+		if gotLines[i] != wantLines[i] {
+			t.Fatalf("%s line %d:\ngot  %s\nwant %s", path, i+1, gotLines[i], wantLines[i])
+		}
+	}
+	asserter.Equal(t, "lines", len(gotLines), len(wantLines))
+}
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -61,11 +61,10 @@
 	busy    int
 	waiting []*flight
 	// held lists the work of a stall.
-	held    []*flight
-	open    map[*flight]bool
-	coldTo  time.Time
-	downTo  time.Time
-	started uint64
+	held   []*flight
+	open   map[*flight]bool
+	coldTo time.Time
+	downTo time.Time
 }
 
 // request is what the world knows of a request.
--- /dev/null
+++ b/gossiper/gossiper_test.go
@@ -0,0 +1,204 @@
+package gossiper
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/container"
+	"monsoonswitch/descriptor"
+)
+
+// network connects gossipers in fake time.
+type network struct {
+	t     *testing.T
+	now   time.Time
+	nodes map[string]*Gossiper
+	order []string
+	// cut holds the directions in which nothing gets through.
+	cut map[[2]string]bool
+	// links holds the pairs that are linked, dialer first.
+	links map[[2]string]bool
+}
+
+func newNetwork(t *testing.T, n int) *network {
+	x := &network{
+		t:     t,
+		now:   time.Unix(1000, 0),
+		nodes: make(map[string]*Gossiper),
+		cut:   make(map[[2]string]bool),
+		links: make(map[[2]string]bool),
+	}
+	for i := range n {
+		x.add(fmt.Sprintf("n%02d", i), 1)
+	}
+	for _, id := range x.order[1:] {
+		x.link(id, x.order[0])
+	}
+	x.run(10 * time.Second)
+	return x
+}
+
+func (x *network) add(id string, incarnation int64) {
+	if _, ok := x.nodes[id]; !ok {
+		x.order = append(x.order, id)
+	}
+	m := descriptor.Member{ID: id, Incarnation: incarnation, Domain: "d", Inner: id}
+	x.nodes[id] = New(m, x.now)
+	x.nodes[id].SetReady(x.now, true)
+}
+
+func (x *network) link(from, to string) {
+	if x.links[[2]string{from, to}] || x.nodes[from] == nil || x.nodes[to] == nil {
+		return
+	}
+	x.links[[2]string{from, to}] = true
+	x.nodes[from].LinkOpened(descriptor.LinkOpened{At: x.now, Peer: x.nodes[to].Self()})
+	x.nodes[to].LinkOpened(descriptor.LinkOpened{At: x.now, Peer: x.nodes[from].Self()})
+}
+
+// kill removes a node without a goodbye.
+func (x *network) kill(id string) {
+	delete(x.nodes, id)
+	for pair := range x.links {
+		other := pair[0]
+		if other == id {
+			other = pair[1]
+		}
+		if pair[0] != id && pair[1] != id {
+			continue
+		}
+		delete(x.links, pair)
+		if g := x.nodes[other]; g != nil {
+			g.LinkClosed(descriptor.LinkClosed{At: x.now, Peer: id})
+		}
+	}
+}
+
+func (x *network) run(d time.Duration) {
+	for end := x.now.Add(d); x.now.Before(end); {
+		x.now = x.now.Add(200 * time.Millisecond)
+		for _, id := range x.order {
+			if g := x.nodes[id]; g != nil {
+				g.Tick(x.now, container.Sums{})
+				x.carry(id, g)
+			}
+		}
+	}
+}
+
+func (x *network) carry(id string, g *Gossiper) {
+	actions, _ := g.Drain()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case descriptor.Connect:
+			for _, p := range a.Peers {
+				x.link(id, p.ID)
+			}
+		case descriptor.Send:
+			x.deliver(id, a)
+		}
+	}
+}
+
+func (x *network) deliver(from string, a descriptor.Send) {
+	to := x.nodes[a.To.ID]
+	linked := x.links[[2]string{from, a.To.ID}] || x.links[[2]string{a.To.ID, from}]
+	if to == nil || !linked || x.cut[[2]string{from, a.To.ID}] {
+		return
+	}
+	to.Heard(x.now, from)
+	switch m := a.Message.(type) {
+	case descriptor.Members:
+		to.HearMembers(x.now, from, m)
+	case descriptor.Digest:
+		to.HearDigest(from, m.Members)
+	}
+}
+
+// states counts how the nodes see one member.
+func (x *network) states(id string) map[descriptor.Liveness]int {
+	result := make(map[descriptor.Liveness]int)
+	for other, g := range x.nodes {
+		if other == id {
+			continue
+		}
+		if m, ok := g.Member(id); ok {
+			result[m.State]++
+		}
+	}
+	return result
+}
+
+func TestMembership(t *testing.T) {
+	t.Run("everyone knows everyone over few links", func(t *testing.T) {
+		x := newNetwork(t, 24)
+		for _, id := range x.order {
+			asserter.Equal(t, "members of "+id, len(x.nodes[id].Members()), 24)
+			asserter.AtMost(t, "watched by "+id, len(x.nodes[id].wanted), 5)
+		}
+	})
+	t.Run("a dead instance is given up by all", func(t *testing.T) {
+		x := newNetwork(t, 12)
+		x.kill("n05")
+		x.run(15 * time.Second)
+		asserter.Equal(t, "states", x.states("n05"), map[descriptor.Liveness]int{descriptor.Dead: 11})
+	})
+	t.Run("one-way loss of hearing is not death", func(t *testing.T) {
+		x := newNetwork(t, 12)
+		for _, id := range x.order[:6] {
+			x.cut[[2]string{"n07", id}] = true
+		}
+		worst := 0
+		for range 60 {
+			x.run(time.Second)
+			worst = max(worst, x.states("n07")[descriptor.Dead])
+		}
+		asserter.Equal(t, "given up by", worst, 0)
+	})
+	t.Run("an instance that hears nobody accuses in vain", func(t *testing.T) {
+		x := newNetwork(t, 12)
+		for _, id := range x.order {
+			x.cut[[2]string{id, "n03"}] = true
+		}
+		x.run(30 * time.Second)
+		for _, id := range x.order {
+			if id != "n03" {
+				asserter.Equal(t, "dead in the eyes of others: "+id, x.states(id)[descriptor.Dead], 0)
+			}
+		}
+	})
+	t.Run("an instance given up wrongly comes back", func(t *testing.T) {
+		x := newNetwork(t, 8)
+		for _, id := range x.order {
+			x.cut[[2]string{"n02", id}] = true
+			x.cut[[2]string{id, "n02"}] = true
+		}
+		x.run(15 * time.Second)
+		asserter.Equal(t, "given up", x.states("n02")[descriptor.Dead], 7)
+		x.cut = make(map[[2]string]bool)
+		x.link("n02", "n00")
+		x.run(30 * time.Second)
+		asserter.Equal(t, "states", x.states("n02"), map[descriptor.Liveness]int{descriptor.Alive: 7})
+	})
+	t.Run("a new incarnation replaces the old one", func(t *testing.T) {
+		x := newNetwork(t, 6)
+		x.kill("n01")
+		x.add("n01", 2)
+		x.link("n01", "n00")
+		x.run(10 * time.Second)
+		for _, id := range x.order {
+			m, _ := x.nodes[id].Member("n01")
+			asserter.Equal(t, "incarnation at "+id, m.Incarnation, int64(2))
+		}
+	})
+	t.Run("a goodbye is known at once", func(t *testing.T) {
+		x := newNetwork(t, 12)
+		x.nodes["n04"].Leave(x.now, "n01")
+		x.carry("n04", x.nodes["n04"])
+		x.kill("n04")
+		x.run(2 * time.Second)
+		asserter.Equal(t, "states", x.states("n04"), map[descriptor.Liveness]int{descriptor.Left: 11})
+	})
+}
--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,132 @@
+package messenger
+
+import (
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/container"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+)
+
+// samples holds one message of each type.
+func samples() []descriptor.Message {
+	at := time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
+	member := descriptor.Member{ID: "a", Incarnation: 3, Version: 4, Public: "p", Inner: "i", Domain: "d", State: descriptor.Suspect, Accusers: []string{"b"}, Ready: true, Heir: "h"}
+	service := &declarer.Service{Name: "s", Floor: 2, Classes: []declarer.Class{{Name: "c", Target: time.Second}}, Routes: []declarer.Route{{Name: "r", Path: "/", Class: "c"}}}
+	reference := descriptor.Reference{Kind: descriptor.KindBackends, Name: "s", Revision: 5}
+	return []descriptor.Message{
+		descriptor.Hello{Protocol: Version, From: member},
+		descriptor.Heartbeat{Sequence: 1},
+		descriptor.Members{Records: []descriptor.Member{member}, Buckets: 3},
+		descriptor.Digest{Members: container.Sums{Count: 2}.With(1<<60, 9)},
+		descriptor.References{List: []descriptor.Reference{reference}, Buckets: 1},
+		descriptor.Documents{List: []descriptor.Document{
+			{Kind: descriptor.KindService, Name: "s", Revision: 5, At: at, Service: service},
+			{Kind: descriptor.KindEjections, Name: "s", Ejections: []descriptor.Ejection{{Backend: "b", Since: at, Until: at, Strikes: 1}}},
+			{Kind: descriptor.KindBackends, Name: "s", Backends: []descriptor.Backend{{ID: "b", Slots: 3}}},
+		}},
+		descriptor.Evidence{Service: "s", Scores: []descriptor.Score{{Backend: "b", Value: 2.5, Recent: 3}}},
+		descriptor.Claim{Service: "s", Key: "k", Request: 7},
+		descriptor.Verdict{Request: 7, Key: "k", Reason: descriptor.KeyUsed, Outcome: descriptor.Ran},
+		descriptor.Settle{Key: "k", Outcome: descriptor.Ran},
+		descriptor.Crash{Service: "s", Fingerprint: 1 << 63, Backend: "b"},
+		descriptor.TallyReport{Tally: descriptor.Tally{Service: "s", Since: at, At: at, Counts: []descriptor.Count{{Class: "c", Requests: 1}}, Latency: []uint64{1, 2}}},
+		descriptor.Receipt{Service: "s", Incarnation: 1, Version: 2},
+		descriptor.Refresh{List: []descriptor.Reference{reference}},
+		descriptor.Demand{Service: "s", Slots: 2},
+		descriptor.Loan{Service: "s", Backend: "b", Slots: 1, Millis: 1000},
+		descriptor.Drain{Service: "s", Backend: "b"},
+		descriptor.Inherit{Instance: "a", Incarnation: 1, Keys: []descriptor.KeyRecord{{Key: "k", State: 1, Holder: "b"}}, Last: true, Total: 1},
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	asserter.Equal(t, "samples", len(samples()), len(decoders))
+	for _, m := range samples() {
+		data, err := Encode(m)
+		asserter.NoError(t, "encode", err)
+		got, err := Decode(data)
+		asserter.NoError(t, "decode", err)
+		asserter.Equal(t, "message", got, m)
+	}
+}
+
+func TestBadFrames(t *testing.T) {
+	unknown, err := encoding.Marshal(frame{Type: 999, Body: []byte{0xa0}})
+	asserter.NoError(t, "encode", err)
+	wrong, err := encoding.Marshal(frame{Type: descriptor.TypeClaim, Body: []byte{0x01}})
+	asserter.NoError(t, "encode", err)
+	for _, c := range []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"empty", nil, ErrGarbage},
+		{"garbage", []byte("hello"), ErrGarbage},
+		{"wrong body", wrong, ErrGarbage},
+		{"unknown type", unknown, ErrUnknownType},
+		{"too large", make([]byte, MaxFrame+1), ErrTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Decode(c.data)
+			asserter.ErrorIs(t, "decode", err, c.want)
+		})
+	}
+}
+
+func TestProof(t *testing.T) {
+	now := time.Unix(5000, 0)
+	proof := Prove("a key of the fleet", Dialer, "nonce", now)
+	for _, c := range []struct {
+		name  string
+		key   string
+		side  Side
+		proof string
+		at    time.Time
+		want  error
+	}{
+		{"good", "a key of the fleet", Dialer, proof, now, nil},
+		{"other key", "another key", Dialer, proof, now, ErrProof},
+		{"other side", "a key of the fleet", Acceptor, proof, now, ErrProof},
+		{"old", "a key of the fleet", Dialer, proof, now.Add(time.Hour), ErrProof},
+		{"none", "a key of the fleet", Dialer, "", now, ErrProof},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			nonce, err := Verify(c.key, c.side, c.proof, c.at)
+			asserter.ErrorIs(t, "verify", err, c.want)
+			if c.want == nil {
+				asserter.Equal(t, "nonce", nonce, "nonce")
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		if data, err := Encode(m); err == nil {
+			f.Add(data)
+		}
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		_, err = Encode(m)
+		asserter.NoError(t, "encode again", err)
+	})
+}
+
+func BenchmarkHeartbeat(b *testing.B) {
+	for b.Loop() {
+		data, err := Encode(descriptor.Heartbeat{Sequence: 12345})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := Decode(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/spreader/spreader_test.go
@@ -0,0 +1,102 @@
+package spreader
+
+import (
+	"fmt"
+	"testing"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/container"
+	"monsoonswitch/descriptor"
+)
+
+func document(id string, revision uint64) descriptor.Document {
+	return descriptor.Document{Kind: descriptor.KindService, Name: id, Revision: revision}
+}
+
+func filled(n int, revision uint64) *Spreader {
+	s := New()
+	for i := range n {
+		s.Take(document(fmt.Sprintf("s%d", i), revision), "")
+	}
+	s.Fresh(nil)
+	return s
+}
+
+func wantRevision(t *testing.T, s *Spreader, id string, want uint64) {
+	t.Helper()
+	d, _ := s.Get(descriptor.KindService, id)
+	asserter.Equal(t, "revision of "+id, d.Revision, want)
+}
+
+func TestNeverReverts(t *testing.T) {
+	s := New()
+	for _, c := range []struct {
+		revision uint64
+		took     bool
+	}{{5, true}, {4, false}, {5, false}, {6, true}, {1, false}} {
+		asserter.Equal(t, fmt.Sprintf("take %d", c.revision), s.Take(document("a", c.revision), ""), c.took)
+	}
+	wantRevision(t, s, "a", 6)
+}
+
+func TestFresh(t *testing.T) {
+	s := New()
+	s.Take(document("a", 1), "x")
+	batches := s.Fresh([]string{"x", "y"})
+	asserter.Equal(t, "back to where it came from", len(batches[0].Messages), 0)
+	asserter.Equal(t, "on to another", len(batches[1].Messages), 1)
+	asserter.Equal(t, "only once", len(s.Fresh([]string{"y"})), 0)
+}
+
+// synchronize carries digests and answers between two spreaders.
+func synchronize(a, b *Spreader, atOnce bool) {
+	for _, part := range b.HearDigest("a", a.Digest(), atOnce) {
+		want, have := a.Compare(part)
+		for _, m := range b.Answer(want) {
+			takeAll(a, m)
+		}
+		for _, m := range have {
+			takeAll(b, m)
+		}
+	}
+}
+
+func takeAll(s *Spreader, m descriptor.Documents) {
+	for _, d := range m.List {
+		s.Take(d, "peer")
+	}
+}
+
+func TestSynchronize(t *testing.T) {
+	t.Run("a new instance gets everything", func(t *testing.T) {
+		a, b := New(), filled(500, 3)
+		synchronize(a, b, false)
+		asserter.Equal(t, "documents", a.Len(), 500)
+		asserter.Equal(t, "difference", a.Digest().Differ(b.Digest()), uint64(0))
+	})
+	t.Run("newer documents go both ways", func(t *testing.T) {
+		a, b := filled(100, 3), filled(100, 3)
+		a.Take(document("s7", 9), "")
+		b.Take(document("s8", 9), "")
+		b.Take(document("only-b", 1), "")
+		synchronize(a, b, true)
+		for _, s := range []*Spreader{a, b} {
+			wantRevision(t, s, "s7", 9)
+			wantRevision(t, s, "s8", 9)
+			wantRevision(t, s, "only-b", 1)
+		}
+	})
+	t.Run("a difference for a moment costs nothing", func(t *testing.T) {
+		a, b := filled(100, 3), filled(100, 3)
+		a.Take(document("s7", 9), "")
+		asserter.Equal(t, "first digest", len(b.HearDigest("a", a.Digest(), false)), 0)
+		asserter.Equal(t, "second digest", len(b.HearDigest("a", a.Digest(), false)), 1)
+	})
+	t.Run("only the differing bucket is listed", func(t *testing.T) {
+		a, b := filled(1000, 3), filled(1000, 3)
+		a.Take(document("s7", 9), "")
+		parts := b.HearDigest("a", a.Digest(), true)
+		asserter.Equal(t, "parts", len(parts), 1)
+		asserter.AtMost(t, "listed", len(parts[0].List), 3*1000/container.Buckets)
+	})
+}
