--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -82,6 +82,9 @@
 	// instance's place in it or -1.
 	serving  []descriptor.Member
 	position int
+	// fadeUntil is until when an instance that is no longer chosen goes on
+	// with its part; zero means that it is chosen or has stopped.
+	fadeUntil time.Time
 
 	ejections descriptor.Document
 	proposal  proposal
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -81,24 +81,52 @@
 // Serve puts the instances that serve the service in force.
 func (b *Balancer[E, D, P, L]) Serve(now time.Time, serving []descriptor.Member) {
 	b.advance(now)
+	position := positionOf(serving, b.options.Self)
+	if position < 0 && b.position >= 0 {
+		if b.fadeUntil.IsZero() {
+			b.fadeUntil = now.Add(fadeTime)
+		}
+		return
+	}
+	b.fadeUntil = time.Time{}
 	b.serving = serving
-	b.position = -1
+	b.position = position
+	b.reshare()
+	b.pump()
+}
+
+// fadeTime is how long an instance that is no longer chosen goes on: as long as
+// it may take until the others know.
+const fadeTime = 2 * time.Second
+
+func positionOf(serving []descriptor.Member, id string) int {
 	for i, m := range serving {
-		if m.ID == b.options.Self {
-			b.position = i
+		if m.ID == id {
+			return i
 		}
 	}
+	return -1
+}
+
+// fade ends the part of an instance that is no longer chosen.
+func (b *Balancer[E, D, P, L]) fade() {
+	if b.fadeUntil.IsZero() || b.now.Before(b.fadeUntil) {
+		return
+	}
+	b.fadeUntil = time.Time{}
+	b.position = -1
+	b.reshare()
+	b.dismiss()
+}
+
+// reshare gives every backend server this instance's part of its slots.
+func (b *Balancer[E, D, P, L]) reshare() {
 	for i := range b.backends.Len() {
 		_, s := b.backends.At(i)
 		b.backends.SetAt(i, s.WithShare(b.shareOf(s.listed)))
 	}
 	b.forgetPeers()
 	b.refresh()
-	if b.position < 0 {
-		b.dismiss()
-		return
-	}
-	b.pump()
 }
 
 // Serves tells whether this instance serves the service.
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -23,6 +23,7 @@
 // Tick does everything that depends on time alone.
 func (b *Balancer[E, D, P, L]) Tick(now time.Time) {
 	b.advance(now)
+	b.fade()
 	b.expireQueued()
 	b.wake()
 	if now.Sub(b.lastJudged) >= judgeEvery {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -34,7 +34,10 @@
 	// addressTimeout bounds the question which addresses to use.
 	addressTimeout = 2 * time.Second
 	// maxTries bounds the addresses tried for one piece of work.
-	maxTries = 4
+	maxTries = 6
+	// redirectPause is how much longer each further redirection waits: the
+	// instances may be about to agree.
+	redirectPause = 50 * time.Millisecond
 )
 
 // Work is one piece of work.
@@ -191,6 +194,7 @@
 		if err == nil {
 			list = c.redirected(w, result, list)
 			i = -1
+			pause(ctx, time.Duration(result.Tries-1)*redirectPause)
 			continue
 		}
 		if ctx.Err() != nil || !c.mayResend(w, err) {
@@ -204,6 +208,15 @@
 	return result, err
 }
 
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // redirected returns the addresses that an instance named instead of itself.
 func (c *Caller) redirected(w Work, result Result, before []forwarder.Address) []forwarder.Address {
 	var body struct {
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -10,7 +10,7 @@
 // Times of a shutdown.
 const (
 	// lingerTime is how long callers with old addresses are told where to go.
-	lingerTime = 2 * time.Second
+	lingerTime = 2500 * time.Millisecond
 	// tallyWait is the longest wait for the last tallies to be confirmed.
 	tallyWait = 5 * time.Second
 	// farewellTime is how long the last messages have to go out.
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -26,6 +26,7 @@
 		d.collect(service, s)
 	}
 	d.spread()
+	d.gossiper.Flush()
 	if d.now.Sub(d.gossipAt) >= gossipEvery {
 		d.gossipAt = d.now
 		d.gossiper.Tick(d.now, d.spreader.Digest())
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,285 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/recorder"
+)
+
+// simple is a control that sends every request to one backend server once.
+type simple struct {
+	mu      sync.Mutex
+	address string
+	open    map[descriptor.RequestID]chan descriptor.RequestAction
+	events  []descriptor.Event
+}
+
+// Open implements Control.
+func (c *simple) Open(e descriptor.Arrived) <-chan descriptor.RequestAction {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	answers := make(chan descriptor.RequestAction, 8)
+	c.open[e.Request] = answers
+	c.events = append(c.events, e)
+	answers <- descriptor.Dispatch{Request: e.Request, Attempt: 1, Backend: descriptor.Backend{ID: "b", Address: c.address}}
+	return answers
+}
+
+// Post implements Control.
+func (c *simple) Post(event descriptor.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, event)
+	switch e := event.(type) {
+	case descriptor.Answered:
+		c.open[e.Request] <- descriptor.Deliver{Request: e.Request, Attempt: e.Attempt}
+	case descriptor.Failed:
+		c.open[e.Request] <- descriptor.Refuse{Request: e.Request, Reason: descriptor.BackendFailed, Outcome: descriptor.MayHaveRun}
+	}
+}
+
+// Release implements Control.
+func (c *simple) Release(descriptor.RequestID) {}
+
+// arrived returns the last request that arrived.
+func (c *simple) arrived() descriptor.Arrived {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var last descriptor.Arrived
+	for _, e := range c.events {
+		if a, ok := e.(descriptor.Arrived); ok {
+			last = a
+		}
+	}
+	return last
+}
+
+// rig is a forwarder between a test client and a backend server.
+type rig struct {
+	t       *testing.T
+	front   *httptest.Server
+	control *simple
+}
+
+func newRig(t *testing.T, backend http.HandlerFunc) *rig {
+	b := httptest.NewServer(backend)
+	t.Cleanup(b.Close)
+	control := &simple{address: strings.TrimPrefix(b.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
+	f := New(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, control, recorder.New())
+	f.SetDirectory(&descriptor.Directory{Ready: true, Services: map[string]*descriptor.Entry{"ledger": {
+		Service: declarer.Service{
+			Name:    "ledger",
+			Classes: []declarer.Class{{Name: "all", Idempotent: true}},
+			Routes:  []declarer.Route{{Name: "all", Path: "/", Class: "all"}},
+		},
+		Serving: []descriptor.Member{
+			{ID: "far", Public: "10.0.0.1:80", Domain: "far"},
+			{ID: "near", Public: "10.0.0.2:80", Domain: "near"},
+		},
+	}}})
+	front := httptest.NewServer(f)
+	t.Cleanup(front.Close)
+	return &rig{t: t, front: front, control: control}
+}
+
+func (x *rig) request(method, path string, body io.Reader) *http.Request {
+	r, err := http.NewRequestWithContext(context.Background(), method, x.front.URL+path, body)
+	asserter.NoError(x.t, "build request", err)
+	r.Header.Set("Service", "ledger")
+	return r
+}
+
+// do returns the answer with its whole body, or the error of reading it.
+func (x *rig) do(r *http.Request) (*http.Response, string, error) {
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+func TestAnswers(t *testing.T) {
+	t.Run("whole answers pass with their status, headers and trailers", func(t *testing.T) {
+		x := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Trailer", "Sum")
+			w.Header().Set("Kind", "line")
+			w.Header().Set("Backend-Load", "1/3")
+			w.WriteHeader(http.StatusTeapot)
+			_, _ = io.WriteString(w, "whole")
+			w.Header().Set("Sum", "42")
+		})
+		response, body, err := x.do(x.request("GET", "/a", nil))
+		asserter.NoError(t, "read", err)
+		asserter.Equal(t, "status", response.StatusCode, http.StatusTeapot)
+		asserter.Equal(t, "body", body, "whole")
+		asserter.Equal(t, "header", response.Header.Get("Kind"), "line")
+		asserter.Equal(t, "trailer", response.Trailer.Get("Sum"), "42")
+		asserter.Equal(t, "inner header", response.Header.Get("Backend-Load"), "")
+	})
+	for _, length := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a cut answer never looks whole, length given %v", length), func(t *testing.T) {
+			x := newRig(t, func(w http.ResponseWriter, _ *http.Request) {
+				if length {
+					w.Header().Set("Content-Length", "1000")
+				}
+				_, _ = io.WriteString(w, strings.Repeat("x", 500))
+				_ = http.NewResponseController(w).Flush()
+				panic(http.ErrAbortHandler)
+			})
+			_, _, err := x.do(x.request("GET", "/a", nil))
+			asserter.True(t, "breaks off", err != nil)
+		})
+	}
+	t.Run("answers on kept connections go to their own callers", func(t *testing.T) {
+		x := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Duration(len(r.URL.Path)%7) * time.Millisecond)
+			_, _ = io.WriteString(w, r.URL.Path)
+		})
+		var group sync.WaitGroup
+		for i := range 200 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				path := fmt.Sprintf("/%d/%s", i, strings.Repeat("p", i%13))
+				_, body, err := x.do(x.request("GET", path, nil))
+				if err != nil || body != path {
+					t.Errorf("answer: got %q and %v, want %q", body, err, path)
+				}
+			}()
+		}
+		group.Wait()
+	})
+	t.Run("bodies stream in both directions", func(t *testing.T) {
+		x := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			buffer := make([]byte, 1)
+			for {
+				if _, err := r.Body.Read(buffer); err != nil {
+					return
+				}
+				_, _ = w.Write(buffer)
+				_ = http.NewResponseController(w).Flush()
+			}
+		})
+		in, out := io.Pipe()
+		go func() { _, _ = io.WriteString(out, "a") }()
+		response, err := http.DefaultTransport.RoundTrip(x.request("PUT", "/a", in))
+		asserter.NoError(t, "send", err)
+		defer response.Body.Close()
+		buffer := make([]byte, 1)
+		_, err = io.ReadFull(response.Body, buffer)
+		asserter.NoError(t, "first byte before the end of the body", err)
+		asserter.Equal(t, "byte", string(buffer), "a")
+		_ = out.Close()
+	})
+}
+
+func TestRequests(t *testing.T) {
+	var seen http.Header
+	x := newRig(t, func(_ http.ResponseWriter, r *http.Request) { seen = r.Header })
+	r := x.request("POST", "/a?b=c", nil)
+	for k, v := range map[string]string{
+		"Connection": "keep-alive, Secret-Hop", "Secret-Hop": "1", "Te": "trailers", "Proxy-Authorization": "x",
+		"Monsoon-Outcome": "forged", "Backend-State": "forged", "Idempotency-Key": "k1", "X-Forwarded-For": "1.2.3.4",
+		"Caller": "tavern-7", "Prefer": "wait=3",
+	} {
+		r.Header.Set(k, v)
+	}
+	_, _, err := x.do(r)
+	asserter.NoError(t, "send", err)
+	for _, name := range []string{"Secret-Hop", "Te", "Proxy-Authorization", "Monsoon-Outcome", "Backend-State"} {
+		asserter.Equal(t, name, seen.Get(name), "")
+	}
+	asserter.Equal(t, "key", seen.Get("Idempotency-Key"), "k1")
+	asserter.Equal(t, "forwarded for", seen.Get("X-Forwarded-For"), "1.2.3.4, 127.0.0.1")
+	arrived := x.control.arrived()
+	asserter.Equal(t, "caller", arrived.Caller, "tavern-7")
+	asserter.Equal(t, "class", arrived.Class, "all")
+	asserter.Equal(t, "deadline", arrived.Deadline.Sub(arrived.At).Round(time.Second), 3*time.Second)
+	t.Run("net/http never takes a key as leave to send twice", func(t *testing.T) {
+		h := forwardHeader(r)
+		_, plain := h["Idempotency-Key"]
+		asserter.Equal(t, "canonical key", plain, false)
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	x := newRig(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	want := func(t *testing.T, r *http.Request, status int, reason, outcome string) {
+		t.Helper()
+		response, body, err := x.do(r)
+		asserter.NoError(t, "send", err)
+		asserter.Equal(t, "status", response.StatusCode, status)
+		asserter.Equal(t, "reason", response.Header.Get(headerReason), reason)
+		asserter.Equal(t, "outcome", response.Header.Get(headerOutcome), outcome)
+		asserter.True(t, "reason in body", strings.Contains(body, `"reason":"`+reason+`"`))
+	}
+	t.Run("broken backend server", func(t *testing.T) {
+		want(t, x.request("POST", "/a", strings.NewReader("body")), http.StatusBadGateway, "backend-failed", "may-have-run")
+	})
+	t.Run("unknown service", func(t *testing.T) {
+		r := x.request("GET", "/a", nil)
+		r.Header.Set("Service", "other")
+		want(t, r, http.StatusNotFound, "unknown-service", "not-run")
+	})
+	t.Run("upgrade", func(t *testing.T) {
+		r := x.request("GET", "/a", nil)
+		r.Header.Set("Upgrade", "websocket")
+		want(t, r, http.StatusNotImplemented, "unsupported", "not-run")
+	})
+	t.Run("every reason has a status", func(t *testing.T) {
+		for _, reason := range descriptor.Reasons() {
+			if reason != descriptor.Served {
+				asserter.AtLeast(t, reason.String(), statusOf(reason), 400)
+			}
+		}
+	})
+}
+
+func TestAddresses(t *testing.T) {
+	x := newRig(t, func(http.ResponseWriter, *http.Request) {})
+	_, body, err := x.do(x.request("GET", AddressPath+"?service=ledger&domain=near", nil))
+	asserter.NoError(t, "ask", err)
+	asserter.True(t, "nearest first: "+body, strings.Index(body, "10.0.0.2:80") < strings.Index(body, "10.0.0.1:80"))
+	asserter.True(t, "ticket", strings.Contains(body, `"ticket":"m1.near.`))
+	response, _, err := x.do(x.request("GET", AddressPath+"?service=other", nil))
+	asserter.NoError(t, "ask", err)
+	asserter.Equal(t, "unknown service", response.StatusCode, http.StatusNotFound)
+}
+
+func TestFaultOf(t *testing.T) {
+	x := &attempt{session: &session{}}
+	asserter.Equal(t, "dial", x.faultOf(&net.OpError{Op: "dial", Err: errors.New("refused")}), descriptor.FaultConnect)
+	asserter.Equal(t, "read", x.faultOf(&net.OpError{Op: "read", Err: errors.New("reset")}), descriptor.FaultBroken)
+}
+
+func FuzzHeaders(f *testing.F) {
+	f.Add("wait=3", "1.5", "2/3", "close, X")
+	f.Fuzz(func(t *testing.T, prefer, timeout, load, connection string) {
+		r := httptest.NewRequest("GET", "/", nil)
+		r.Header["Prefer"] = []string{prefer}
+		r.Header["Request-Timeout"] = []string{timeout}
+		r.Header["Connection"] = []string{connection}
+		now := time.Unix(1000, 0)
+		if d := deadline(r, now); !d.IsZero() {
+			asserter.AtMost(t, "deadline", d.Sub(now), maxDeadline)
+		}
+		asserter.AtLeast(t, "free slots", freeSlots(load), -1)
+		asserter.Equal(t, "hop header", forwardHeader(r).Get("Connection"), "")
+	})
+}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -168,7 +168,7 @@
 // Leave spreads that this instance left, and the heir of its keys.
 func (g *Gossiper) Leave(now time.Time, heir string) {
 	g.restate(now, g.self.WithReady(false).WithHeir(heir).WithState(descriptor.Left, nil))
-	g.flush()
+	g.Flush()
 }
 
 // restate replaces the own record by a newer version.
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -18,7 +18,7 @@
 	g.beat(now, documents)
 	g.accuse(now)
 	g.confirm(now)
-	g.flush()
+	g.Flush()
 }
 
 // choose picks the instances to watch: those at distances 1, 2, 4, ... on the
@@ -126,8 +126,8 @@
 	}
 }
 
-// flush spreads the changed records over all links.
-func (g *Gossiper) flush() {
+// Flush spreads the changed records over all links.
+func (g *Gossiper) Flush() {
 	if g.pending.Len() == 0 {
 		return
 	}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -27,6 +27,8 @@
 	WriteMetrics(io.Writer)
 	// Settings returns the settings without secrets.
 	Settings() any
+	// Listening returns the addresses listened on.
+	Listening() Listening
 }
 
 // Status is the short state of an instance.
@@ -60,10 +62,18 @@
 	Seconds float64 `json:"seconds,omitempty"`
 }
 
+// Listening holds the addresses that an instance listens on.
+type Listening struct {
+	Callers   string `json:"callers"`
+	Inner     string `json:"inner"`
+	Operators string `json:"operators"`
+}
+
 // FullDump is the state with the settings.
 type FullDump struct {
-	Settings any             `json:"settings"`
-	State    descriptor.Dump `json:"state"`
+	Settings  any             `json:"settings"`
+	Listening Listening       `json:"listening"`
+	State     descriptor.Dump `json:"state"`
 }
 
 // Operator answers operators.
@@ -119,7 +129,7 @@
 		http.Error(w, "stopped", http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(w, FullDump{Settings: o.source.Settings(), State: d})
+	writeJSON(w, FullDump{Settings: o.source.Settings(), Listening: o.source.Listening(), State: d})
 }
 
 // StatusOf returns the short form of a dump.
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"monsoonswitch/linker"
 	"monsoonswitch/listener"
 	"monsoonswitch/logger"
+	"monsoonswitch/operator"
 	"monsoonswitch/picker"
 	"monsoonswitch/recorder"
 	"monsoonswitch/storer"
@@ -66,7 +67,7 @@
 	}
 	s.start(now)
 	gates.open(s)
-	s.log.Event(descriptor.NoteStarted, "", s.self.ID, "callers "+s.self.Public+" inner "+s.self.Inner)
+	s.log.Event(descriptor.NoteStarted, "", s.self.ID, "callers "+s.self.Public+" inner "+s.self.Inner+" operators "+s.Operators())
 	return s, nil
 }
 
@@ -189,6 +190,15 @@
 // WriteMetrics implements operator.Source.
 func (s *Server) WriteMetrics(w io.Writer) { s.recorder.Write(w) }
 
+// Listening implements operator.Source.
+func (s *Server) Listening() operator.Listening {
+	return operator.Listening{
+		Callers:   s.callers.Address(),
+		Inner:     s.inner.Address(),
+		Operators: s.operators.Address(),
+	}
+}
+
 // Settings implements operator.Source.
 func (s *Server) Settings() any {
 	settings := s.settings
--- /dev/null
+++ b/storer/storer_test.go
@@ -0,0 +1,146 @@
+package storer_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/imitator"
+	"monsoonswitch/storer"
+)
+
+// platform starts the stand-in and returns it with a client.
+func platform(t *testing.T) (*imitator.Store, *storer.Client) {
+	store := imitator.NewStore()
+	p, err := imitator.ServeStore(store, "127.0.0.1:0")
+	asserter.NoError(t, "start", err)
+	t.Cleanup(p.Close)
+	return store, storer.NewClient(p.Address())
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	ctx := context.Background()
+	t.Run("one of two writers gets a conflict and the value found", func(t *testing.T) {
+		_, c := platform(t)
+		first, err := c.Put(ctx, "k", []byte(`1`), 0, 0)
+		asserter.NoError(t, "first", err)
+		found, err := c.Put(ctx, "k", []byte(`2`), 0, 0)
+		asserter.ErrorIs(t, "second", err, storer.ErrConflict)
+		asserter.Equal(t, "found", string(found.Value), "1")
+		_, err = c.Put(ctx, "k", []byte(`2`), first.Revision, 0)
+		asserter.NoError(t, "third", err)
+	})
+	t.Run("a lease ends", func(t *testing.T) {
+		_, c := platform(t)
+		_, err := c.Put(ctx, "k", []byte(`1`), 0, 50*time.Millisecond)
+		asserter.NoError(t, "put", err)
+		asserter.Eventually(t, "gone", 10*time.Second, func() bool {
+			_, err := c.Get(ctx, "k")
+			return errors.Is(err, storer.ErrNotFound)
+		})
+	})
+	t.Run("too large", func(t *testing.T) {
+		_, c := platform(t)
+		_, err := c.Put(ctx, "k", make([]byte, storer.MaxValue+1), 0, 0)
+		asserter.ErrorIs(t, "put", err, storer.ErrTooLarge)
+	})
+	t.Run("outage", func(t *testing.T) {
+		s, c := platform(t)
+		s.SetFault(imitator.StoreFault{Outage: true})
+		_, err := c.Put(ctx, "k", []byte(`1`), 0, 0)
+		asserter.ErrorIs(t, "put", err, storer.ErrUnavailable)
+		_, err = c.Get(ctx, "k")
+		asserter.ErrorIs(t, "get", err, storer.ErrUnavailable)
+	})
+	t.Run("nothing listens", func(t *testing.T) {
+		c := storer.NewClient("127.0.0.1:1")
+		_, err := c.Put(ctx, "k", []byte(`1`), 0, 0)
+		asserter.ErrorIs(t, "put", err, storer.ErrUnavailable)
+	})
+}
+
+func TestLostReplies(t *testing.T) {
+	ctx := context.Background()
+	s, c := platform(t)
+	s.SetFault(imitator.StoreFault{Lost: 1})
+	_, err := c.Put(ctx, "plain", []byte(`1`), 0, 0)
+	asserter.ErrorIs(t, "put", err, storer.ErrUnknown)
+	item, err := c.PutSettled(ctx, "settled", []byte(`{"a": 1}`), 0, 0)
+	asserter.NoError(t, "put settled", err)
+	asserter.True(t, "has a revision", item.Revision > 0)
+	t.Run("somebody else wrote", func(t *testing.T) {
+		s.SetFault(imitator.StoreFault{})
+		_, err := c.Put(ctx, "other", []byte(`"theirs"`), 0, 0)
+		asserter.NoError(t, "theirs", err)
+		_, err = c.PutSettled(ctx, "other", []byte(`"mine"`), 0, 0)
+		asserter.ErrorIs(t, "mine", err, storer.ErrConflict)
+	})
+}
+
+// sink collects what a follower posts.
+type sink struct{ events chan descriptor.Event }
+
+// Post implements storer.Poster.
+func (s sink) Post(e descriptor.Event) { s.events <- e }
+
+// Reachable implements storer.Reporter.
+func (sink) Reachable(string, bool, error) {}
+
+// BadDocument implements storer.Reporter.
+func (s sink) BadDocument(key string, _ error) {
+	s.events <- descriptor.Learned{Documents: []descriptor.Document{{Name: "bad " + key}}}
+}
+
+// next returns the next document that the follower learned.
+func (s sink) next(t *testing.T) descriptor.Document {
+	t.Helper()
+	for {
+		select {
+		case e := <-s.events:
+			if l, ok := e.(descriptor.Learned); ok && len(l.Documents) > 0 {
+				return l.Documents[0]
+			}
+		case <-time.After(20 * time.Second):
+			t.Fatal("got no document")
+		}
+	}
+}
+
+func TestFollower(t *testing.T) {
+	ctx := context.Background()
+	s, c := platform(t)
+	out := sink{make(chan descriptor.Event, 100)}
+	f := storer.NewFollower(c, out, out)
+	f.SetActive(true)
+	defer f.SetActive(false)
+	declaration := `{"Name":"a","Floor":1,"Classes":[{"Name":"c","Target":1000}],"Routes":[{"Name":"r","Methods":["POST"],"Path":"/","Class":"c"}]}`
+	t.Run("learns a declaration", func(t *testing.T) {
+		_, err := c.Put(ctx, storer.ServiceKey("a"), []byte(declaration), 0, 0)
+		asserter.NoError(t, "put", err)
+		asserter.Equal(t, "name", out.next(t).Name, "a")
+	})
+	t.Run("reports one that can't be used", func(t *testing.T) {
+		_, err := c.Put(ctx, storer.ServiceKey("b"), []byte(`{"Name":"b"}`), 0, 0)
+		asserter.NoError(t, "put", err)
+		asserter.Equal(t, "name", out.next(t).Name, "bad "+storer.ServiceKey("b"))
+	})
+	t.Run("goes on after an outage", func(t *testing.T) {
+		s.SetFault(imitator.StoreFault{Outage: true})
+		s.SetFault(imitator.StoreFault{})
+		s.Register("a", descriptor.Backend{ID: "x", Address: "127.0.0.1:1", Slots: 2})
+		d := out.next(t)
+		asserter.Equal(t, "kind", d.Kind, descriptor.KindBackends)
+		asserter.Equal(t, "backend servers", len(d.Backends), 1)
+	})
+}
+
+func FuzzParseDocument(f *testing.F) {
+	f.Add("config/service/a", []byte(`{"Name":"a"}`))
+	f.Add("config/eject/a", []byte(`[{"Backend":"b"}]`))
+	f.Fuzz(func(_ *testing.T, key string, value []byte) {
+		_, _ = storer.ParseDocument(storer.Item{Key: key, Value: value})
+	})
+}
