Documents are announced and asked for; tallies, claims and retries keep the store's budget; the capacity command

Cause: computed at the target size, lists sent in full over 26 links cost 18 KB a second, tallies 540 writes a second, bare keys 28,000. Change: references first; the tally interval grows with the services; claims are bounded for the fleet; failed writes back off, apart by service. Memory is over its budget and is next.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -59,6 +59,7 @@
 		&demoCommand{},
 		&loadCommand{},
 		&trialCommand{},
+		&capacityCommand{},
 	}
 }
 
--- a/counter/writer.go
+++ b/counter/writer.go
@@ -5,18 +5,30 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonswitch/container"
 	"monsoonswitch/descriptor"
 )
 
 // Times of writes to the store.
 const (
-	// writeEvery is the time between writes of one service's tallies.
-	writeEvery = 5 * time.Second
-	// failureWait is the wait after a write that did not reach the store.
-	failureWait = 2 * time.Second
+	// writeLeast is the least time between writes of one service's tallies.
+	writeLeast = 5 * time.Second
+	// writeShare is the time between two writes of any service: it keeps the
+	// writes of the fleet at 100 a second.
+	writeShare = 10 * time.Millisecond
+	// failureFirst is the wait after a write that did not reach the store; it
+	// doubles up to the interval of writes.
+	failureFirst = 2 * time.Second
 )
 
+// WriteInterval returns the time between writes of one service's tallies in a
+// fleet with the given number of services.
+func WriteInterval(services int) time.Duration {
+	return max(writeLeast, time.Duration(services)*writeShare)
+}
+
 // page is what a tally writer holds of one service.
 type page struct {
 	// tallies holds the newest tally of each incarnation by Owner.
@@ -29,6 +41,12 @@
 	urgent bool
 	write  descriptor.WriteID
 	nextAt time.Time
+	// interval is the time between writes at the last one.
+	interval time.Duration
+	// failures counts the writes in a row that did not reach the store.
+	failures int
+	// jitter sets the services of a fleet apart; it is from 0 to 1.
+	jitter float64
 	// writing holds the versions of the write under way.
 	writing []descriptor.Tally
 }
@@ -56,6 +74,7 @@
 		p = &page{
 			tallies: container.NewTable[string, descriptor.Tally](),
 			stored:  container.NewTable[string, uint64](),
+			jitter:  float64(xxhash.Sum64String(service)>>11) / (1 << 53),
 		}
 		w.pages.Put(service, p)
 	}
@@ -82,14 +101,16 @@
 }
 
 // Due returns the writes to make now.
-func (w *Writer) Due(now time.Time) []descriptor.Action {
+func (w *Writer) Due(now time.Time, services int) []descriptor.Action {
+	every := WriteInterval(services)
 	var actions []descriptor.Action
 	for service, p := range w.pages.All {
 		if !p.dirty || p.write != 0 || now.Before(p.nextAt) && !p.urgent {
 			continue
 		}
 		p.write = w.next()
-		p.nextAt = now.Add(writeEvery)
+		p.nextAt = now.Add(every)
+		p.interval = every
 		p.dirty = false
 		p.urgent = false
 		p.writing = p.list()
@@ -135,6 +156,7 @@
 	switch e.Result {
 	case descriptor.WriteAccepted:
 		p.revision = e.Revision
+		p.failures = 0
 		return p.receipts()
 	case descriptor.WriteConflict:
 		p.revision = e.Revision
@@ -143,12 +165,20 @@
 		}
 		p.nextAt = e.At
 	case descriptor.WriteUnavailable, descriptor.WriteUnknown:
-		p.nextAt = e.At.Add(failureWait)
+		p.nextAt = e.At.Add(p.backoff())
+		p.urgent = false
 	}
 	p.dirty = true
 	return nil
 }
 
+// backoff returns the wait after one more failure.
+func (p *page) backoff() time.Duration {
+	wait := min(p.interval, failureFirst<<min(p.failures, 8))
+	p.failures++
+	return wait/2 + time.Duration(p.jitter*float64(wait))
+}
+
 // receipts returns the confirmations of the tallies just written.
 func (p *page) receipts() []Addressed {
 	var result []Addressed
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -141,6 +141,9 @@
 func (d *Decider[E, D, P, L]) followMembers() {
 	actions, changes := d.gossiper.Drain()
 	d.emitAll(actions)
+	if len(changes) > 0 {
+		d.keeper.SetFleet(d.index.Members())
+	}
 	for _, c := range changes {
 		d.noteMember(c)
 		for _, service := range d.reindex(c.After) {
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -64,7 +64,7 @@
 }
 
 func (d *Decider[E, D, P, L]) hearReferences(from descriptor.Member, m descriptor.References) {
-	want, have := d.spreader.Compare(m)
+	want, have := d.spreader.Compare(d.now, m)
 	if len(want.List) > 0 {
 		d.send(from, want)
 	}
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonswitch/counter"
 	"monsoonswitch/descriptor"
 )
 
@@ -42,15 +43,11 @@
 	d.publish()
 }
 
-// spread passes fresh documents on over all links.
+// spread announces fresh documents over all links.
 func (d *Decider[E, D, P, L]) spread() {
-	for _, batch := range d.spreader.Fresh(d.gossiper.Links()) {
-		to, ok := d.gossiper.Member(batch.To)
-		if !ok {
-			continue
-		}
-		for _, m := range batch.Messages {
-			d.send(to, m)
+	for _, a := range d.spreader.Fresh(d.gossiper.Links()) {
+		if to, ok := d.gossiper.Member(a.To); ok {
+			d.send(to, a.References)
 		}
 	}
 }
@@ -86,7 +83,9 @@
 
 // tally reports changed counts to the writers and writes those held here.
 func (d *Decider[E, D, P, L]) tally() {
+	every := counter.WriteInterval(d.declared.Len())
 	for _, t := range d.counter.Due(d.now) {
+		t.Every = every
 		writer, ok := d.tallyWriter(t.Service)
 		if !ok {
 			continue
@@ -97,7 +96,7 @@
 		}
 		d.send(writer, descriptor.TallyReport{Tally: t})
 	}
-	d.emitAll(d.writer.Due(d.now))
+	d.emitAll(d.writer.Due(d.now, d.declared.Len()))
 }
 
 // tallyWriter returns the instance that writes the tallies of a service. The
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -176,7 +176,9 @@
 	Final bool
 	// Since and At bound the time the counts cover.
 	Since, At time.Time
-	Counts    []Count
+	// Every is the longest time between two writes of the service's tallies.
+	Every  time.Duration
+	Counts []Count
 	// Latency holds the numbers of served requests by latency bucket; see
 	// BucketBound.
 	Latency []uint64
--- /dev/null
+++ b/estimator/page.go
@@ -0,0 +1,225 @@
+package estimator
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/template"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/counter"
+)
+
+// Role is one role at the target size.
+type Role struct {
+	Name      string
+	State     string
+	Messages  float64
+	Bytes     float64
+	Core      float64
+	Memory    float64
+	Mechanism string
+}
+
+// Store is the load of the platform's store in one situation.
+type Store struct {
+	Situation     string
+	Writes, Reads float64
+	Waiting       int
+	Mechanism     string
+}
+
+// Page is everything that docs/CAPACITY.md shows.
+type Page struct {
+	Members, Services []Point
+	Fleets            []FleetPoint
+	Sizes             Sizes
+	Roles             []Role
+	Stores            []Store
+	Request           time.Duration
+	Links             int
+	At                string
+}
+
+// Measure measures the slopes. Quick takes fewer and smaller sizes.
+func Measure(quick bool, log io.Writer) (Page, error) {
+	members := []int{50, 200, 1000, 3000, targetInstances}
+	services := []int{10, 100, 1000, targetServices}
+	fleets := []int{6, 12, 24, 48}
+	length := 10 * time.Second
+	if quick {
+		members, services, fleets, length = members[:3], services[:2], fleets[:1], time.Second
+	}
+	var p Page
+	var err error
+	if p.Sizes, err = measureSizes(); err != nil {
+		return p, err
+	}
+	p.Request = requestTime()
+	for _, n := range members {
+		fmt.Fprintf(log, "%d members\n", n)
+		p.Members = append(p.Members, measureMembers(n))
+	}
+	for _, n := range services {
+		fmt.Fprintf(log, "%d services\n", n)
+		p.Services = append(p.Services, measureServices(n))
+	}
+	for _, n := range fleets {
+		f, err := measureFleet(n, length, log)
+		if err != nil {
+			return p, err
+		}
+		p.Fleets = append(p.Fleets, f)
+	}
+	return p, p.compute()
+}
+
+// base returns what an instance costs before anything grows, from the fleets.
+func (p Page) base() FleetPoint {
+	if len(p.Fleets) == 0 {
+		return FleetPoint{}
+	}
+	return p.Fleets[0]
+}
+
+// compute fills in the roles at the target size.
+func (p *Page) compute() error {
+	codec, length, err := codecTime()
+	if err != nil {
+		return err
+	}
+	perByte := codec.Seconds() / length
+	p.Links = 2 * int(math.Ceil(math.Log2(targetInstances)))
+	links := float64(p.Links)
+	changes := memberChanges()
+	documents := perSecond(targetChanges) + perSecond(2*(targetRestarts+targetFailures))
+	// Each change comes over every link once and goes out over every link once;
+	// a document itself comes and goes about twice.
+	messages := 2 * links * (1 + 0.1 + changes + documents)
+	bytes := links*(p.Sizes.Heartbeat+0.1*p.Sizes.Digest+changes*p.Sizes.Member+documents*p.Sizes.Reference) +
+		2*perSecond(targetChanges)*p.Sizes.Declaration +
+		2*perSecond(2*(targetRestarts+targetFailures))*p.Sizes.Backends
+	member := fit(p.Members, func(x Point) float64 { return x.Memory })
+	service := fit(p.Services, func(x Point) float64 { return x.Memory })
+	tick := fit(p.Members, func(x Point) float64 { return x.Tick.Seconds() })
+	change := fit(p.Members, func(x Point) float64 { return x.Change.Seconds() })
+	document := fit(p.Services, func(x Point) float64 { return x.Change.Seconds() })
+	core := 5*max(0, tick.At(targetInstances)) +
+		changes*links*change.At(targetInstances) +
+		documents*document.At(targetServices) +
+		bytes*2*perByte
+	memory := max(0, member.Slope)*targetInstances + max(0, service.Slope)*targetServices
+	entry := Role{
+		Name:      "entry instance",
+		State:     "all member records, all declarations and lists",
+		Messages:  messages,
+		Bytes:     2 * bytes,
+		Core:      core,
+		Memory:    memory,
+		Mechanism: "links at distances 1, 2, 4, ... on a ring; changes only; references first, documents on request; bucket sums every 10 s",
+	}
+	p.Roles = []Role{entry, p.serving(perByte), p.watcher(documents), p.tallyWriter(perByte)}
+	p.Stores = stores()
+	return nil
+}
+
+// memberChanges returns the changes of member records a second: each replaced
+// instance becomes unready, leaves, joins and becomes ready.
+func memberChanges() float64 { return perSecond(4*targetRestarts + 6*targetFailures) }
+
+// serving returns what serving the mean number of services adds.
+func (p Page) serving(perByte float64) Role {
+	peers := float64(servingPerService - 1)
+	evidence := servicesPerInstance * peers / 3
+	tallies := servicesPerInstance / 2
+	bytes := evidence*p.Sizes.Evidence + tallies*p.Sizes.Tally
+	requests := float64(targetRequests) / targetInstances
+	return Role{
+		Name:      "serving instance, beside that",
+		State:     fmt.Sprintf("%.1f services of %d backend servers, their requests in flight", servicesPerInstance, backendsPerService),
+		Messages:  2 * (evidence + tallies),
+		Bytes:     2 * bytes,
+		Core:      requests*p.Request.Seconds() + 2*bytes*perByte,
+		Memory:    servicesPerInstance * backendsPerService * 1024,
+		Mechanism: "a few instances for each service by rendezvous; evidence as one number for each backend server",
+	}
+}
+
+// watcher returns what following the platform adds.
+func (p Page) watcher(documents float64) Role {
+	size := (p.Sizes.Declaration + p.Sizes.Backends) / 2
+	return Role{
+		Name:      "watcher, beside that",
+		State:     "two waiting watches",
+		Messages:  2 * documents,
+		Bytes:     2 * documents * size,
+		Core:      documents * 200e-6,
+		Memory:    1 << 20,
+		Mechanism: "three instances, in three failure domains, by rendezvous",
+	}
+}
+
+// tallyWriter returns what writing tallies adds.
+func (p Page) tallyWriter(perByte float64) Role {
+	services := float64(targetServices) / targetInstances
+	reports := services * servingPerService / 2
+	writes := services / counter.WriteInterval(targetServices).Seconds()
+	bytes := reports*p.Sizes.Tally + writes*20*p.Sizes.Tally
+	return Role{
+		Name:      "tally writer, beside that",
+		State:     fmt.Sprintf("tallies of %.1f services, 20 incarnations each", services),
+		Messages:  2 * reports,
+		Bytes:     bytes,
+		Core:      bytes * 2 * perByte,
+		Memory:    services * 20 * 4 * p.Sizes.Tally,
+		Mechanism: "the first serving instance of each service; an interval that grows with the number of services",
+	}
+}
+
+// stores returns the load of the store in the situations that matter.
+func stores() []Store {
+	writes := float64(targetServices) / counter.WriteInterval(targetServices).Seconds()
+	changes := perSecond(targetChanges) + perSecond(2*(targetRestarts+targetFailures))
+	const follows = 3 * 2
+	watch := follows/30.0 + 3*changes
+	const claims = 150
+	lost := float64(targetServices) * servingPerService / targetDomains
+	return []Store{
+		{"ordinary running", writes + perSecond(targetChanges) + perSecond(targetFailures*2), watch, follows,
+			"tally interval grows with the number of services; three watchers"},
+		{"ordinary running, with all allowed claims on bare keys", writes + claims, watch, follows,
+			"claims of the whole fleet are bounded"},
+		{"the minute after a failure domain is lost", writes + 2*lost/60, watch + follows/60.0, follows,
+			"new tally writers meet one conflict each, spread over the interval"},
+		{"the minute after the store returns from an outage", float64(targetServices) / (counter.WriteInterval(targetServices).Seconds() / 2), watch + follows, follows,
+			"waits double up to the interval and differ by service"},
+	}
+}
+
+// Over marks a value over its budget.
+func Over(value, budget float64) string {
+	if value > budget {
+		return " **over**"
+	}
+	return ""
+}
+
+// Write writes the page.
+func (p Page) Write(out io.Writer) error {
+	return eris.Wrap(pageTemplate.Execute(out, p), "write page")
+}
+
+var pageTemplate = template.Must(template.New("page").Funcs(template.FuncMap{
+	"kb":     func(v float64) string { return fmt.Sprintf("%.1f KB", v/1024) },
+	"mb":     func(v float64) string { return fmt.Sprintf("%.1f MB", v/(1<<20)) },
+	"pct":    func(v float64) string { return fmt.Sprintf("%.2f%%", 100*v) },
+	"num":    func(v float64) string { return fmt.Sprintf("%.1f", v) },
+	"us":     func(d time.Duration) string { return fmt.Sprintf("%.1f µs", float64(d.Nanoseconds())/1000) },
+	"obytes": func(v float64) string { return Over(v, budgetBytes) },
+	"ocore":  func(v float64) string { return Over(v, budgetCore) },
+	"omem":   func(v float64) string { return Over(v, budgetMemory) },
+	"owrite": func(v float64) string { return Over(v, budgetWrites) },
+	"oread":  func(v float64) string { return Over(v, budgetReads) },
+}).Parse(pageText))
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -15,9 +15,11 @@
 	claimWait = time.Second
 	// storeWait is how long a request waits for a claim in the store.
 	storeWait = 2 * time.Second
-	// claimRate and claimBurst bound the claims written to the store, per
-	// second and at once.
-	claimRate  = 4.0
+	// claimRate bounds the claims that one instance writes to the store, and
+	// fleetClaims those of all instances together, per second.
+	claimRate   = 4.0
+	fleetClaims = 150.0
+	// claimBurst bounds the claims of one instance at once.
 	claimBurst = 16.0
 	// maxHeritages bounds the issuers whose keys were taken over.
 	maxHeritages = 64
@@ -119,8 +121,11 @@
 	writes  *container.Table[descriptor.WriteID, descriptor.RequestID]
 	holds   *container.Table[descriptor.RequestID, held]
 
+	// tokens is the number of claims that may be written now; it grows by
+	// rate a second.
 	tokens   float64
 	tokensAt time.Time
+	rate     float64
 }
 
 // New returns a keeper without keys.
@@ -134,11 +139,15 @@
 		waiting:   container.NewTable[descriptor.RequestID, parked](),
 		writes:    container.NewTable[descriptor.WriteID, descriptor.RequestID](),
 		holds:     container.NewTable[descriptor.RequestID, held](),
+		rate:      claimRate,
 		tokens:    claimBurst,
 		tokensAt:  now,
 	}
 }
 
+// SetFleet sets the number of instances that share the store.
+func (k *Keeper) SetFleet(n int) { k.rate = min(claimRate, fleetClaims/float64(max(1, n))) }
+
 // Waiting returns the number of parked requests.
 func (k *Keeper) Waiting() int { return k.waiting.Len() }
 
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -33,7 +33,7 @@
 }
 
 func (k *Keeper) takeToken(now time.Time) bool {
-	k.tokens = min(claimBurst, k.tokens+claimRate*now.Sub(k.tokensAt).Seconds())
+	k.tokens = min(claimBurst, k.tokens+k.rate*now.Sub(k.tokensAt).Seconds())
 	k.tokensAt = now
 	if k.tokens < 1 {
 		return false
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -21,13 +21,13 @@
 // ErrNoService reports a service that was never declared.
 var ErrNoService = eris.New("no such service")
 
+// flushTime is the longest time that a count takes from an instance to the
+// writer of its service.
+const flushTime = 3 * time.Second
+
 // silence is the age of the last report of an incarnation from which on it
 // counts as vanished, unless it said goodbye.
-const silence = 15 * time.Second
-
-// flushInterval is the longest time between two reports of an instance that
-// counts, with the time they take to the store.
-const flushInterval = 8 * time.Second
+func silence(t descriptor.Tally) time.Duration { return 2*t.Every + 2*flushTime }
 
 // Row is the number of requests of one class that ended in one way.
 type Row struct {
@@ -211,13 +211,13 @@
 		Last:        t.At,
 		Final:       t.Final && t.Open == 0,
 	}
-	if i.Final || now.Sub(t.At) < silence || t.Open == 0 && t.Received == 0 {
+	if i.Final || now.Sub(t.At) < silence(t) || t.Open == 0 && t.Received == 0 {
 		return i
 	}
 	i.Vanished = true
 	span := max(t.At.Sub(t.Since), time.Second)
 	rate := float64(t.Received) / span.Seconds()
-	i.Uncertain = t.Open + uint64(math.Ceil(2*rate*flushInterval.Seconds()))
+	i.Uncertain = t.Open + uint64(math.Ceil(2*rate*(t.Every+flushTime).Seconds()))
 	return i
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -184,6 +184,9 @@
 // Operators returns the address of the operators' listener.
 func (s *Server) Operators() string { return s.operators.Address() }
 
+// Traffic returns what went over the links so far.
+func (s *Server) Traffic() linker.Traffic { return s.linker.Traffic() }
+
 // Dump implements operator.Source.
 func (s *Server) Dump() (descriptor.Dump, bool) { return s.controller.Dump() }
 
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -5,6 +5,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,6 +16,8 @@
 const (
 	// maxDocuments bounds the documents of one message.
 	maxDocuments = 32
+	// askTime is how long an instance has to answer before another is asked.
+	askTime = 500 * time.Millisecond
 )
 
 // name identifies a document.
@@ -23,6 +26,14 @@
 	name string
 }
 
+// asked is a question for a document.
+type asked struct {
+	revision uint64
+	at       time.Time
+	// times counts the instances asked since at.
+	times int
+}
+
 // Spreader holds the documents of one instance. It belongs to one goroutine.
 type Spreader struct {
 	documents *container.Table[name, descriptor.Document]
@@ -31,6 +42,8 @@
 	// differing holds, for each instance, the set of buckets in which its
 	// last digest differed.
 	differing *container.Table[string, uint64]
+	// asked holds the documents asked for and not received yet.
+	asked *container.Table[name, asked]
 	// fresh lists the documents taken in since the last flush.
 	fresh *container.Table[name, string]
 }
@@ -39,6 +52,7 @@
 func New() *Spreader {
 	return &Spreader{
 		documents: container.NewTable[name, descriptor.Document](),
+		asked:     container.NewTable[name, asked](),
 		fresh:     container.NewTable[name, string](),
 		differing: container.NewTable[string, uint64](),
 	}
@@ -68,6 +82,7 @@
 	}
 	s.digest = s.digest.With(k.hash(), hash(d))
 	s.documents.Put(k, d)
+	s.asked.Delete(k)
 	s.fresh.Put(k, from)
 	return true
 }
@@ -79,31 +94,35 @@
 	return name{d.Kind, d.Name}.hash()*31 + d.Revision*0x9e3779b97f4a7c15
 }
 
-// Fresh returns the documents taken in since the last call, in batches for
-// each of the given instances. A document does not go back where it came from.
-func (s *Spreader) Fresh(to []string) []Batch {
+// Fresh returns the references of the documents taken in since the last call,
+// for each of the given instances. Only references go to all: whoever lacks a
+// document asks one instance for it, so that each gets it about once over
+// whatever number of links. A reference does not go back where its document
+// came from.
+func (s *Spreader) Fresh(to []string) []Announcement {
 	if s.fresh.Len() == 0 {
 		return nil
 	}
-	var result []Batch
+	var result []Announcement
 	for _, id := range to {
-		var list []descriptor.Document
+		var list []descriptor.Reference
 		for k, from := range s.fresh.All {
-			d, ok := s.documents.Get(k)
-			if ok && from != id {
-				list = append(list, d)
+			if d, ok := s.documents.Get(k); ok && from != id {
+				list = append(list, descriptor.Reference{Kind: k.kind, Name: k.name, Revision: d.Revision})
 			}
 		}
-		result = append(result, Batch{To: id, Messages: pack(list)})
+		if len(list) > 0 {
+			result = append(result, Announcement{To: id, References: descriptor.References{List: list}})
+		}
 	}
 	s.fresh = container.NewTable[name, string]()
 	return result
 }
 
-// Batch is a number of messages for one instance.
-type Batch struct {
-	To       string
-	Messages []descriptor.Documents
+// Announcement is a message for one instance.
+type Announcement struct {
+	To         string
+	References descriptor.References
 }
 
 func pack(list []descriptor.Document) []descriptor.Documents {
@@ -165,13 +184,13 @@
 
 // Compare returns which of the listed documents are newer than those held, and
 // the messages with those held that are newer or missing in the listed buckets.
-func (s *Spreader) Compare(m descriptor.References) (descriptor.Refresh, []descriptor.Documents) {
+func (s *Spreader) Compare(now time.Time, m descriptor.References) (descriptor.Refresh, []descriptor.Documents) {
 	var want descriptor.Refresh
 	listed := make(map[name]uint64, len(m.List))
 	for _, r := range m.List {
 		k := name{r.Kind, r.Name}
 		listed[k] = r.Revision
-		if d, ok := s.documents.Get(k); !ok || d.Revision < r.Revision {
+		if d, ok := s.documents.Get(k); (!ok || d.Revision < r.Revision) && s.ask(now, k, r.Revision) {
 			want.List = append(want.List, r)
 		}
 	}
@@ -184,6 +203,24 @@
 	return want, pack(have)
 }
 
+// maxAsked is the number of instances asked at once, in case one is lost.
+const maxAsked = 2
+
+// ask tells whether to ask for a revision now: not if enough other instances
+// were asked for it a moment ago.
+func (s *Spreader) ask(now time.Time, k name, revision uint64) bool {
+	a, ok := s.asked.Get(k)
+	if !ok || a.revision < revision || now.Sub(a.at) >= askTime {
+		a = asked{revision: revision, at: now}
+	}
+	if a.times == maxAsked {
+		return false
+	}
+	a.times++
+	s.asked.Put(k, a)
+	return true
+}
+
 // Answer returns the messages with the documents asked for.
 func (s *Spreader) Answer(m descriptor.Refresh) []descriptor.Documents {
 	var list []descriptor.Document
