Callers remember the instances that answers name; ready instances are ready for traffic first

Change: callers ask instances they learned of; traffic knows that the configuration is there before other instances do; an instance reports tallies only of services it serves.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -90,13 +91,16 @@
 
 // Caller sends work. It is safe for use by many goroutines.
 type Caller struct {
-	entries []string
 	domain  string
 	service httpc.Service
 
-	mu   sync.Mutex
-	kept map[string]answer
-	turn int
+	mu sync.Mutex
+	// entries lists the instances to ask: those given at first, and those that
+	// answers named since, newest last. All instances may be replaced while a
+	// caller lives.
+	entries []string
+	kept    map[string]answer
+	turn    int
 }
 
 // New returns a caller that asks the given instances, in a failure domain.
@@ -125,21 +129,43 @@
 
 // ask asks the known instances in turn.
 func (c *Caller) ask(ctx context.Context, service, name string) ([]forwarder.Address, error) {
-	for range c.entries {
-		c.mu.Lock()
-		entry := c.entries[c.turn%len(c.entries)]
-		c.turn++
-		c.mu.Unlock()
+	for range maxEntries {
+		entry := c.nextEntry()
 		got, err := c.askOne(ctx, entry, service, name)
 		if err != nil || len(got.Addresses) == 0 {
 			continue
 		}
+		c.remember(got.Addresses)
 		c.keep(service, name, got.Addresses, time.Duration(got.Keep*float64(time.Second)))
 		return got.Addresses, nil
 	}
 	return nil, eris.Wrap(ErrNoAddress, service)
 }
 
+// maxEntries bounds the instances that a caller remembers.
+const maxEntries = 32
+
+func (c *Caller) nextEntry() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turn++
+	return c.entries[c.turn%len(c.entries)]
+}
+
+// remember adds the instances of an answer to those to ask.
+func (c *Caller) remember(list []forwarder.Address) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range list {
+		if !slices.Contains(c.entries, a.Address) {
+			c.entries = append(c.entries, a.Address)
+		}
+	}
+	if extra := len(c.entries) - maxEntries; extra > 0 {
+		c.entries = append([]string(nil), c.entries[extra:]...)
+	}
+}
+
 func (c *Caller) keep(service, name string, list []forwarder.Address, keep time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -225,6 +251,7 @@
 	if json.Unmarshal(result.Body, &body) != nil || len(body.Addresses) == 0 {
 		return before
 	}
+	c.remember(body.Addresses)
 	c.keep(w.Service, w.Name, body.Addresses, time.Second)
 	return body.Addresses
 }
--- a/commander/apply.go
+++ b/commander/apply.go
@@ -24,6 +24,7 @@
 }
 
 func (c *applyCommand) register(app *kingpin.Application) *kingpin.CmdClause {
+	c.expect = make(map[string]string)
 	clause := app.Command("apply", "Put declarations into the platform's store; every file is checked before any is written.")
 	clause.Flag("store", "Address of the platform's store.").Required().StringVar(&c.store)
 	clause.Flag("expect", "SERVICE=REVISION: write only over this revision, as diff showed it; 0 means none.").StringMapVar(&c.expect)
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"monsoonswitch/allocator"
 	"monsoonswitch/asserter"
 	"monsoonswitch/counter"
 	"monsoonswitch/declarer"
@@ -144,6 +145,20 @@
 		}
 		asserter.Equal(t, "watching", watching, watchers)
 	})
+	t.Run("a node that does not serve reports no tallies", func(t *testing.T) {
+		d := ready(t, 12)
+		d.run(10 * time.Second)
+		before := d.tallies["billing"]
+		d.configure("entry-0", declarer.Open, 5)
+		d.run(20 * time.Second)
+		changed := 0
+		for i, tally := range d.tallies["billing"] {
+			if before[i].Version != tally.Version {
+				changed++
+			}
+		}
+		asserter.Equal(t, "changed tallies", changed, allocator.LeastServing)
+	})
 	t.Run("a node that does not serve says so", func(t *testing.T) {
 		d := ready(t, 8)
 		for _, id := range d.order {
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -21,7 +21,8 @@
 // sync records that the configuration is known, so that callers may come.
 func (d *Decider[E, D, P, L]) sync(source string) {
 	d.synced = true
-	d.dirty = true
+	// Traffic must know before others send callers here.
+	d.publishNow()
 	d.note(descriptor.NoteReady, d.options.Self.ID, "configuration from "+source)
 	if !d.quit.started {
 		d.gossiper.SetReady(d.now, true)
@@ -49,10 +50,10 @@
 	}
 	d.dirty = true
 	d.declared.Put(document.Name, *document.Service)
-	d.counter.InForce(d.now, document.Name, document.Revision)
 	d.note(descriptor.NoteRevision, document.Name, revisionText(document.Revision))
 	d.resize(document.Name)
 	d.onService(document.Name, func(s *served[E, D, P, L]) {
+		d.counter.InForce(d.now, document.Name, document.Revision)
 		s.balancer.Declare(*document.Service, document.Revision)
 		s.inForce = d.now
 		s.accepted = document.At
@@ -115,6 +116,7 @@
 		accepted: document.At,
 	}
 	s.balancer.Declare(declared, document.Revision)
+	d.counter.InForce(d.now, service, document.Revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
 		s.balancer.List(d.now, list.Backends)
 	}
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -111,9 +111,12 @@
 
 // publish gives traffic a new directory if anything in it changed.
 func (d *Decider[E, D, P, L]) publish() {
-	if !d.dirty || d.now.Sub(d.publishAt) < publishEvery {
-		return
+	if d.dirty && d.now.Sub(d.publishAt) >= publishEvery {
+		d.publishNow()
 	}
+}
+
+func (d *Decider[E, D, P, L]) publishNow() {
 	d.dirty = false
 	d.publishAt = d.now
 	d.emit(descriptor.Publish{Directory: d.directory()})
--- a/estimator/page.go
+++ b/estimator/page.go
@@ -76,14 +76,6 @@
 	return p, p.compute()
 }
 
-// base returns what an instance costs before anything grows, from the fleets.
-func (p Page) base() FleetPoint {
-	if len(p.Fleets) == 0 {
-		return FleetPoint{}
-	}
-	return p.Fleets[0]
-}
-
 // compute fills in the roles at the target size.
 func (p *Page) compute() error {
 	codec, length, err := codecTime()
--- a/estimator/slope.go
+++ b/estimator/slope.go
@@ -56,7 +56,6 @@
 // node returns a decider that knows a number of ready members and services.
 func node(members, services int) *decider.Standard {
 	d := decider.NewStandard(decider.Options{Self: memberOf(0), Seed: 1}, epoch)
-	d.Step(descriptor.Learned{At: epoch, Kind: descriptor.KindService, Complete: true, Documents: documentsOf(services)})
 	var records []descriptor.Member
 	for i := 1; i < members; i++ {
 		records = append(records, memberOf(i))
@@ -65,10 +64,16 @@
 		d.Step(descriptor.LinkOpened{At: epoch, Peer: records[0]})
 		d.Step(descriptor.Received{At: epoch, From: records[0].ID, Message: descriptor.Members{Records: records}})
 	}
-	d.Step(descriptor.Ticked{At: epoch.Add(time.Second)})
+	d.Step(descriptor.Learned{At: epoch, Kind: descriptor.KindService, Complete: true, Documents: documentsOf(services)})
+	for i := range settleTicks {
+		d.Step(descriptor.Ticked{At: epoch.Add(time.Duration(i+1) * 100 * time.Millisecond)})
+	}
 	return d
 }
 
+// settleTicks is the number of ticks after which nothing of the start remains.
+const settleTicks = 50
+
 func memberOf(i int) descriptor.Member {
 	return descriptor.Member{
 		ID:          fmt.Sprintf("entry-%d", i),
@@ -138,7 +143,7 @@
 	before := heap()
 	d := node(members, 1)
 	p := Point{Size: members, Memory: heap() - before}
-	now := epoch.Add(2 * time.Second)
+	now := epoch.Add(time.Minute)
 	p.Tick = timeOf(func(i int) {
 		d.Step(descriptor.Ticked{At: now.Add(time.Duration(i) * 200 * time.Millisecond)})
 	})
@@ -160,7 +165,7 @@
 	before := heap()
 	d := node(200, services)
 	p := Point{Size: services, Memory: heap() - before}
-	now := epoch.Add(2 * time.Second)
+	now := epoch.Add(time.Minute)
 	p.Tick = timeOf(func(i int) {
 		d.Step(descriptor.Ticked{At: now.Add(time.Duration(i) * 200 * time.Millisecond)})
 	})
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -20,7 +20,7 @@
 	s := fieldbook()
 	s.Floor = 3
 	f.waitRevision(f.declare(s))
-	t.Run("a new instance learns it while the store is away", func(t *testing.T) {
+	t.Run("a new instance learns it while the store is away", func(*testing.T) {
 		f.store.SetFault(imitator.StoreFault{Outage: true})
 		f.start()
 		f.waitReady(fleetSize + 1)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,8 @@
 	freshTime = time.Second
 	// idlePerBackend bounds the idle connections to one backend server.
 	idlePerBackend = 8
+	// probeDelay is the wait before a probe.
+	probeDelay = 50 * time.Millisecond
 	// clientName is the name under which go-zero knows the client.
 	clientName = "monsoonswitch-backend"
 )
@@ -100,9 +102,11 @@
 // SetDirectory replaces the directory.
 func (f *Forwarder) SetDirectory(d *descriptor.Directory) { f.directory.Store(d) }
 
-// Probe makes a connection to a backend server and posts whether it could.
+// Probe makes a connection to a backend server and posts whether it could. A
+// moment passes first: one that just broke down may still seem to listen.
 func (f *Forwarder) Probe(p descriptor.Probe) {
 	go func() {
+		time.Sleep(probeDelay)
 		conn, err := net.DialTimeout("tcp", p.Backend.Address, connectTimeout)
 		if err == nil {
 			_ = conn.Close()
