--- a/decider/decider.go
+++ b/decider/decider.go
@@ -44,8 +44,14 @@
 // served is a service that this instance serves or finishes.
 type served[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy] struct {
 	balancer *balancer.Balancer[E, D, P, L]
-	inForce  time.Time
+}
+
+// declaration is a declared service and when its revision came into force.
+type declaration struct {
+	service  declarer.Service
+	revision uint64
 	accepted time.Time
+	inForce  time.Time
 }
 
 // Decider is the state of one instance. It belongs to one goroutine.
@@ -61,7 +67,7 @@
 	writer   *counter.Writer
 	index    *allocator.Index
 	// declared holds the declaration of each service.
-	declared *container.Table[string, declarer.Service]
+	declared *container.Table[string, declaration]
 	served   *container.Table[string, *served[E, D, P, L]]
 	// requests maps each open request to its service.
 	requests *container.Table[descriptor.RequestID, string]
@@ -100,7 +106,7 @@
 		spreader: spreader.New(),
 		counter:  counter.New(o.Self),
 		index:    allocator.NewIndex(),
-		declared: container.NewTable[string, declarer.Service](),
+		declared: container.NewTable[string, declaration](),
 		served:   container.NewTable[string, *served[E, D, P, L]](),
 		requests: container.NewTable[descriptor.RequestID, string](),
 		notes:    container.NewRing[descriptor.Note](keptNotes),
@@ -235,11 +241,12 @@
 
 // arrive takes a request in.
 func (d *Decider[E, D, P, L]) arrive(e descriptor.Arrived) {
-	declared, ok := d.declared.Get(e.Service)
+	known, ok := d.declared.Get(e.Service)
 	if !ok {
 		d.emit(descriptor.Refuse{Request: e.Request, Reason: descriptor.UnknownService})
 		return
 	}
+	declared := known.service
 	d.counter.Receive(e.At, e.Service)
 	s, ok := d.served.Get(e.Service)
 	if !ok {
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -114,12 +114,12 @@
 		d.run(time.Second)
 		for _, id := range d.order {
 			s, _ := d.nodes[id].declared.Get("billing")
-			asserter.Equal(t, "state at "+id, s.State, declarer.Closing)
+			asserter.Equal(t, "state at "+id, s.service.State, declarer.Closing)
 		}
 		old := testDeclaration(declarer.Open)
 		d.step("entry-5", descriptor.Learned{At: d.now, Documents: []descriptor.Document{{Kind: descriptor.KindService, Name: "billing", Revision: 1, Service: &old}}})
 		s, _ := d.nodes["entry-5"].declared.Get("billing")
-		asserter.Equal(t, "state after an old revision", s.State, declarer.Closing)
+		asserter.Equal(t, "state after an old revision", s.service.State, declarer.Closing)
 	})
 	t.Run("a new node is ready without the store", func(t *testing.T) {
 		d := ready(t, 6)
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -3,7 +3,6 @@
 import (
 	"monsoonswitch/allocator"
 	"monsoonswitch/balancer"
-	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/gossiper"
 )
@@ -49,14 +48,17 @@
 		return
 	}
 	d.dirty = true
-	d.declared.Put(document.Name, *document.Service)
+	d.declared.Put(document.Name, declaration{
+		service:  *document.Service,
+		revision: document.Revision,
+		accepted: document.At,
+		inForce:  d.now,
+	})
 	d.note(descriptor.NoteRevision, document.Name, revisionText(document.Revision))
 	d.resize(document.Name)
 	d.onService(document.Name, func(s *served[E, D, P, L]) {
 		d.counter.InForce(d.now, document.Name, document.Revision)
 		s.balancer.Declare(*document.Service, document.Revision)
-		s.inForce = d.now
-		s.accepted = document.At
 	})
 }
 
@@ -101,22 +103,19 @@
 
 // open creates the state of a service that this instance begins to serve.
 func (d *Decider[E, D, P, L]) open(service string) {
-	declared, ok := d.declared.Get(service)
+	known, ok := d.declared.Get(service)
 	if !ok {
 		return
 	}
-	document, _ := d.spreader.Get(descriptor.KindService, service)
 	s := &served[E, D, P, L]{
-		balancer: balancer.New[E, D, P, L](declared, balancer.Options{
+		balancer: balancer.New[E, D, P, L](known.service, balancer.Options{
 			Self:      d.options.Self.ID,
 			Seed:      d.options.Seed,
 			NextWrite: d.nextWrite,
 		}),
-		inForce:  d.now,
-		accepted: document.At,
 	}
-	s.balancer.Declare(declared, document.Revision)
-	d.counter.InForce(d.now, service, document.Revision)
+	s.balancer.Declare(known.service, known.revision)
+	d.counter.InForce(d.now, service, known.revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
 		s.balancer.List(d.now, list.Backends)
 	}
@@ -198,12 +197,11 @@
 	}
 }
 
-func (d *Decider[E, D, P, L]) entry(name string, s declarer.Service) *descriptor.Entry {
-	document, _ := d.spreader.Get(descriptor.KindService, name)
+func (d *Decider[E, D, P, L]) entry(name string, known declaration) *descriptor.Entry {
 	serving := d.index.Get(name)
 	return &descriptor.Entry{
-		Service:  s,
-		Revision: document.Revision,
+		Service:  known.service,
+		Revision: known.revision,
 		Serving:  serving,
 		Here:     includes(serving, d.options.Self.ID),
 	}
--- a/decider/dump.go
+++ b/decider/dump.go
@@ -21,10 +21,16 @@
 		Pending:   d.requests.Len(),
 		Notes:     d.notes.Slice(),
 	}
+	for service, known := range d.declared.All {
+		dump.Declared = append(dump.Declared, descriptor.DeclaredDump{
+			Name:     service,
+			Revision: known.revision,
+			Accepted: known.accepted,
+			InForce:  known.inForce,
+		})
+	}
 	for service, s := range d.served.All {
 		state := s.balancer.Dump(now)
-		state.InForce = s.inForce
-		state.Accepted = s.accepted
 		state.Tally, _ = d.counter.Tally(now, service)
 		dump.Services = append(dump.Services, state)
 	}
--- a/descriptor/dump.go
+++ b/descriptor/dump.go
@@ -12,26 +12,33 @@
 	Links     []string
 	Members   []Member
 	Documents []Reference
+	Declared  []DeclaredDump
 	Services  []ServiceDump
 	Keys      KeyDump
 	Pending   int
 	Notes     []Note
 }
 
-// ServiceDump is the state of a served service.
-type ServiceDump struct {
+// DeclaredDump tells which revision of a declaration is in force.
+type DeclaredDump struct {
 	Name     string
 	Revision uint64
-	// InForce is when the revision came into force here; Accepted when the
-	// store accepted it.
-	InForce, Accepted time.Time
-	State             string
-	Floor             int
-	Live              int
-	Serving           []string
-	Classes           []ClassDump
-	Backends          []BackendDump
-	Ejections         []Ejection
+	// Accepted is when the store accepted the revision, and InForce when it
+	// came into force here.
+	Accepted, InForce time.Time
+}
+
+// ServiceDump is the state of a served service.
+type ServiceDump struct {
+	Name      string
+	Revision  uint64
+	State     string
+	Floor     int
+	Live      int
+	Serving   []string
+	Classes   []ClassDump
+	Backends  []BackendDump
+	Ejections []Ejection
 	// Refused tells why convicted backend servers are not ejected.
 	Refused string
 	Budget  float64
--- a/main_test.go
+++ b/main_test.go
@@ -58,7 +58,7 @@
 
 // fleet is a number of serve processes with stand-ins around them.
 type fleet struct {
-	t        *testing.T
+	t        testing.TB
 	store    *imitator.Store
 	address  string
 	client   *storer.Client
@@ -80,7 +80,7 @@
 	return s
 }
 
-func newFleet(t *testing.T, instances int) *fleet {
+func newFleet(t testing.TB, instances int) *fleet {
 	f := &fleet{t: t, store: imitator.NewStore(), proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
 	p, err := imitator.ServeStore(f.store, "127.0.0.1:0")
 	asserter.NoError(t, "start store", err)
@@ -197,7 +197,7 @@
 }
 
 // innerAddress reads where a process listens for instances from its dump.
-func innerAddress(t *testing.T, operators string) string {
+func innerAddress(t testing.TB, operators string) string {
 	t.Helper()
 	var d struct {
 		Listening struct{ Inner string }
@@ -207,7 +207,7 @@
 }
 
 // get reads a JSON answer of an operators' listener.
-func get(t *testing.T, address, path string, result any) {
+func get(t testing.TB, address, path string, result any) {
 	t.Helper()
 	response, err := http.Get("http://" + address + path)
 	asserter.NoError(t, "ask", err)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -58,7 +58,7 @@
 	// Serving tells that the instance serves the service.
 	Serving bool `json:"serving"`
 	// Seconds is the time from the acceptance of the revision to its being in
-	// force here, where the instance serves the service.
+	// force here.
 	Seconds float64 `json:"seconds,omitempty"`
 }
 
@@ -150,19 +150,15 @@
 			Ready:    m.Ready,
 		})
 	}
-	served := make(map[string]descriptor.ServiceDump)
+	served := make(map[string]bool)
 	for _, v := range d.Services {
-		served[v.Name] = v
+		served[v.Name] = true
 	}
-	for _, r := range d.Documents {
-		if r.Kind != descriptor.KindService {
-			continue
-		}
-		v, ok := served[r.Name]
+	for _, v := range d.Declared {
 		s.Services = append(s.Services, InForce{
-			Service:  r.Name,
-			Revision: r.Revision,
-			Serving:  ok,
+			Service:  v.Name,
+			Revision: v.Revision,
+			Serving:  served[v.Name],
 			Seconds:  delay(v.Accepted, v.InForce),
 		})
 	}
--- /dev/null
+++ b/server/added_test.go
@@ -0,0 +1,146 @@
+package server_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"monsoonswitch/assembler"
+	"monsoonswitch/asserter"
+	"monsoonswitch/configurer"
+	"monsoonswitch/declarer"
+	"monsoonswitch/imitator"
+)
+
+// pair is an instance before backend servers that answer at once.
+func pair(b *testing.B) (through, direct string) {
+	f, err := assembler.New(assembler.Options{
+		Domains:   []string{"a"},
+		Instances: 1,
+		Groups:    []assembler.Group{{Service: "ledger", Count: 6, Options: imitator.BackendOptions{Slots: 64, Backlog: 64}}},
+		Services: []declarer.Service{{
+			Name:    "ledger",
+			Floor:   4,
+			Classes: []declarer.Class{{Name: "lookup", Target: time.Second, Idempotent: true}},
+			Routes:  []declarer.Route{{Name: "all", Path: "/", Class: "lookup"}},
+		}},
+		Policy: configurer.PolicyStandard,
+		Keep:   time.Second,
+	})
+	asserter.NoError(b, "start", err)
+	b.Cleanup(f.Close)
+	return f.Entries()[0], f.Backends[0].Listed.Address
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
+
+func ask(b *testing.B, address string) time.Duration {
+	start := time.Now()
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+address+"/lines/1?size=256", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set("Service", "ledger")
+	response, err := client.Do(r)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	if err != nil || response.StatusCode != http.StatusOK {
+		b.Fatalf("status: got %d and %v, want 200", response.StatusCode, err)
+	}
+	return time.Since(start)
+}
+
+// steady asks at a fixed rate, through and directly in turn.
+func steady(b *testing.B, through, direct string, rate int, length time.Duration) (t, d *hdrhistogram.Histogram) {
+	t, d = hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	ticker := time.NewTicker(time.Second / time.Duration(2*rate))
+	defer ticker.Stop()
+	for i := range 2 * rate * int(length.Seconds()) {
+		<-ticker.C
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			address, h := through, t
+			if i%2 == 1 {
+				address, h = direct, d
+			}
+			took := ask(b, address)
+			mu.Lock()
+			defer mu.Unlock()
+			_ = h.RecordValue(took.Microseconds())
+		}()
+	}
+	group.Wait()
+	return t, d
+}
+
+// BenchmarkAdded measures the latency that an instance adds, callers and backend
+// servers in the same process.
+func BenchmarkAdded(b *testing.B) {
+	through, direct := pair(b)
+	for _, rate := range []struct {
+		name string
+		rate int
+	}{{"200 a second", 200}, {"2000 a second", 2000}} {
+		b.Run(rate.name, func(b *testing.B) {
+			t, d := steady(b, through, direct, rate.rate, 5*time.Second)
+			b.ReportMetric(float64(d.ValueAtQuantile(50)), "direct-p50-µs")
+			b.ReportMetric(float64(d.ValueAtQuantile(99)), "direct-p99-µs")
+			b.ReportMetric(float64(t.ValueAtQuantile(50)-d.ValueAtQuantile(50)), "added-p50-µs")
+			b.ReportMetric(float64(t.ValueAtQuantile(99)-d.ValueAtQuantile(99)), "added-p99-µs")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+	for _, target := range []struct{ name, address string }{{"saturated through", through}, {"saturated direct", direct}} {
+		b.Run(target.name, func(b *testing.B) { saturate(b, target.address) })
+	}
+}
+
+// saturate asks from many goroutines at once for a while.
+func saturate(b *testing.B, address string) {
+	const workers = 64
+	const length = 4 * time.Second
+	h := hdrhistogram.New(1, 10_000_000, 3)
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	used := cpu()
+	end := time.Now().Add(length)
+	for range workers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for time.Now().Before(end) {
+				took := ask(b, address)
+				mu.Lock()
+				_ = h.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		}()
+	}
+	group.Wait()
+	used = cpu() - used
+	b.ReportMetric(float64(h.TotalCount())/length.Seconds(), "requests/s")
+	b.ReportMetric(float64(h.TotalCount())/used.Seconds(), "requests/core-s")
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(0, "ns/op")
+}
+
+func cpu() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
