One reader of INI sections in place of three; keys and sections that stand twice are errors

Cause: declarer, configurer and loader each had a reader of their own, and a key or a section that stood twice was taken silently. Change: package parser; both are errors that name file, section and key.

--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -233,17 +233,25 @@
 		return min(1, b.share)
 	}
 	n := b.share
-	if now.Before(b.borrowedUntil) {
+	if b.borrowed > 0 && now.Before(b.borrowedUntil) {
 		n += b.borrowed
 	}
-	if now.Before(b.lentUntil) {
+	if b.lent > 0 && now.Before(b.lentUntil) {
 		n -= b.lent
 	}
-	if grown := now.Sub(b.rampFrom); !b.rampFrom.IsZero() && grown < rampTime && n > 0 {
-		n = max(1, int(float64(n)*float64(grown)/float64(rampTime)))
+	if !b.rampFrom.IsZero() {
+		n = ramped(n, now.Sub(b.rampFrom))
 	}
 	return max(0, min(n, int(b.cap)))
 }
 
+// ramped returns the part of n slots that may be used some time after a start.
+func ramped(n int, grown time.Duration) int {
+	if grown >= rampTime || n <= 0 {
+		return n
+	}
+	return max(1, int(float64(n)*float64(grown)/float64(rampTime)))
+}
+
 // healthy tells whether b counts as capacity that may take work.
 func (b backend[E]) healthy() bool { return b.mode == modeReady || b.mode == modeTrial }
--- a/configurer/callers.go
+++ b/configurer/callers.go
@@ -1,6 +1,10 @@
 package configurer
 
-import "time"
+import (
+	"time"
+
+	"monsoonswitch/parser"
+)
 
 // Callers says where and how callers are served.
 type Callers struct {
@@ -15,21 +19,11 @@
 	Keep time.Duration
 }
 
-func loadCallers(s *section, all *Settings) {
+func loadCallers(s *parser.Section, all *Settings) {
 	all.Callers = Callers{
-		Listen:    s.address("listen", ""),
-		Advertise: s.text("advertise", ""),
-		Header:    s.text("header", ""),
-		Keep:      s.duration("keep", 30*time.Second, time.Second, time.Hour),
-	}
-	checkAdvertise(s, all.Callers.Advertise)
-}
-
-func checkAdvertise(s *section, v string) {
-	if v == "" {
-		return
-	}
-	if problem := addressProblem(v); problem != "" {
-		s.fail("advertise", "%q: %s", v, problem)
+		Listen:    s.Address("listen", ""),
+		Advertise: s.OptionalAddress("advertise"),
+		Header:    s.Text("header", ""),
+		Keep:      s.DurationIn("keep", 30*time.Second, time.Second, time.Hour),
 	}
 }
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -30,6 +30,8 @@
 func TestErrors(t *testing.T) {
 	for _, c := range []struct{ name, from, to, mentions string }{
 		{"unknown key", "domain = worcester", "domain = worcester\ncolour = red", "[instance] colour"},
+		{"key twice", "domain = worcester", "domain = worcester\ndomain = moshi", "[instance] domain"},
+		{"section twice", "[log]", "[log]\n[log]", "[log]"},
 		{"unknown section", "[log]", "[logs]", "[logs]"},
 		{"missing name", "name = entry-1", "", "[instance] name"},
 		{"bad name", "name = entry-1", "name = Entry 1", "[instance] name"},
--- a/configurer/inner.go
+++ b/configurer/inner.go
@@ -1,5 +1,7 @@
 package configurer
 
+import "monsoonswitch/parser"
+
 // minKey is the least length of the key in bytes.
 const minKey = 16
 
@@ -15,15 +17,14 @@
 	Seeds []string
 }
 
-func loadInner(s *section, all *Settings) {
+func loadInner(s *parser.Section, all *Settings) {
 	all.Inner = Inner{
-		Listen:    s.address("listen", ""),
-		Advertise: s.text("advertise", ""),
-		Key:       s.required("key"),
-		Seeds:     s.addresses("seeds"),
+		Listen:    s.Address("listen", ""),
+		Advertise: s.OptionalAddress("advertise"),
+		Key:       s.Required("key"),
+		Seeds:     s.Addresses("seeds"),
 	}
-	checkAdvertise(s, all.Inner.Advertise)
 	if len(all.Inner.Key) < minKey {
-		s.fail("key", "is shorter than %d characters", minKey)
+		s.Fail("key", "is shorter than %d characters", minKey)
 	}
 }
--- a/configurer/instance.go
+++ b/configurer/instance.go
@@ -1,5 +1,7 @@
 package configurer
 
+import "monsoonswitch/parser"
+
 // Instance says which instance this is.
 type Instance struct {
 	// Name is unique among the instances that live at one time.
@@ -8,9 +10,9 @@
 	Domain string
 }
 
-func loadInstance(s *section, all *Settings) {
+func loadInstance(s *parser.Section, all *Settings) {
 	all.Instance = Instance{
-		Name:   s.identifier("name"),
-		Domain: s.identifier("domain"),
+		Name:   identifier(s, "name"),
+		Domain: identifier(s, "domain"),
 	}
 }
--- a/configurer/limits.go
+++ b/configurer/limits.go
@@ -1,6 +1,10 @@
 package configurer
 
-import "time"
+import (
+	"time"
+
+	"monsoonswitch/parser"
+)
 
 // Names of the policies that an instance can run with.
 const (
@@ -23,12 +27,12 @@
 	Policy string
 }
 
-func loadLimits(s *section, all *Settings) {
+func loadLimits(s *parser.Section, all *Settings) {
 	all.Limits = Limits{
-		HeadBytes:    s.number("headbytes", 64<<10, 1<<10, 1<<20),
-		HeadTimeout:  s.duration("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
-		IdleTimeout:  s.duration("idletimeout", 2*time.Minute, time.Second, time.Hour),
-		StallTimeout: s.duration("stalltimeout", time.Minute, time.Second, time.Hour),
-		Policy:       s.choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
+		HeadBytes:    s.IntIn("headbytes", 64<<10, 1<<10, 1<<20),
+		HeadTimeout:  s.DurationIn("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		IdleTimeout:  s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
+		StallTimeout: s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
+		Policy:       s.Choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
 	}
 }
--- a/configurer/log.go
+++ b/configurer/log.go
@@ -1,5 +1,7 @@
 package configurer
 
+import "monsoonswitch/parser"
+
 // Log says what is logged and how.
 type Log struct {
 	// Level is the least level that is logged.
@@ -8,9 +10,9 @@
 	Format string
 }
 
-func loadLog(s *section, all *Settings) {
+func loadLog(s *parser.Section, all *Settings) {
 	all.Log = Log{
-		Level:  s.choice("level", "info", "debug", "info", "warn", "error"),
-		Format: s.choice("format", "text", "text", "json"),
+		Level:  s.Choice("level", "info", "debug", "info", "warn", "error"),
+		Format: s.Choice("format", "text", "text", "json"),
 	}
 }
--- a/configurer/platform.go
+++ b/configurer/platform.go
@@ -1,6 +1,10 @@
 package configurer
 
-import "time"
+import (
+	"time"
+
+	"monsoonswitch/parser"
+)
 
 // Platform says where the platform's services are.
 type Platform struct {
@@ -11,9 +15,9 @@
 	Patience time.Duration
 }
 
-func loadPlatform(s *section, all *Settings) {
+func loadPlatform(s *parser.Section, all *Settings) {
 	all.Platform = Platform{
-		Address:  s.address("address", ""),
-		Patience: s.duration("patience", 2*time.Second, 0, time.Minute),
+		Address:  s.Address("address", ""),
+		Patience: s.DurationIn("patience", 2*time.Second, 0, time.Minute),
 	}
 }
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -9,6 +9,8 @@
 
 	"github.com/rotisserie/eris"
 	"gopkg.in/ini.v1"
+
+	"monsoonswitch/parser"
 )
 
 // ErrInvalid reports settings that can't be used.
@@ -26,7 +28,7 @@
 }
 
 // loaders holds the function of each section.
-var loaders = map[string]func(*section, *Settings){
+var loaders = map[string]func(*parser.Section, *Settings){
 	"instance":  loadInstance,
 	"callers":   loadCallers,
 	"inner":     loadInner,
@@ -48,19 +50,24 @@
 // Parse reads settings; file names the source in errors.
 func Parse(file string, data []byte) (Settings, error) {
 	var s Settings
-	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, data)
+	f, err := parser.Load(file, data, ErrInvalid)
 	if err != nil {
-		return s, eris.Wrapf(ErrInvalid, "%s: %v", file, err)
+		return s, err
 	}
+	seen := make(map[string]bool)
 	for _, sec := range f.Sections() {
+		if seen[sec.Name()] {
+			return s, eris.Wrapf(ErrInvalid, "%s: [%s]: stands twice", file, sec.Name())
+		}
+		seen[sec.Name()] = true
 		if _, ok := loaders[sec.Name()]; !ok && (sec.Name() != ini.DefaultSection || len(sec.Keys()) > 0) {
 			return s, eris.Wrapf(ErrInvalid, "%s: [%s]: unknown section; known are %s", file, sec.Name(), sectionNames())
 		}
 	}
 	for _, name := range sortedSections() {
-		sec := newSection(file, name, f)
+		sec := parser.NewSection(file, f.Section(name), ErrInvalid)
 		loaders[name](sec, &s)
-		if err := sec.finish(); err != nil {
+		if err := sec.Finish(); err != nil {
 			return s, err
 		}
 	}
--- a/declarer/declarer_test.go
+++ b/declarer/declarer_test.go
@@ -62,6 +62,7 @@
 func TestParseErrors(t *testing.T) {
 	for _, c := range []struct{ name, from, to, mentions string }{
 		{"unknown key", "floor = 60%", "floor = 60%\nweight = 3", "[service] weight"},
+		{"key twice", "target = 300ms", "target = 300ms\ntarget = 1s", "[class lookup] target"},
 		{"unknown section", "[class note]", "[server x]", "[server x]"},
 		{"bad target", "target = 300ms", "target = soon", "[class lookup] target"},
 		{"no target", "target = 300ms", "", "[class lookup] target"},
--- a/declarer/parse.go
+++ b/declarer/parse.go
@@ -1,7 +1,6 @@
 package declarer
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -12,6 +11,8 @@
 
 	"github.com/rotisserie/eris"
 	"gopkg.in/ini.v1"
+
+	"monsoonswitch/parser"
 )
 
 // ErrInvalid reports a declaration that can't be accepted.
@@ -37,8 +38,7 @@
 }
 
 func (p problem) errorf(format string, args ...any) error {
-	detail := fmt.Sprintf(format, args...)
-	return eris.Wrapf(ErrInvalid, "%s: [%s] %s: %s", p.file, p.section, p.key, detail)
+	return parser.Errorf(ErrInvalid, p.file, p.section, p.key, format, args...)
 }
 
 // Load reads the declaration file at path.
@@ -96,9 +96,9 @@
 	if len(data) > MaxBytes {
 		return Service{}, eris.Wrapf(ErrInvalid, "%s: longer than %d bytes", file, MaxBytes)
 	}
-	f, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: true, KeyValueDelimiters: "="}, data)
+	f, err := parser.Load(file, data, ErrInvalid)
 	if err != nil {
-		return Service{}, eris.Wrapf(ErrInvalid, "%s: %v", file, err)
+		return Service{}, err
 	}
 	var s Service
 	found := false
@@ -119,127 +119,67 @@
 }
 
 func (s *Service) addSection(file, kind, name string, sec *ini.Section) error {
-	r := reader{file: file, section: sec}
+	r := parser.NewSection(file, sec, ErrInvalid)
 	switch kind {
 	case "service":
-		s.Name = r.text("name", "")
-		s.State = r.state("state")
-		s.Floor, s.Share = r.floor("floor")
+		s.Name = r.Text("name", "")
+		s.State = stateOf(r, "state")
+		s.Floor, s.Share = floorOf(r, "floor")
 	case "class":
 		s.Classes = append(s.Classes, Class{
 			Name:       name,
-			Target:     r.duration("target"),
-			Idempotent: r.flag("idempotent"),
-			Long:       r.flag("long"),
-			Keyless:    r.flag("keyless"),
+			Target:     r.Duration("target", -1),
+			Idempotent: r.Flag("idempotent"),
+			Long:       r.Flag("long"),
+			Keyless:    r.Flag("keyless"),
 		})
 	case "route":
 		s.Routes = append(s.Routes, Route{
 			Name:    name,
-			Methods: r.words("method"),
-			Path:    r.text("path", ""),
-			Class:   r.text("class", ""),
+			Methods: methods(r, "method"),
+			Path:    r.Text("path", ""),
+			Class:   r.Text("class", ""),
 		})
 	default:
 		return problem{file, sec.Name(), "-"}.errorf("unknown section")
 	}
-	return r.finish()
-}
-
-// reader takes typed keys out of one section and remembers the first error.
-type reader struct {
-	file    string
-	section *ini.Section
-	known   []string
-	err     error
-}
-
-func (r *reader) fail(key, format string, args ...any) {
-	if r.err == nil {
-		r.err = problem{r.file, r.section.Name(), key}.errorf(format, args...)
-	}
-}
-
-func (r *reader) text(key, fallback string) string {
-	r.known = append(r.known, key)
-	if !r.section.HasKey(key) {
-		return fallback
-	}
-	return strings.TrimSpace(r.section.Key(key).String())
-}
-
-func (r *reader) words(key string) []string {
-	var result []string
-	for _, w := range strings.Split(r.text(key, ""), ",") {
-		if w = strings.TrimSpace(w); w != "" {
-			result = append(result, strings.ToUpper(w))
-		}
-	}
-	return result
+	return r.Finish()
 }
 
-func (r *reader) duration(key string) time.Duration {
-	text := r.text(key, "")
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		r.fail(key, "%q is no duration such as 200ms", text)
-	}
-	return d
-}
-
-func (r *reader) flag(key string) bool {
-	text := r.text(key, "false")
-	v, err := strconv.ParseBool(text)
-	if err != nil {
-		r.fail(key, "%q is neither true nor false", text)
-	}
-	return v
-}
-
-func (r *reader) state(key string) State {
-	text := r.text(key, "open")
+// stateOf reads the state of a service.
+func stateOf(r *parser.Section, key string) State {
+	text := r.Text(key, "open")
 	for st := Open; st <= Closed; st++ {
 		if st.String() == text {
 			return st
 		}
 	}
-	r.fail(key, "%q is none of open, closing, closed", text)
+	r.Fail(key, "%q is none of open, closing, closed", text)
 	return Open
 }
 
-func (r *reader) floor(key string) (int, float64) {
-	text := r.text(key, "")
+// floorOf reads a floor: a number of backend servers, or a percentage.
+func floorOf(r *parser.Section, key string) (int, float64) {
+	text := r.Text(key, "")
 	if percent, ok := strings.CutSuffix(text, "%"); ok {
 		v, err := strconv.ParseFloat(percent, 64)
 		if err != nil || !(v > 0 && v <= 100) {
-			r.fail(key, "%q is no percentage from 0%% to 100%%", text)
+			r.Fail(key, "%q is no percentage from 0%% to 100%%", text)
 		}
 		return 1, v / 100
 	}
 	v, err := strconv.Atoi(text)
 	if err != nil || v < 1 {
-		r.fail(key, "%q is neither a number of backend servers from 1 nor a percentage", text)
+		r.Fail(key, "%q is neither a number of backend servers from 1 nor a percentage", text)
 	}
 	return v, 0
 }
 
-func (r *reader) finish() error {
-	if r.err != nil {
-		return r.err
-	}
-	for _, k := range r.section.Keys() {
-		if !contains(r.known, k.Name()) {
-			r.fail(k.Name(), "unknown key; known are %s", strings.Join(r.known, ", "))
-		}
-	}
-	return r.err
-}
-
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
+// methods reads HTTP methods.
+func methods(r *parser.Section, key string) []string {
+	var result []string
+	for _, w := range r.Words(key) {
+		result = append(result, strings.ToUpper(w))
 	}
-	return false
+	return result
 }
--- a/detector/policy.go
+++ b/detector/policy.go
@@ -77,9 +77,9 @@
 	if o.Late {
 		return e.WithStep(overdueStep(o.Tail))
 	}
-	slow := math.Log(1 - graySlow + graySlow*graySkew*math.Pow(o.Tail, graySkew-1))
-	sound := math.Log((1 - grayFailing) / (1 - min(base, grayFailing)))
-	return e.WithStep(slow + sound)
+	slow := 1 - graySlow + graySlow*graySkew*math.Pow(o.Tail, graySkew-1)
+	sound := (1 - grayFailing) / (1 - min(base, grayFailing))
+	return e.WithStep(math.Log(slow * sound))
 }
 
 // Score implements Policy.
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -4,12 +4,10 @@
 
 import (
 	"embed"
-	"fmt"
 	"io/fs"
 	"net/http"
 	"os"
 	"path"
-	"strconv"
 	"strings"
 	"time"
 
@@ -17,6 +15,7 @@
 	"gopkg.in/ini.v1"
 
 	"monsoonswitch/declarer"
+	"monsoonswitch/parser"
 )
 
 //go:embed deployments scenarios
@@ -125,14 +124,14 @@
 
 // Parse reads a scenario; file names the source in errors.
 func Parse(file string, data []byte) (Scenario, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "="}, data)
+	f, err := parser.Load(file, data, ErrScenario)
 	if err != nil {
-		return Scenario{}, eris.Wrapf(ErrScenario, "%s: %v", file, err)
+		return Scenario{}, err
 	}
 	var s Scenario
 	for _, sec := range f.Sections() {
 		kind, name, _ := strings.Cut(sec.Name(), " ")
-		k := &keys{file: file, section: sec}
+		k := parser.NewSection(file, sec, ErrScenario)
 		switch kind {
 		case ini.DefaultSection:
 		case "scenario":
@@ -142,57 +141,57 @@
 		case "fault":
 			s.Faults = append(s.Faults, loadFault(k, name))
 		default:
-			k.fail("-", "unknown section")
+			k.Fail("-", "unknown section")
 		}
-		if err := k.finish(); err != nil {
+		if err := k.Finish(); err != nil {
 			return s, err
 		}
 	}
 	return s, s.check(file)
 }
 
-func (s *Scenario) load(k *keys) {
-	s.Name = k.text("name", "")
-	s.Deployment = k.text("deployment", "pelletier")
-	s.Duration = k.duration("duration", 10*time.Second)
-	s.Seed = uint64(k.number("seed", 1))
-	s.Instances = int(k.number("instances", 3))
-	s.Policy = k.text("policy", "standard")
+func (s *Scenario) load(k *parser.Section) {
+	s.Name = k.Text("name", "")
+	s.Deployment = k.Text("deployment", "pelletier")
+	s.Duration = k.Duration("duration", 10*time.Second)
+	s.Seed = uint64(k.Number("seed", 1))
+	s.Instances = int(k.Number("instances", 3))
+	s.Policy = k.Text("policy", "standard")
 }
 
-func loadWork(k *keys, name string) Work {
+func loadWork(k *parser.Section, name string) Work {
 	return Work{
 		Name:       name,
-		Service:    k.text("service", ""),
-		Class:      k.text("class", ""),
-		Method:     k.text("method", http.MethodGet),
-		Path:       k.text("path", "/"),
-		Rate:       k.number("rate", 10),
-		Crest:      k.number("crest", 1),
-		CrestFrom:  k.duration("crestfrom", 0),
-		CrestTo:    k.duration("crestto", 0),
-		Callers:    int(k.number("callers", 20)),
-		Size:       int(k.number("size", 256)),
-		Weight:     k.number("weight", 1),
-		Body:       int(k.number("body", 0)),
-		BodyRate:   int(k.number("bodyrate", 0)),
-		Keyed:      k.flag("keyed"),
-		Idempotent: k.flag("idempotent"),
-		Timeout:    k.duration("timeout", 10*time.Second),
-		Poison:     int(k.number("poison", 0)),
+		Service:    k.Text("service", ""),
+		Class:      k.Text("class", ""),
+		Method:     k.Text("method", http.MethodGet),
+		Path:       k.Text("path", "/"),
+		Rate:       k.Number("rate", 10),
+		Crest:      k.Number("crest", 1),
+		CrestFrom:  k.Duration("crestfrom", 0),
+		CrestTo:    k.Duration("crestto", 0),
+		Callers:    int(k.Number("callers", 20)),
+		Size:       int(k.Number("size", 256)),
+		Weight:     k.Number("weight", 1),
+		Body:       int(k.Number("body", 0)),
+		BodyRate:   int(k.Number("bodyrate", 0)),
+		Keyed:      k.Flag("keyed"),
+		Idempotent: k.Flag("idempotent"),
+		Timeout:    k.Duration("timeout", 10*time.Second),
+		Poison:     int(k.Number("poison", 0)),
 	}
 }
 
-func loadFault(k *keys, name string) Fault {
+func loadFault(k *parser.Section, name string) Fault {
 	return Fault{
 		Name:    name,
-		Kind:    FaultKind(k.text("kind", "")),
-		From:    k.duration("from", 0),
-		To:      k.duration("to", time.Hour),
-		Service: k.text("service", ""),
-		Index:   int(k.number("index", 0)),
-		Share:   k.number("share", 0),
-		Time:    k.duration("time", 0),
+		Kind:    FaultKind(k.Text("kind", "")),
+		From:    k.Duration("from", 0),
+		To:      k.Duration("to", time.Hour),
+		Service: k.Text("service", ""),
+		Index:   int(k.Number("index", 0)),
+		Share:   k.Number("share", 0),
+		Time:    k.Duration("time", 0),
 	}
 }
 
@@ -251,69 +250,6 @@
 	return eris.Wrapf(ErrScenario, "%s: fault %s: unknown kind %q", file, f.Name, f.Kind)
 }
 
-// keys takes typed keys out of one section and remembers the first error.
-type keys struct {
-	file    string
-	section *ini.Section
-	known   []string
-	err     error
-}
-
-func (k *keys) fail(key, format string, args ...any) {
-	if k.err == nil {
-		detail := fmt.Sprintf(format, args...)
-		k.err = eris.Wrapf(ErrScenario, "%s: [%s] %s: %s", k.file, k.section.Name(), key, detail)
-	}
-}
-
-func (k *keys) text(key, fallback string) string {
-	k.known = append(k.known, key)
-	if !k.section.HasKey(key) {
-		return fallback
-	}
-	return k.section.Key(key).String()
-}
-
-func (k *keys) duration(key string, fallback time.Duration) time.Duration {
-	d, err := time.ParseDuration(k.text(key, fallback.String()))
-	if err != nil {
-		k.fail(key, "%v", err)
-	}
-	return d
-}
-
-func (k *keys) number(key string, fallback float64) float64 {
-	v, err := strconv.ParseFloat(k.text(key, strconv.FormatFloat(fallback, 'g', -1, 64)), 64)
-	if err != nil {
-		k.fail(key, "%v", err)
-	}
-	return v
-}
-
-func (k *keys) flag(key string) bool {
-	v, err := strconv.ParseBool(k.text(key, "false"))
-	if err != nil {
-		k.fail(key, "%v", err)
-	}
-	return v
-}
-
-func (k *keys) finish() error {
-	if k.err != nil {
-		return k.err
-	}
-	for _, v := range k.section.Keys() {
-		found := false
-		for _, name := range k.known {
-			found = found || name == v.Name()
-		}
-		if !found {
-			k.fail(v.Name(), "unknown key; known are %s", strings.Join(k.known, ", "))
-		}
-	}
-	return k.err
-}
-
 // declarations reads the embedded declarations of a deployment.
 func declarations(name string) ([]declarer.Service, error) {
 	files, err := fs.Glob(embedded, "deployments/"+name+"/*.ini")
