--- a/commander/demo.go
+++ b/commander/demo.go
@@ -21,22 +21,19 @@
 }
 
 func (c *demoCommand) run(ctx context.Context, out, _ io.Writer) error {
-	return runScenario(ctx, "demo", "", "text", out, out)
-}
-
-// runScenario runs a scenario and writes its result.
-func runScenario(ctx context.Context, name, policy, format string, out, progress io.Writer) error {
-	s, err := loader.Load(name)
+	s, err := loader.Load("demo")
 	if err != nil {
 		return err
 	}
-	if policy != "" {
-		s.Policy = policy
-	}
-	result, err := loader.Run(ctx, s, progress)
+	result, err := loader.Run(ctx, s, out)
 	if err != nil {
 		return err
 	}
+	return writeResult(result, "text", out)
+}
+
+// writeResult writes the result of a scenario; a broken promise is an error.
+func writeResult(result loader.Result, format string, out io.Writer) error {
 	write := result.Text
 	switch format {
 	case "json":
@@ -48,7 +45,7 @@
 		return err
 	}
 	if !result.Held() {
-		return eris.Wrap(errPromise, name)
+		return eris.Wrap(errPromise, result.Scenario)
 	}
 	return nil
 }
--- a/commander/load.go
+++ b/commander/load.go
@@ -7,20 +7,44 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"monsoonswitch/configurer"
+	"monsoonswitch/loader"
 )
 
 // loadCommand runs an experiment.
-type loadCommand struct{ scenario, policy, format string }
+type loadCommand struct {
+	scenario, policy, format string
+	remote                   loader.Remote
+}
 
 func (c *loadCommand) register(app *kingpin.Application) *kingpin.CmdClause {
 	clause := app.Command("load", "Run an experiment: callers, faults and a fleet, with every promise checked.")
 	clause.Flag("policy", "Policies of the instances instead of those of the scenario.").
 		EnumVar(&c.policy, configurer.PolicyStandard, configurer.PolicyRoundRobin, configurer.PolicyConsecutive)
 	clause.Flag("format", "text, json or html.").Default("text").EnumVar(&c.format, "text", "json", "html")
+	clause.Flag("store", "Address of the stand-in store of a fleet of other processes; without it the fleet runs in this process.").StringVar(&c.remote.Store)
+	clause.Flag("entry", "Address of an instance of that fleet for callers; may be repeated.").StringsVar(&c.remote.Entries)
+	clause.Flag("operators", "Address of the operators' listener of an instance of that fleet; may be repeated.").StringsVar(&c.remote.Operators)
 	clause.Arg("scenario", "Scenario file, or the name of a scenario that comes with the program.").Required().StringVar(&c.scenario)
 	return clause
 }
 
 func (c *loadCommand) run(ctx context.Context, out, log io.Writer) error {
-	return runScenario(ctx, c.scenario, c.policy, c.format, out, log)
+	s, err := loader.Load(c.scenario)
+	if err != nil {
+		return err
+	}
+	if c.policy != "" {
+		s.Policy = c.policy
+	}
+	run := loader.Run
+	if c.remote.Store != "" {
+		run = func(ctx context.Context, s loader.Scenario, progress io.Writer) (loader.Result, error) {
+			return loader.RunRemote(ctx, s, c.remote, progress)
+		}
+	}
+	result, err := run(ctx, s, log)
+	if err != nil {
+		return err
+	}
+	return writeResult(result, c.format, out)
 }
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -34,13 +34,13 @@
 	default:
 		fault.Lost = f.Share
 	}
-	r.fleet.Store.SetFault(fault)
+	r.fleet.SetStoreFault(fault)
 	sleepUntil(ctx, r.started.Add(f.To))
-	r.fleet.Store.SetFault(imitator.StoreFault{})
+	r.fleet.SetStoreFault(imitator.StoreFault{})
 }
 
 func (r *Runner) injectBackend(ctx context.Context, f Fault) {
-	b, ok := r.fleet.Backend(f.Service, f.Index)
+	b, ok := r.backendAt(f.Service, f.Index)
 	if !ok {
 		return
 	}
@@ -65,9 +65,23 @@
 	} else {
 		r.watch.expectGray(b, now)
 	}
-	b.Stand.SetFault(fault, now)
+	b.SetFault(fault)
 	sleepUntil(ctx, r.started.Add(f.To))
-	b.Stand.SetFault(imitator.BackendFault{}, time.Now())
+	b.SetFault(imitator.BackendFault{})
+}
+
+// backendAt returns the i-th backend server of a service.
+func (r *Runner) backendAt(service string, i int) (backend, bool) {
+	for _, b := range r.fleet.Backends() {
+		if b.Service() != service {
+			continue
+		}
+		if i == 0 {
+			return b, true
+		}
+		i--
+	}
+	return nil, false
 }
 
 // replaceAll replaces every instance, one after the other.
--- a/loader/result.go
+++ b/loader/result.go
@@ -123,7 +123,7 @@
 	}
 	for _, g := range r.watch.grays {
 		result.Detections = append(result.Detections, Detection{
-			Backend: g.backend.Listed.ID,
+			Backend: g.backend.ID(),
 			Avoided: since(g.since, g.avoided),
 			Ejected: since(g.since, g.ejected),
 		})
@@ -132,9 +132,9 @@
 		result.violate("floor: ejections went below the floor at %d looks", r.watch.breaches)
 	}
 	for _, d := range r.watch.drains {
-		counts := d.backend.Stand.Counts()
+		counts := d.backend.Counts()
 		if d.after != nil && counts.Begun+counts.Shed > d.after.Begun+d.after.Shed {
-			result.violate("drain: %s got %d requests after %v", d.backend.Listed.ID,
+			result.violate("drain: %s got %d requests after %v", d.backend.ID(),
 				counts.Begun+counts.Shed-d.after.Begun-d.after.Shed, drainTime)
 		}
 	}
@@ -154,8 +154,8 @@
 // verify checks what callers were told against what backend servers counted.
 func (r *Runner) verify(result *Result) {
 	runs := make(map[string]int)
-	for _, b := range r.fleet.Backends {
-		counts := b.Stand.Counts()
+	for _, b := range r.fleet.Backends() {
+		counts := b.Counts()
 		result.Crashes += counts.Crashes
 		for k, n := range counts.Keys {
 			runs[k] += n
@@ -215,7 +215,7 @@
 }
 
 func (r *Runner) reportOf(service string) (reporter.Report, bool) {
-	item, ok := r.fleet.Store.Peek(storer.TallyKey(service))
+	item, ok := r.fleet.Peek(storer.TallyKey(service))
 	if !ok {
 		return reporter.Report{}, false
 	}
--- a/loader/run.go
+++ b/loader/run.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"monsoonswitch/assembler"
 	"monsoonswitch/caller"
 )
 
@@ -26,7 +25,7 @@
 type Runner struct {
 	scenario   Scenario
 	deployment deployment
-	fleet      *assembler.Fleet
+	fleet      fleet
 	// callers holds one caller for each failure domain.
 	callers  []*caller.Caller
 	started  time.Time
@@ -41,27 +40,37 @@
 	if err != nil {
 		return Result{}, err
 	}
-	fleet, err := assembler.New(assembler.Options{
-		Domains:   d.domains,
-		Instances: s.Instances,
-		Groups:    d.groups(s.Seed),
-		Services:  d.services,
-		Policy:    s.Policy,
-		Keep:      keepTime,
-	})
+	f, err := newLocal(s, d)
 	if err != nil {
 		return Result{}, err
 	}
-	defer fleet.Close()
+	return runWith(ctx, s, d, f, progress)
+}
+
+// RunRemote runs a scenario with a fleet of other processes.
+func RunRemote(ctx context.Context, s Scenario, a Remote, progress io.Writer) (Result, error) {
+	d, err := deploymentOf(s.Deployment)
+	if err != nil {
+		return Result{}, err
+	}
+	f, err := newRemote(a)
+	if err != nil {
+		return Result{}, err
+	}
+	return runWith(ctx, s, d, f, progress)
+}
+
+func runWith(ctx context.Context, s Scenario, d deployment, f fleet, progress io.Writer) (Result, error) {
+	defer f.Close()
 	r := &Runner{
 		scenario:   s,
 		deployment: d,
-		fleet:      fleet,
+		fleet:      f,
 		progress:   progress,
 		record:     newRecord(s),
 	}
 	for _, domain := range d.domains {
-		r.callers = append(r.callers, caller.New(fleet.Entries(), domain))
+		r.callers = append(r.callers, caller.New(f.Entries(), domain))
 	}
 	return r.run(ctx)
 }
@@ -90,7 +99,7 @@
 	drivers.Wait()
 	waitAtMost(&open, settleTime)
 	r.watch.stop()
-	r.fleet.Shutdown()
+	r.fleet.Finish()
 	return r.result(), nil
 }
 
--- a/loader/watch.go
+++ b/loader/watch.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"monsoonswitch/assembler"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/imitator"
 	"monsoonswitch/storer"
@@ -17,7 +16,7 @@
 
 // gray is a backend server with a fault.
 type gray struct {
-	backend *assembler.Backend
+	backend backend
 	since   time.Time
 	// avoided and ejected are when that was seen first; zero means never.
 	avoided, ejected time.Time
@@ -25,7 +24,7 @@
 
 // drain is a backend server that announced its leaving.
 type drain struct {
-	backend *assembler.Backend
+	backend backend
 	since   time.Time
 	// after holds the counts drainTime after the announcement.
 	after *imitator.BackendCounts
@@ -44,7 +43,7 @@
 
 // watch looks at the store and at the instances while a scenario runs.
 type watch struct {
-	fleet      *assembler.Fleet
+	fleet      fleet
 	deployment deployment
 	started    time.Time
 	cancel     context.CancelFunc
@@ -59,7 +58,7 @@
 	holding   int
 }
 
-func newWatch(f *assembler.Fleet, d deployment, started time.Time) *watch {
+func newWatch(f fleet, d deployment, started time.Time) *watch {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &watch{
 		fleet:      f,
@@ -97,13 +96,13 @@
 	return w.holding
 }
 
-func (w *watch) expectGray(b *assembler.Backend, now time.Time) {
+func (w *watch) expectGray(b backend, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.grays = append(w.grays, &gray{backend: b, since: now})
 }
 
-func (w *watch) expectDrain(b *assembler.Backend) {
+func (w *watch) expectDrain(b backend) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.drains = append(w.drains, &drain{backend: b, since: time.Now()})
@@ -124,7 +123,7 @@
 	}
 	for _, d := range w.drains {
 		if d.after == nil && now.Sub(d.since) >= drainTime {
-			c := d.backend.Stand.Counts()
+			c := d.backend.Counts()
 			d.after = &c
 		}
 	}
@@ -164,7 +163,7 @@
 func (w *watch) markEjected(e descriptor.Ejection, now time.Time) bool {
 	found := false
 	for _, g := range w.grays {
-		if g.backend.Listed.ID != e.Backend {
+		if g.backend.ID() != e.Backend {
 			continue
 		}
 		found = true
@@ -177,7 +176,7 @@
 
 // ejectionsOf reads the store past its faults.
 func (w *watch) ejectionsOf(service string) []descriptor.Ejection {
-	item, ok := w.fleet.Store.Peek(storer.EjectKey(service))
+	item, ok := w.fleet.Peek(storer.EjectKey(service))
 	if !ok {
 		return nil
 	}
@@ -190,20 +189,16 @@
 
 // isAvoided tells whether every instance that serves a backend server's service
 // prefers others.
-func (w *watch) isAvoided(b *assembler.Backend) bool {
+func (w *watch) isAvoided(b backend) bool {
 	serving, avoiding := 0, 0
-	for _, s := range w.fleet.Servers() {
-		d, ok := s.Dump()
-		if !ok {
-			continue
-		}
+	for _, d := range w.fleet.Dumps() {
 		for _, v := range d.Services {
-			if v.Name != b.Service {
+			if v.Name != b.Service() {
 				continue
 			}
 			serving++
 			for _, x := range v.Backends {
-				if x.ID == b.Listed.ID && (x.Avoided || x.State != "ready") {
+				if x.ID == b.ID() && (x.Avoided || x.State != "ready") {
 					avoiding++
 				}
 			}
