--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rotisserie/eris"
 
 	"monsoonswitch/configurer"
@@ -48,6 +49,9 @@
 	Services  []declarer.Service
 	// Policy is one of those of configurer.
 	Policy string
+	// Proxied puts a proxy before the inner listener of each instance, so that
+	// links can be cut in one direction.
+	Proxied bool
 	// Keep is how long callers keep address answers.
 	Keep time.Duration
 	// Log receives the log events; nil drops them.
@@ -73,6 +77,7 @@
 
 	mu      sync.Mutex
 	servers []*server.Server
+	proxies []*toxiproxy.Proxy
 	started int
 }
 
@@ -150,6 +155,9 @@
 	defer f.mu.Unlock()
 	settings := f.settings(f.started)
 	f.started++
+	if err := f.addProxy(&settings); err != nil {
+		return nil, err
+	}
 	out := f.options.Log
 	if out == nil {
 		out = io.Discard
@@ -163,9 +171,26 @@
 		return nil, err
 	}
 	f.servers = append(f.servers, s)
+	if f.options.Proxied {
+		forward(f.proxies[len(f.proxies)-1], s.Listening().Inner)
+	}
 	return s, nil
 }
 
+// addProxy puts a proxy before the inner listener of a new instance.
+func (f *Fleet) addProxy(settings *configurer.Settings) error {
+	if !f.options.Proxied {
+		return nil
+	}
+	p, err := newProxy(settings.Instance.Name)
+	if err != nil {
+		return err
+	}
+	f.proxies = append(f.proxies, p)
+	settings.Inner.Advertise = p.Listen
+	return nil
+}
+
 // maxSeeds is the number of seeds of each instance.
 const maxSeeds = 3
 
@@ -307,5 +332,8 @@
 	for _, b := range f.Backends {
 		b.process.Close()
 	}
+	for _, p := range f.proxies {
+		p.Stop()
+	}
 	f.store.Close()
 }
--- /dev/null
+++ b/assembler/proxy.go
@@ -0,0 +1,63 @@
+package assembler
+
+import (
+	"context"
+	"strings"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+)
+
+// Direction is a direction of the links that an instance accepted.
+type Direction string
+
+// Directions of links.
+const (
+	// Inward is from the instances that dialed to the one that accepted.
+	Inward Direction = "upstream"
+	// Outward is from the one that accepted.
+	Outward Direction = "downstream"
+)
+
+// newProxy starts a proxy before the inner listener of an instance.
+func newProxy(name string) (*toxiproxy.Proxy, error) {
+	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
+	p := toxiproxy.NewProxy(server, name, loopback, loopback)
+	return p, eris.Wrap(p.Start(), "start proxy")
+}
+
+// forward sets where a proxy forwards to.
+func forward(p *toxiproxy.Proxy, address string) {
+	p.Lock()
+	defer p.Unlock()
+	p.Upstream = address
+}
+
+// Cut stops one direction of the links that the i-th instance accepted, while
+// the other one goes on.
+func (f *Fleet) Cut(i int, d Direction) error {
+	p, ok := f.proxyAt(i)
+	if !ok {
+		return eris.Wrap(ErrStart, "no proxy before that instance")
+	}
+	toxic := `{"name":"cut","type":"timeout","stream":"` + string(d) + `","attributes":{"timeout":0}}`
+	_, err := p.Toxics.AddToxicJson(strings.NewReader(toxic))
+	return eris.Wrap(err, "cut link")
+}
+
+// Heal ends what Cut did to the i-th instance.
+func (f *Fleet) Heal(i int) {
+	if p, ok := f.proxyAt(i); ok {
+		p.Toxics.ResetToxics(context.Background())
+	}
+}
+
+func (f *Fleet) proxyAt(i int) (*toxiproxy.Proxy, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i < 0 || i >= len(f.proxies) {
+		return nil, false
+	}
+	return f.proxies[i], true
+}
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -19,6 +19,8 @@
 		r.injectStore(ctx, f)
 	case FaultReplace:
 		r.replaceAll(ctx, f)
+	case FaultOneWay:
+		r.cutLinks(ctx, f)
 	default:
 		r.injectBackend(ctx, f)
 	}
@@ -84,6 +86,16 @@
 	return nil, false
 }
 
+// cutLinks stops one direction of the links that an instance accepted.
+func (r *Runner) cutLinks(ctx context.Context, f Fault) {
+	if err := r.fleet.Cut(f.Index); err != nil {
+		fmt.Fprintf(r.progress, "      fault %s: %v\n", f.Name, err)
+		return
+	}
+	sleepUntil(ctx, r.started.Add(f.To))
+	r.fleet.Heal(f.Index)
+}
+
 // replaceAll replaces every instance, one after the other.
 func (r *Runner) replaceAll(ctx context.Context, f Fault) {
 	for range r.scenario.Instances {
--- a/loader/fleet.go
+++ b/loader/fleet.go
@@ -41,6 +41,10 @@
 	Dumps() []descriptor.Dump
 	// Replace replaces one instance.
 	Replace() error
+	// Cut stops what others send over links that an instance accepted, and
+	// Heal ends that.
+	Cut(instance int) error
+	Heal(instance int)
 	// Finish ends the fleet gracefully, or waits until its counts are stored.
 	Finish()
 	// Close ends everything that the fleet started.
@@ -50,6 +54,16 @@
 // local is a fleet in this process.
 type local struct{ *assembler.Fleet }
 
+// cutsLinks tells whether a scenario cuts links between instances.
+func (s Scenario) cutsLinks() bool {
+	for _, f := range s.Faults {
+		if f.Kind == FaultOneWay {
+			return true
+		}
+	}
+	return false
+}
+
 // localBackend is a backend server of it.
 type localBackend struct{ *assembler.Backend }
 
@@ -61,6 +75,7 @@
 		Groups:    d.groups(s.Seed),
 		Services:  d.services,
 		Policy:    s.Policy,
+		Proxied:   s.cutsLinks(),
 		Keep:      keepTime,
 	})
 	if err != nil {
@@ -107,6 +122,9 @@
 	return result
 }
 
+// Cut implements fleet.
+func (l local) Cut(i int) error { return l.Fleet.Cut(i, assembler.Inward) }
+
 // Finish implements fleet.
 func (l local) Finish() { l.Shutdown() }
 
@@ -199,6 +217,12 @@
 // Replace implements fleet: a process starts no other.
 func (r *remote) Replace() error { return eris.Wrap(ErrFleet, "instances are other processes") }
 
+// Cut implements fleet.
+func (r *remote) Cut(int) error { return eris.Wrap(ErrFleet, "no proxies before the instances") }
+
+// Heal implements fleet.
+func (r *remote) Heal(int) {}
+
 // storeTime is how long the last counts take to the store.
 const storeTime = 15 * time.Second
 
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -82,6 +82,8 @@
 	FaultSlow    FaultKind = "slow"
 	FaultLost    FaultKind = "lost"
 	FaultReplace FaultKind = "replace"
+	// FaultOneWay cuts the links that one instance accepted, inward.
+	FaultOneWay FaultKind = "oneway"
 )
 
 // Fault is one fault of the timetable.
@@ -90,7 +92,8 @@
 	Kind FaultKind
 	From time.Duration
 	To   time.Duration
-	// Service and Index choose a backend server.
+	// Service and Index choose a backend server; for links Index chooses an
+	// instance.
 	Service string
 	Index   int
 	// Share is the part of work concerned, and Time a length of time, where
@@ -239,7 +242,7 @@
 
 func (f Fault) check(file string, d deployment) error {
 	switch f.Kind {
-	case FaultOutage, FaultSlow, FaultLost, FaultReplace:
+	case FaultOutage, FaultSlow, FaultLost, FaultReplace, FaultOneWay:
 		return nil
 	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain:
 		if _, ok := d.service(f.Service); !ok {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -67,7 +67,7 @@
 	t.Run("an address in use is an error", func(t *testing.T) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		asserter.NoError(t, "listen", err)
-		defer l.Close()
+		defer func() { _ = l.Close() }()
 		settings := configurer.Settings{}
 		settings.Callers.Listen = l.Addr().String()
 		_, err = imitator.ServeStore(imitator.NewStore(), settings.Callers.Listen)
