Digests grow rarer with the links; the dialer forgets old addresses

Cause: an entry instance that also serves came to 18.6 KB a second at the target size, 3.2 KB of each direction digests; the times of dials were kept for ever. Change: a digest every 1.2 s over all links at most; times of dials are kept for a minute. Before: 18.6 KB.

--- a/estimator/page.go
+++ b/estimator/page.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"monsoonswitch/counter"
+	"monsoonswitch/gossiper"
 )
 
 // Role is one role at the target size.
@@ -89,8 +90,9 @@
 	documents := perSecond(targetChanges) + perSecond(2*(targetRestarts+targetFailures))
 	// Each change comes over every link once and goes out over every link once;
 	// a document itself comes and goes about twice.
-	messages := 2 * links * (1 + 0.1 + changes + documents)
-	bytes := links*(p.Sizes.Heartbeat+0.1*p.Sizes.Digest+changes*p.Sizes.Member+documents*p.Sizes.Reference) +
+	digests := 1 / gossiper.DigestInterval(p.Links).Seconds()
+	messages := 2 * links * (1 + digests + changes + documents)
+	bytes := links*(p.Sizes.Heartbeat+digests*p.Sizes.Digest+changes*p.Sizes.Member+documents*p.Sizes.Reference) +
 		2*perSecond(targetChanges)*p.Sizes.Declaration +
 		2*perSecond(2*(targetRestarts+targetFailures))*p.Sizes.Backends
 	member := fit(p.Members, func(x Point) float64 { return x.Memory })
@@ -110,13 +112,26 @@
 		Bytes:     2 * bytes,
 		Core:      core,
 		Memory:    memory,
-		Mechanism: "links at distances 1, 2, 4, ... on a ring; changes only; references first, documents on request; bucket sums every 10 s",
+		Mechanism: "links at distances 1, 2, 4, ... on a ring; changes only; references first, documents on request; bucket sums every 31 s",
 	}
 	p.Roles = []Role{entry, p.serving(perByte), p.watcher(documents), p.tallyWriter(perByte)}
+	p.Roles = append(p.Roles, together(p.Roles))
 	p.Stores = stores()
 	return nil
 }
 
+// together sums up an instance with every role.
+func together(roles []Role) Role {
+	sum := Role{Name: "one instance with every role", State: "all of the above", Mechanism: "few instances watch; most write the tallies of no service"}
+	for _, r := range roles {
+		sum.Messages += r.Messages
+		sum.Bytes += r.Bytes
+		sum.Core += r.Core
+		sum.Memory += r.Memory
+	}
+	return sum
+}
+
 // memberChanges returns the changes of member records a second: each replaced
 // instance becomes unready, leaves, joins and becomes ready.
 func memberChanges() float64 { return perSecond(4*targetRestarts + 6*targetFailures) }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -26,10 +26,18 @@
 	accusersNeeded = 2
 	// maxRecords bounds the records of one message.
 	maxRecords = 256
-	// digestEvery is the time between digests on a link.
-	digestEvery = 10 * time.Second
+	// digestLeast is the least time between digests on a link, and digestShare
+	// that between digests on any link.
+	digestLeast = 10 * time.Second
+	digestShare = 1200 * time.Millisecond
 )
 
+// DigestInterval returns the time between digests on one of a number of links:
+// the more links, the more others compare.
+func DigestInterval(links int) time.Duration {
+	return max(digestLeast, time.Duration(links)*digestShare)
+}
+
 // entry is what this instance knows of a member.
 type entry struct {
 	member descriptor.Member
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -62,6 +62,7 @@
 
 // beat sends heartbeats and digests that are due.
 func (g *Gossiper) beat(now time.Time, documents container.Sums) {
+	every := DigestInterval(g.links.Len())
 	for i := range g.links.Len() {
 		id, l := g.links.At(i)
 		if now.Sub(l.beaten) < heartbeatEvery {
@@ -70,7 +71,7 @@
 		g.sequence++
 		g.send(id, descriptor.Heartbeat{Sequence: g.sequence})
 		l = l.WithBeat(now)
-		if now.Sub(l.digested) >= digestEvery {
+		if now.Sub(l.digested) >= every {
 			g.send(id, descriptor.Digest{Members: g.digest, Documents: documents})
 			l = l.WithDigest(now)
 		}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -28,6 +28,8 @@
 	dialEvery = 250 * time.Millisecond
 	// dialWait is the wait before an instance is dialed again.
 	dialWait = time.Second
+	// dialMemory is how long the time of a dial is remembered.
+	dialMemory = time.Minute
 	// dialTimeout bounds the opening of a link.
 	dialTimeout = 2 * time.Second
 	// seedEvery is the mean time between calls at a seed, which join the parts
@@ -204,6 +206,11 @@
 	if seed, ok := l.dueSeed(now); ok {
 		result = append(result, seed)
 	}
+	for address, at := range l.dialed {
+		if now.Sub(at) > dialMemory {
+			delete(l.dialed, address)
+		}
+	}
 	for _, address := range result {
 		l.dialed[address] = now
 	}
