Failures and slow answers are separate evidence

Cause: in the errors scenarios a backend server that cut one of ten answers was never noticed: each good answer took back more than its share of a failure, since its speed counted against the failures too. Ruled out: breaks counted once a second (0.9 a second came). Change: two sums, the larger one counts. Before: 10% failures never noticed at ledger and ratiba.

--- a/commander/trial.go
+++ b/commander/trial.go
@@ -81,13 +81,15 @@
 }
 
 func (c *trialCommand) errors(w io.Writer) {
-	fmt.Fprintf(w, "One backend server fails 30%% of its work at 30%% load, %d seeds\n", c.seeds)
-	c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
-		x = x.WithStall(0.3, faultAt, faultEnd)
-		x.Faults[0].Stall = false
-		x.Faults[0].Errors = 0.3
-		return x
-	})
+	for _, share := range []float64{0.3, 0.1} {
+		fmt.Fprintf(w, "One backend server fails %.0f%% of its work at 30%% load, %d seeds\n", 100*share, c.seeds)
+		c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
+			x = x.WithStall(0.3, faultAt, faultEnd)
+			x.Faults[0].Stall = false
+			x.Faults[0].Errors = share
+			return x
+		})
+	}
 }
 
 func (c *trialCommand) detectors(w io.Writer) {
--- a/detector/policy.go
+++ b/detector/policy.go
@@ -52,18 +52,27 @@
 	sequentialCap = 2 * sequentialLimit
 )
 
-// Evidence is the cumulative log-likelihood ratio of gray against healthy.
+// Evidence holds two cumulative log-likelihood ratios of gray against healthy.
+// They are kept apart so that fast answers do not make up for failures.
 type Evidence struct {
-	// Sum is never negative and at most sequentialCap.
-	Sum float64
+	// Slow and Failing are never negative and at most sequentialCap.
+	Slow, Failing float64
 }
 
-// WithStep returns e with a log-likelihood ratio added.
-func (e Evidence) WithStep(step float64) Evidence {
-	e.Sum = min(sequentialCap, max(0, e.Sum+step))
+// WithSlow returns e with a log-likelihood ratio of service times added.
+func (e Evidence) WithSlow(step float64) Evidence {
+	e.Slow = bounded(e.Slow + step)
 	return e
 }
 
+// WithFailing returns e with a log-likelihood ratio of failures added.
+func (e Evidence) WithFailing(step float64) Evidence {
+	e.Failing = bounded(e.Failing + step)
+	return e
+}
+
+func bounded(sum float64) float64 { return min(sequentialCap, max(0, sum)) }
+
 // Sequential is a cumulative sum test on the tail probabilities and failures
 // of the work itself.
 type Sequential struct{}
@@ -72,18 +81,21 @@
 func (Sequential) Observe(e Evidence, o Observation) Evidence {
 	base := max(leastBase, o.Base)
 	if o.Failed {
-		return e.WithStep(math.Log(grayFailing / base))
+		return e.WithFailing(math.Log(grayFailing / base))
 	}
 	if o.Late {
-		return e.WithStep(overdueStep(o.Tail))
+		return e.WithSlow(overdueStep(o.Tail))
 	}
 	slow := 1 - graySlow + graySlow*graySkew*math.Pow(o.Tail, graySkew-1)
-	sound := (1 - grayFailing) / (1 - min(base, grayFailing))
-	return e.WithStep(math.Log(slow * sound))
+	e = e.WithSlow(math.Log(slow))
+	if e.Failing == 0 {
+		return e
+	}
+	return e.WithFailing(math.Log((1 - grayFailing) / (1 - min(base, grayFailing))))
 }
 
 // Score implements Policy.
-func (Sequential) Score(e Evidence) float64 { return e.Sum }
+func (Sequential) Score(e Evidence) float64 { return max(e.Slow, e.Failing) }
 
 // Overdue implements Policy.
 func (Sequential) Overdue(tail float64) float64 { return overdueStep(tail) }
@@ -93,7 +105,9 @@
 }
 
 // Restart implements Policy.
-func (Sequential) Restart(Evidence) Evidence { return Evidence{Sum: sequentialCaution / 2} }
+func (Sequential) Restart(Evidence) Evidence {
+	return Evidence{Slow: sequentialCaution / 2, Failing: sequentialCaution / 2}
+}
 
 // Limit implements Policy.
 func (Sequential) Limit() float64 { return sequentialLimit }
