Tallies of incarnations long ended are folded

Change: from 128 on, final ones older than an hour are added up into one tally that lists its owners. Before: 1,001 incarnations a minute apart make 1,001 tallies. After: at most 189, the same 1,001 requests received, late and repeated copies dropped.

--- /dev/null
+++ b/counter/counter_test.go
@@ -0,0 +1,129 @@
+package counter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// ended returns the final tally of an incarnation that served one request.
+func ended(i int, at time.Time) descriptor.Tally {
+	c := New(descriptor.Member{ID: fmt.Sprintf("entry-%03d", i), Incarnation: 1})
+	c.Receive(at, "billing")
+	c.End(at, "billing", "read", descriptor.Served, descriptor.Ran, 10, time.Millisecond)
+	c.Finish()
+	t, _ := c.Tally(at, "billing")
+	return t
+}
+
+// bench is a writer before a store.
+type bench struct {
+	t        *testing.T
+	writer   *Writer
+	stored   []descriptor.Tally
+	revision uint64
+	next     descriptor.WriteID
+}
+
+func newBench(t *testing.T) *bench {
+	x := &bench{t: t}
+	x.writer = NewWriter(descriptor.Member{ID: "w"}, func() descriptor.WriteID {
+		x.next++
+		return x.next
+	})
+	return x
+}
+
+// write carries the writes that are due to the store and returns the receipts.
+func (x *bench) write(now time.Time) []Addressed {
+	var receipts []Addressed
+	for _, a := range x.writer.Due(now, 3) {
+		w := a.(descriptor.WriteTallies)
+		e := descriptor.Written{At: now, Write: w.Write, Result: descriptor.WriteConflict, Revision: x.revision, Tallies: x.stored}
+		if w.Expect == x.revision {
+			x.revision++
+			x.stored = w.Tallies
+			e = descriptor.Written{At: now, Write: w.Write, Revision: x.revision}
+		}
+		got, _ := x.writer.Written(e)
+		receipts = append(receipts, got...)
+	}
+	return receipts
+}
+
+func (x *bench) received() uint64 {
+	var sum uint64
+	for _, t := range x.stored {
+		sum += t.Received
+	}
+	return sum
+}
+
+func TestWriter(t *testing.T) {
+	t.Run("older and repeated tallies change nothing", func(t *testing.T) {
+		x := newBench(t)
+		tally := ended(1, start)
+		x.writer.Merge(tally)
+		asserter.Equal(t, "receipts", len(x.write(start)), 1)
+		x.writer.Merge(tally)
+		asserter.Equal(t, "writes", len(x.writer.Due(start.Add(time.Hour), 3)), 0)
+	})
+	t.Run("a new writer keeps what the store holds", func(t *testing.T) {
+		x := newBench(t)
+		x.stored, x.revision = []descriptor.Tally{ended(7, start)}, 9
+		x.writer.Merge(ended(1, start))
+		x.write(start)
+		asserter.Equal(t, "receipts after the conflict", len(x.write(start.Add(time.Second))), 2)
+		asserter.Equal(t, "received", x.received(), uint64(2))
+	})
+	t.Run("failed writes back off up to the interval", func(t *testing.T) {
+		x := newBench(t)
+		x.writer.Merge(ended(1, start))
+		now := start
+		writes := 0
+		for now.Before(start.Add(10 * time.Minute)) {
+			for _, a := range x.writer.Due(now, 2700) {
+				writes++
+				x.writer.Written(descriptor.Written{At: now, Write: a.(descriptor.WriteTallies).Write, Result: descriptor.WriteUnavailable})
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		asserter.AtMost(t, "writes in ten minutes", writes, 60)
+		asserter.AtLeast(t, "writes in ten minutes", writes, 10)
+	})
+}
+
+func TestFold(t *testing.T) {
+	x := newBench(t)
+	const many = 1000
+	now := start
+	for i := range many {
+		x.writer.Merge(ended(i, now))
+		now = now.Add(time.Minute)
+		x.write(now)
+	}
+	x.writer.Merge(ended(many, now))
+	x.write(now.Add(time.Minute))
+	asserter.AtMost(t, "tallies", len(x.stored), foldFrom+61)
+	asserter.Equal(t, "received", x.received(), uint64(many+1))
+	t.Run("a late copy of a folded tally changes nothing", func(t *testing.T) {
+		x.writer.Merge(ended(3, start.Add(3*time.Minute)))
+		x.writer.Merge(ended(many+1, now))
+		x.write(now.Add(time.Hour))
+		asserter.Equal(t, "received", x.received(), uint64(many+2))
+	})
+	t.Run("a writer that meets a folded store drops what it contains", func(t *testing.T) {
+		y := newBench(t)
+		y.stored, y.revision = x.stored, x.revision
+		y.writer.Merge(ended(5, start.Add(5*time.Minute)))
+		y.writer.Merge(ended(many+2, now))
+		y.write(now)
+		y.write(now.Add(time.Minute))
+		asserter.Equal(t, "received", y.received(), uint64(many+3))
+	})
+}
--- a/counter/writer.go
+++ b/counter/writer.go
@@ -1,6 +1,7 @@
 package counter
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -84,6 +85,9 @@
 // Merge takes in a tally; an older version changes nothing.
 func (w *Writer) Merge(t descriptor.Tally) {
 	p := w.page(t.Service)
+	if p.isFolded(t) {
+		return
+	}
 	if p.merge(t) {
 		p.dirty = true
 		p.urgent = p.urgent || t.Final
@@ -100,6 +104,16 @@
 	return true
 }
 
+// isFolded tells whether the folded tally contains t.
+func (p *page) isFolded(t descriptor.Tally) bool {
+	folded, ok := p.tallies.Get(Owner(descriptor.Tally{Instance: FoldedInstance}))
+	if !ok {
+		return false
+	}
+	_, found := slices.BinarySearch(folded.Folded, Owner(t))
+	return found
+}
+
 // Due returns the writes to make now.
 func (w *Writer) Due(now time.Time, services int) []descriptor.Action {
 	every := WriteInterval(services)
@@ -113,7 +127,7 @@
 		p.interval = every
 		p.dirty = false
 		p.urgent = false
-		p.writing = p.list()
+		p.writing = Fold(p.list(), now)
 		actions = append(actions, descriptor.WriteTallies{
 			Write:   p.write,
 			Service: service,
@@ -157,12 +171,14 @@
 	case descriptor.WriteAccepted:
 		p.revision = e.Revision
 		p.failures = 0
+		p.drop()
 		return p.receipts()
 	case descriptor.WriteConflict:
 		p.revision = e.Revision
 		for _, t := range e.Tallies {
 			p.merge(t)
 		}
+		p.dropFolded()
 		p.nextAt = e.At
 	case descriptor.WriteUnavailable, descriptor.WriteUnknown:
 		p.nextAt = e.At.Add(p.backoff())
@@ -172,6 +188,27 @@
 	return nil
 }
 
+// drop replaces the tallies that the store now holds folded.
+func (p *page) drop() {
+	for _, t := range p.writing {
+		if t.Instance == FoldedInstance {
+			p.merge(t)
+		}
+	}
+	p.dropFolded()
+}
+
+// dropFolded removes the tallies that a folded one contains.
+func (p *page) dropFolded() {
+	folded, ok := p.tallies.Get(Owner(descriptor.Tally{Instance: FoldedInstance}))
+	if !ok {
+		return
+	}
+	for _, owner := range folded.Folded {
+		p.tallies.Delete(owner)
+	}
+}
+
 // backoff returns the wait after one more failure.
 func (p *page) backoff() time.Duration {
 	wait := min(p.interval, failureFirst<<min(p.failures, 8))
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -186,6 +186,8 @@
 	Ejections uint64
 	// Revisions lists the declaration revisions in force at the instance.
 	Revisions []InForce
+	// Folded lists the incarnations that a folded tally stands for.
+	Folded []string `json:",omitempty" cbor:",omitempty"`
 }
 
 // InForce tells when a revision came into force at an instance.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -143,7 +143,7 @@
 // newest returns the newest tally of each incarnation, in a fixed order.
 func newest(tallies []descriptor.Tally) []descriptor.Tally {
 	best := make(map[string]descriptor.Tally, len(tallies))
-	for _, t := range tallies {
+	for _, t := range counter.DropFolded(tallies) {
 		owner := counter.Owner(t)
 		if old, ok := best[owner]; !ok || t.Version > old.Version {
 			best[owner] = t
