--- a/assembler/assembler.go
+++ b/assembler/assembler.go
@@ -271,19 +271,6 @@
 	return result
 }
 
-// Backend returns the i-th backend server of a service.
-func (f *Fleet) Backend(service string, i int) (*Backend, bool) {
-	for _, b := range f.Backends {
-		if b.Service == service {
-			if i == 0 {
-				return b, true
-			}
-			i--
-		}
-	}
-	return nil, false
-}
-
 // Replace shuts the oldest instance down and starts a new one in its place.
 func (f *Fleet) Replace() error {
 	f.mu.Lock()
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -172,14 +172,6 @@
 // Open returns the number of requests that have not ended.
 func (b *Balancer[E, D, P, L]) Open() int { return b.requests.Len() }
 
-// Drain returns the actions and ends since the last call.
-func (b *Balancer[E, D, P, L]) Drain() ([]descriptor.Action, []Ended) {
-	actions, ended := b.actions, b.ended
-	b.actions = nil
-	b.ended = nil
-	return actions, ended
-}
-
 // Flush appends the actions and ends since the last call to the given slices
 // and keeps its own buffers.
 func (b *Balancer[E, D, P, L]) Flush(actions []descriptor.Action, ended []Ended) ([]descriptor.Action, []Ended) {
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -370,9 +370,6 @@
 	return true
 }
 
-// Ejections returns the set of ejections in force.
-func (b *Balancer[E, D, P, L]) Ejections() descriptor.Document { return b.ejections }
-
 // applyEjections gives each backend server the mode that the set and the floor
 // ask for. When capacity was lost since, the newest ejections give way.
 func (b *Balancer[E, D, P, L]) applyEjections() {
--- a/stopper/stopper.go
+++ b/stopper/stopper.go
@@ -73,6 +73,3 @@
 		close(s.done)
 	}
 }
-
-// Done is closed when the shutdown is done.
-func (s *Stopper) Done() <-chan struct{} { return s.done }
