A verdict counts only for the key it names

Cause: reading: request IDs begin anew with each incarnation of an instance, so a late grant for an earlier incarnation could let another key run. Change: the key is compared; the grant is given back. Before: the new test runs the other key. After: it is refused.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -349,7 +349,9 @@
 // on. A grant for a request that no longer waits is given back.
 func (k *Keeper) HearVerdict(from descriptor.Member, m descriptor.Verdict) (Settled, bool, []descriptor.Action) {
 	p, ok := k.waiting.Get(m.Request)
-	if !ok || p.issuer != from.ID {
+	// Request IDs begin anew with each incarnation: a verdict for an earlier
+	// one must not pass for this request's.
+	if !ok || p.issuer != from.ID || m.Key != scoped(p.arrived.Service, p.key) {
 		return Settled{}, false, giveBack(from, m)
 	}
 	k.waiting.Delete(m.Request)
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -153,6 +153,15 @@
 		asserter.Equal(t, "late", len(late), 1)
 		p.want(late[0].Decision, Reject, descriptor.KeyUnsettled, descriptor.MayHaveRun)
 	})
+	t.Run("a grant of another key is given back", func(t *testing.T) {
+		p := newPair(t)
+		e := descriptor.Arrived{At: p.now, Request: 5, Service: "billing", Key: p.key("a", "mine")}
+		_, _ = p.keepers["b"].Begin(e, false)
+		verdict := descriptor.Verdict{Request: 5, Key: "billing/" + p.key("a", "other"), Granted: true}
+		_, ok, actions := p.keepers["b"].HearVerdict(p.roster["a"], verdict)
+		asserter.Equal(t, "went on", ok, false)
+		asserter.Equal(t, "actions", len(actions), 1)
+	})
 	t.Run("a grant that comes too late is given back", func(t *testing.T) {
 		p := newPair(t)
 		verdict := descriptor.Verdict{Request: 77, Key: "billing/k", Granted: true}
