Failures are evidence of their own beside the common sum

The drift of good answers no longer held chance excursions of the times down. Change: the common sum is back, and failures alone have a second one.

--- a/balancer/eject_test.go
+++ b/balancer/eject_test.go
@@ -15,7 +15,7 @@
 	for _, id := range ids {
 		p := x.b.backends.Position(id)
 		_, s := x.b.backends.At(p)
-		s.evidence = s.evidence.WithSlow(40)
+		s.evidence = s.evidence.WithSteps(40, 0)
 		x.b.backends.SetAt(p, s)
 		m.Scores = append(m.Scores, descriptor.Score{Backend: id, Value: 40, Recent: 9})
 	}
@@ -122,7 +122,7 @@
 		x := newBench(t, 2, 6, 3)
 		p := x.b.backends.Position("b0")
 		_, s := x.b.backends.At(p)
-		s.evidence = s.evidence.WithSlow(40)
+		s.evidence = s.evidence.WithSteps(40, 0)
 		x.b.backends.SetAt(p, s)
 		x.b.HearEvidence(x.now, "entry-1", descriptor.Evidence{Scores: []descriptor.Score{{Backend: "b0", Recent: 20}}})
 		x.run(100 * time.Millisecond)
--- a/detector/policy.go
+++ b/detector/policy.go
@@ -53,21 +53,18 @@
 )
 
 // Evidence holds two cumulative log-likelihood ratios of gray against healthy.
-// They are kept apart so that fast answers do not make up for failures.
+// Failures have one of their own too, so that fast answers do not make up for
+// them.
 type Evidence struct {
-	// Slow and Failing are never negative and at most sequentialCap.
-	Slow, Failing float64
+	// All sums up service times and failures, and Failing failures alone. Both
+	// are never negative and at most sequentialCap.
+	All, Failing float64
 }
 
-// WithSlow returns e with a log-likelihood ratio of service times added.
-func (e Evidence) WithSlow(step float64) Evidence {
-	e.Slow = bounded(e.Slow + step)
-	return e
-}
-
-// WithFailing returns e with a log-likelihood ratio of failures added.
-func (e Evidence) WithFailing(step float64) Evidence {
-	e.Failing = bounded(e.Failing + step)
+// WithSteps returns e with the log-likelihood ratios of one request added.
+func (e Evidence) WithSteps(slow, failing float64) Evidence {
+	e.All = bounded(e.All + slow + failing)
+	e.Failing = bounded(e.Failing + failing)
 	return e
 }
 
@@ -81,21 +78,18 @@
 func (Sequential) Observe(e Evidence, o Observation) Evidence {
 	base := max(leastBase, o.Base)
 	if o.Failed {
-		return e.WithFailing(math.Log(grayFailing / base))
+		return e.WithSteps(0, math.Log(grayFailing/base))
 	}
 	if o.Late {
-		return e.WithSlow(overdueStep(o.Tail))
-	}
-	slow := 1 - graySlow + graySlow*graySkew*math.Pow(o.Tail, graySkew-1)
-	e = e.WithSlow(math.Log(slow))
-	if e.Failing == 0 {
-		return e
+		return e.WithSteps(overdueStep(o.Tail), 0)
 	}
-	return e.WithFailing(math.Log((1 - grayFailing) / (1 - min(base, grayFailing))))
+	slow := math.Log(1 - graySlow + graySlow*graySkew*math.Pow(o.Tail, graySkew-1))
+	sound := math.Log((1 - grayFailing) / (1 - min(base, grayFailing)))
+	return e.WithSteps(slow, sound)
 }
 
 // Score implements Policy.
-func (Sequential) Score(e Evidence) float64 { return max(e.Slow, e.Failing) }
+func (Sequential) Score(e Evidence) float64 { return max(e.All, e.Failing) }
 
 // Overdue implements Policy.
 func (Sequential) Overdue(tail float64) float64 { return overdueStep(tail) }
@@ -106,7 +100,7 @@
 
 // Restart implements Policy.
 func (Sequential) Restart(Evidence) Evidence {
-	return Evidence{Slow: sequentialCaution / 2, Failing: sequentialCaution / 2}
+	return Evidence{All: sequentialCaution / 2, Failing: sequentialCaution / 2}
 }
 
 // Limit implements Policy.
