A backend server that breaks connections without breaking down is noticed

Ruled out: the separate sum of failures (it never got them). Change: the second does not restart, and for 10 s after a probe found the server up each break counts.

--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -85,8 +85,10 @@
 	// probeAt is when a backend server that is down is probed next.
 	probeAt   time.Time
 	probeWait time.Duration
-	// brokenAt is when connections to it broke last.
-	brokenAt time.Time
+	// brokenAt is when the last breakdown began that counted, and soundUntil
+	// until when broken connections are known to be no breakdown.
+	brokenAt   time.Time
+	soundUntil time.Time
 	// good counts the answers of the present trial, which began at trialFrom.
 	good      int
 	trialFrom time.Time
--- a/balancer/eject_test.go
+++ b/balancer/eject_test.go
@@ -153,6 +153,21 @@
 		asserter.True(t, "proposed", x.proposal() != nil)
 		asserter.Equal(t, "backend", x.proposal().Document.Ejections[0].Backend, "b0")
 	})
+	t.Run("connections that break again and again convict", func(t *testing.T) {
+		x := newBench(t, 1, 6, 3)
+		x.warm()
+		for range 400 {
+			_, p := x.arrive("booking", nil)
+			if p.Backend.ID != "b0" {
+				x.serve(*p, 5*time.Millisecond, 200)
+				continue
+			}
+			x.fail(*p, descriptor.FaultBroken)
+			x.b.Probed(descriptor.Probed{At: x.now, Backend: "b0", Suspected: true, Alive: true})
+		}
+		x.run(100 * time.Millisecond)
+		asserter.True(t, "avoided", x.b.Avoids("b0"))
+	})
 	t.Run("a stopped process convicts nobody", func(t *testing.T) {
 		x := newBench(t, 1, 6, 3)
 		x.warm()
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "monsoonswitch/descriptor"
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
 
 // Failed takes in that an attempt ended without a whole answer.
 func (b *Balancer[E, D, P, L]) Failed(e descriptor.Failed) {
@@ -143,7 +147,7 @@
 // brought the backend server down. All connections that break together count
 // as one failure, and none if the request did the same elsewhere before.
 func (b *Balancer[E, D, P, L]) broke(s backend[E], r request, a attempt) backend[E] {
-	fresh := b.now.Sub(s.brokenAt) > crashWindow
+	fresh := b.now.Sub(s.brokenAt) > crashWindow || b.now.Before(s.soundUntil)
 	known := b.crashedElsewhere(r.fingerprint, a.backend)
 	b.recordCrash(r.fingerprint, a.backend)
 	if fresh {
@@ -152,10 +156,16 @@
 	if fresh && !known {
 		s = b.observe(s, r.class, a, true)
 	}
-	s.brokenAt = b.now
+	if fresh {
+		s.brokenAt = b.now
+	}
 	return s
 }
 
+// soundTime is how long after a probe each broken connection of a backend server
+// counts by itself: it breaks connections without breaking down.
+const soundTime = 10 * time.Second
+
 // Probed takes in whether a backend server accepts connections.
 func (b *Balancer[E, D, P, L]) Probed(e descriptor.Probed) {
 	b.advance(e.At)
@@ -170,6 +180,7 @@
 		b.note(descriptor.NoteUp, e.Backend, "accepts connections")
 	case e.Alive && e.Suspected:
 		b.absolve(e.Backend)
+		s.soundUntil = e.At.Add(soundTime)
 	case e.Alive:
 	default:
 		if s.mode != modeDown {
