Served services are balancers, nothing is announced when nothing is fresh

Change: the struct around each served balancer held nothing else any more and is gone; links are listed and sorted only when a document is fresh, not at every tick; the folded tally is looked up in one place; the store's calls are summed up in one place; the server tests share their fixture.

--- a/bench_test.go
+++ b/bench_test.go
@@ -41,8 +41,7 @@
 		get(f.t, p.operators, "/metrics", &m)
 		u.sent += m["links.sentbytes"].Value
 	}
-	c := f.store.Calls()
-	u.calls = c.Reads + c.Writes + c.Watches + c.Lists
+	u.calls = f.store.Calls().Total()
 	return u
 }
 
--- a/counter/writer.go
+++ b/counter/writer.go
@@ -106,14 +106,16 @@
 
 // isFolded tells whether the folded tally contains t.
 func (p *page) isFolded(t descriptor.Tally) bool {
-	folded, ok := p.tallies.Get(Owner(descriptor.Tally{Instance: FoldedInstance}))
-	if !ok {
-		return false
-	}
-	_, found := slices.BinarySearch(folded.Folded, Owner(t))
+	_, found := slices.BinarySearch(p.folded(), Owner(t))
 	return found
 }
 
+// folded lists the incarnations that the folded tally contains, sorted.
+func (p *page) folded() []string {
+	t, _ := p.tallies.Get(Owner(descriptor.Tally{Instance: FoldedInstance}))
+	return t.Folded
+}
+
 // Due returns the writes to make now.
 func (w *Writer) Due(now time.Time, services int) []descriptor.Action {
 	every := WriteInterval(services)
@@ -200,11 +202,7 @@
 
 // dropFolded removes the tallies that a folded one contains.
 func (p *page) dropFolded() {
-	folded, ok := p.tallies.Get(Owner(descriptor.Tally{Instance: FoldedInstance}))
-	if !ok {
-		return
-	}
-	for _, owner := range folded.Folded {
+	for _, owner := range p.folded() {
 		p.tallies.Delete(owner)
 	}
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -41,11 +41,6 @@
 	Patience time.Duration
 }
 
-// served is a service that this instance serves or finishes.
-type served[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy] struct {
-	balancer *balancer.Balancer[E, D, P, L]
-}
-
 // declaration is a declared service and when its revision came into force.
 type declaration struct {
 	service  declarer.Service
@@ -68,7 +63,8 @@
 	index    *allocator.Index
 	// declared holds the declaration of each service.
 	declared *container.Table[string, declaration]
-	served   *container.Table[string, *served[E, D, P, L]]
+	// served holds each service that this instance serves or finishes.
+	served *container.Table[string, *balancer.Balancer[E, D, P, L]]
 	// requests maps each open request to its service.
 	requests *container.Table[descriptor.RequestID, string]
 	notes    *container.Ring[descriptor.Note]
@@ -107,7 +103,7 @@
 		counter:  counter.New(o.Self),
 		index:    allocator.NewIndex(),
 		declared: container.NewTable[string, declaration](),
-		served:   container.NewTable[string, *served[E, D, P, L]](),
+		served:   container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
 		requests: container.NewTable[descriptor.RequestID, string](),
 		notes:    container.NewRing[descriptor.Note](keptNotes),
 		dirty:    true,
@@ -141,17 +137,17 @@
 	case descriptor.Arrived:
 		d.arrive(e)
 	case descriptor.Sent:
-		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Sent(e) })
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Sent(e) })
 	case descriptor.Answered:
-		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Answered(e) })
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Answered(e) })
 	case descriptor.Finished:
-		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Finished(e) })
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Finished(e) })
 	case descriptor.Failed:
-		d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Failed(e) })
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Failed(e) })
 	case descriptor.Gone:
 		d.gone(e)
 	case descriptor.Probed:
-		d.onService(e.Service, func(s *served[E, D, P, L]) { s.balancer.Probed(e) })
+		d.onService(e.Service, func(s *balancer.Balancer[E, D, P, L]) { s.Probed(e) })
 	case descriptor.Ticked:
 		d.tick()
 	case descriptor.Received:
@@ -198,7 +194,7 @@
 }
 
 // onService runs f on a served service and collects what follows.
-func (d *Decider[E, D, P, L]) onService(service string, f func(*served[E, D, P, L])) {
+func (d *Decider[E, D, P, L]) onService(service string, f func(*balancer.Balancer[E, D, P, L])) {
 	s, ok := d.served.Get(service)
 	if !ok {
 		return
@@ -207,16 +203,16 @@
 	d.collect(service, s)
 }
 
-func (d *Decider[E, D, P, L]) onRequest(id descriptor.RequestID, f func(*served[E, D, P, L])) {
+func (d *Decider[E, D, P, L]) onRequest(id descriptor.RequestID, f func(*balancer.Balancer[E, D, P, L])) {
 	if service, ok := d.requests.Get(id); ok {
 		d.onService(service, f)
 	}
 }
 
 // collect takes over the actions of a service and the ends of its requests.
-func (d *Decider[E, D, P, L]) collect(service string, s *served[E, D, P, L]) {
+func (d *Decider[E, D, P, L]) collect(service string, s *balancer.Balancer[E, D, P, L]) {
 	before := len(d.actions)
-	d.actions, d.ended = s.balancer.Flush(d.actions, d.ended[:0])
+	d.actions, d.ended = s.Flush(d.actions, d.ended[:0])
 	for _, a := range d.actions[before:] {
 		d.inspect(a)
 	}
@@ -258,7 +254,7 @@
 		d.admit(e, s)
 		return
 	}
-	if reason, retry := s.balancer.Barrier(e); reason != descriptor.Served {
+	if reason, retry := s.Barrier(e); reason != descriptor.Served {
 		d.refuse(e, reason, descriptor.NotRun, retry)
 		return
 	}
@@ -297,9 +293,9 @@
 	}
 }
 
-func (d *Decider[E, D, P, L]) admit(e descriptor.Arrived, s *served[E, D, P, L]) {
+func (d *Decider[E, D, P, L]) admit(e descriptor.Arrived, s *balancer.Balancer[E, D, P, L]) {
 	d.requests.Put(e.Request, e.Service)
-	s.balancer.Arrive(e)
+	s.Arrive(e)
 	d.collect(e.Service, s)
 }
 
@@ -314,5 +310,5 @@
 		d.refuse(arrived, descriptor.Abandoned, descriptor.NotRun, 0)
 		return
 	}
-	d.onRequest(e.Request, func(s *served[E, D, P, L]) { s.balancer.Gone(e) })
+	d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Gone(e) })
 }
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -39,7 +39,7 @@
 	case descriptor.KindBackends:
 		d.list(document)
 	case descriptor.KindEjections:
-		d.onService(document.Name, func(s *served[E, D, P, L]) { s.balancer.Eject(d.now, document) })
+		d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.Eject(d.now, document) })
 	}
 }
 
@@ -56,15 +56,15 @@
 	})
 	d.note(descriptor.NoteRevision, document.Name, revisionText(document.Revision))
 	d.resize(document.Name)
-	d.onService(document.Name, func(s *served[E, D, P, L]) {
+	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) {
 		d.counter.InForce(d.now, document.Name, document.Revision)
-		s.balancer.Declare(*document.Service, document.Revision)
+		s.Declare(*document.Service, document.Revision)
 	})
 }
 
 func (d *Decider[E, D, P, L]) list(document descriptor.Document) {
 	d.resize(document.Name)
-	d.onService(document.Name, func(s *served[E, D, P, L]) { s.balancer.List(d.now, document.Backends) })
+	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.List(d.now, document.Backends) })
 }
 
 // resize sets how many instances serve a service, by the size of the service.
@@ -98,7 +98,7 @@
 	if !d.served.Has(service) && includes(serving, d.options.Self.ID) {
 		d.open(service)
 	}
-	d.onService(service, func(s *served[E, D, P, L]) { s.balancer.Serve(d.now, serving) })
+	d.onService(service, func(s *balancer.Balancer[E, D, P, L]) { s.Serve(d.now, serving) })
 }
 
 // open creates the state of a service that this instance begins to serve.
@@ -107,20 +107,18 @@
 	if !ok {
 		return
 	}
-	s := &served[E, D, P, L]{
-		balancer: balancer.New[E, D, P, L](known.service, balancer.Options{
-			Self:      d.options.Self.ID,
-			Seed:      d.options.Seed,
-			NextWrite: d.nextWrite,
-		}),
-	}
-	s.balancer.Declare(known.service, known.revision)
+	s := balancer.New[E, D, P, L](known.service, balancer.Options{
+		Self:      d.options.Self.ID,
+		Seed:      d.options.Seed,
+		NextWrite: d.nextWrite,
+	})
+	s.Declare(known.service, known.revision)
 	d.counter.InForce(d.now, service, known.revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
-		s.balancer.List(d.now, list.Backends)
+		s.List(d.now, list.Backends)
 	}
 	if set, ok := d.spreader.Get(descriptor.KindEjections, service); ok {
-		s.balancer.Eject(d.now, set)
+		s.Eject(d.now, set)
 	}
 	d.served.Put(service, s)
 }
@@ -129,7 +127,7 @@
 func (d *Decider[E, D, P, L]) retire() {
 	var done []string
 	for service, s := range d.served.All {
-		if !s.balancer.Serves() && !s.balancer.Busy() {
+		if !s.Serves() && !s.Busy() {
 			done = append(done, service)
 		}
 	}
--- a/decider/dump.go
+++ b/decider/dump.go
@@ -30,7 +30,7 @@
 		})
 	}
 	for service, s := range d.served.All {
-		state := s.balancer.Dump(now)
+		state := s.Dump(now)
 		state.Tally, _ = d.counter.Tally(now, service)
 		dump.Services = append(dump.Services, state)
 	}
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 
+	"monsoonswitch/balancer"
 	"monsoonswitch/descriptor"
 )
 
@@ -96,15 +97,15 @@
 func (d *Decider[E, D, P, L]) receiveService(from descriptor.Member, message descriptor.Message) {
 	switch m := message.(type) {
 	case descriptor.Evidence:
-		d.onService(m.Service, func(s *served[E, D, P, L]) { s.balancer.HearEvidence(d.now, from.ID, m) })
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearEvidence(d.now, from.ID, m) })
 	case descriptor.Crash:
-		d.onService(m.Service, func(s *served[E, D, P, L]) { s.balancer.HearCrash(d.now, m) })
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearCrash(d.now, m) })
 	case descriptor.Drain:
-		d.onService(m.Service, func(s *served[E, D, P, L]) { s.balancer.HearDrain(d.now, m) })
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearDrain(d.now, m) })
 	case descriptor.Demand:
-		d.onService(m.Service, func(s *served[E, D, P, L]) { s.balancer.HearDemand(d.now, from, m) })
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearDemand(d.now, from, m) })
 	case descriptor.Loan:
-		d.onService(m.Service, func(s *served[E, D, P, L]) { s.balancer.HearLoan(d.now, m) })
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearLoan(d.now, m) })
 	}
 }
 
@@ -121,7 +122,7 @@
 		return
 	}
 	for service, s := range d.served.All {
-		if s.balancer.Proposed(e.Write) {
+		if s.Proposed(e.Write) {
 			d.ejectionWritten(service, s, e)
 			return
 		}
@@ -139,11 +140,11 @@
 }
 
 // ejectionWritten puts a written set of ejections in force and spreads it.
-func (d *Decider[E, D, P, L]) ejectionWritten(service string, s *served[E, D, P, L], e descriptor.Written) {
-	document, ok := s.balancer.Written(e)
+func (d *Decider[E, D, P, L]) ejectionWritten(service string, s *balancer.Balancer[E, D, P, L], e descriptor.Written) {
+	document, ok := s.Written(e)
 	if ok {
 		d.spreader.Take(document, "")
-		s.balancer.Eject(d.now, document)
+		s.Eject(d.now, document)
 	}
 	d.collect(service, s)
 }
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -23,7 +23,7 @@
 	}
 	for i := range d.served.Len() {
 		service, s := d.served.At(i)
-		s.balancer.Tick(d.now)
+		s.Tick(d.now)
 		d.collect(service, s)
 	}
 	d.spread()
@@ -45,6 +45,9 @@
 
 // spread announces fresh documents over all links.
 func (d *Decider[E, D, P, L]) spread() {
+	if !d.spreader.HasFresh() {
+		return
+	}
 	for _, a := range d.spreader.Fresh(d.gossiper.Links()) {
 		if to, ok := d.gossiper.Member(a.To); ok {
 			d.send(to, a.References)
--- a/estimator/fleet.go
+++ b/estimator/fleet.go
@@ -56,7 +56,7 @@
 	time.Sleep(settleTime)
 	p := FleetPoint{Instances: instances, Memory: (heap() - before) / float64(instances)}
 	bytes, messages := sent(f)
-	calls := callsOf(f)
+	calls := f.Store.Calls().Total()
 	used := cpuTime()
 	time.Sleep(length)
 	used = cpuTime() - used
@@ -65,7 +65,7 @@
 	p.Bytes = float64(bytes2-bytes) / n
 	p.Messages = float64(messages2-messages) / n
 	p.Core = used.Seconds() / n
-	p.Calls = float64(callsOf(f)-calls) / length.Seconds()
+	p.Calls = float64(f.Store.Calls().Total()-calls) / length.Seconds()
 	p.Waiting = f.Store.Calls().Waiting
 	runtime.KeepAlive(f)
 	return p, nil
@@ -81,11 +81,6 @@
 	return bytes, messages
 }
 
-func callsOf(f *assembler.Fleet) uint64 {
-	c := f.Store.Calls()
-	return c.Reads + c.Writes + c.Watches + c.Lists
-}
-
 // cpuTime returns the processor time of this process.
 func cpuTime() time.Duration {
 	var u syscall.Rusage
--- a/imitator/store.go
+++ b/imitator/store.go
@@ -38,6 +38,9 @@
 	Refused uint64 `json:"refused"`
 }
 
+// Total returns the calls that were served.
+func (c StoreCalls) Total() uint64 { return c.Reads + c.Writes + c.Watches + c.Lists }
+
 // value is one value in the store.
 type value struct {
 	item storer.Item
--- a/server/added_test.go
+++ b/server/added_test.go
@@ -11,30 +11,12 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"monsoonswitch/assembler"
-	"monsoonswitch/asserter"
-	"monsoonswitch/configurer"
-	"monsoonswitch/declarer"
 	"monsoonswitch/imitator"
 )
 
 // pair is an instance before backend servers that answer at once.
 func pair(b *testing.B) (through, direct string) {
-	f, err := assembler.New(assembler.Options{
-		Domains:   []string{"a"},
-		Instances: 1,
-		Groups:    []assembler.Group{{Service: "ledger", Count: 6, Options: imitator.BackendOptions{Slots: 64, Backlog: 64}}},
-		Services: []declarer.Service{{
-			Name:    "ledger",
-			Floor:   4,
-			Classes: []declarer.Class{{Name: "lookup", Target: time.Second, Idempotent: true}},
-			Routes:  []declarer.Route{{Name: "all", Path: "/", Class: "lookup"}},
-		}},
-		Policy: configurer.PolicyStandard,
-		Keep:   time.Second,
-	})
-	asserter.NoError(b, "start", err)
-	b.Cleanup(f.Close)
+	f := oneInstance(b, 6, imitator.BackendOptions{Slots: 64, Backlog: 64})
 	return f.Entries()[0], f.Backends[0].Listed.Address
 }
 
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -15,11 +15,12 @@
 	"monsoonswitch/operator"
 )
 
-func oneInstance(t *testing.T) *assembler.Fleet {
+// oneInstance starts an instance before backend servers with the given options.
+func oneInstance(t testing.TB, backends int, o imitator.BackendOptions) *assembler.Fleet {
 	f, err := assembler.New(assembler.Options{
 		Domains:   []string{"a"},
 		Instances: 1,
-		Groups:    []assembler.Group{{Service: "ledger", Count: 3, Options: imitator.BackendOptions{Slots: 2, Median: time.Millisecond}}},
+		Groups:    []assembler.Group{{Service: "ledger", Count: backends, Options: o}},
 		Services: []declarer.Service{{
 			Name:    "ledger",
 			Floor:   2,
@@ -35,7 +36,7 @@
 }
 
 func TestListeners(t *testing.T) {
-	f := oneInstance(t)
+	f := oneInstance(t, 3, imitator.BackendOptions{Slots: 2, Median: time.Millisecond})
 	s := f.Servers()[0]
 	t.Run("HTTP/2 without TLS", func(t *testing.T) {
 		protocols := new(http.Protocols)
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -94,15 +94,15 @@
 	return name{d.Kind, d.Name}.hash()*31 + d.Revision*0x9e3779b97f4a7c15
 }
 
+// HasFresh tells whether documents were taken in since the last call of Fresh.
+func (s *Spreader) HasFresh() bool { return s.fresh.Len() > 0 }
+
 // Fresh returns the references of the documents taken in since the last call,
 // for each of the given instances. Only references go to all: whoever lacks a
 // document asks one instance for it, so that each gets it about once over
 // whatever number of links. A reference does not go back where its document
 // came from.
 func (s *Spreader) Fresh(to []string) []Announcement {
-	if s.fresh.Len() == 0 {
-		return nil
-	}
 	var result []Announcement
 	for _, id := range to {
 		var list []descriptor.Reference
