--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -28,6 +28,10 @@
 	return max(1, min(n, max(smallest, 2)))
 }
 
+// CallerCount returns how many instances callers are sent to if all services
+// together have a total of slots.
+func CallerCount(total int) int { return max(LeastServing, 1+total/slotsPerServing) }
+
 // Weight is the rendezvous weight of member id for service.
 func Weight(service, id string) uint64 {
 	return mix(xxhash.Sum64String(service), xxhash.Sum64String(id))
--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -80,6 +80,13 @@
 // observe returns s with an ended attempt as evidence. Answers of a backend
 // server that started lately are no evidence.
 func (b *Balancer[E, D, P, L]) observe(s backend[E], c int, a attempt, failed bool) backend[E] {
+	if b.options.Guests {
+		s = s.WithOutcome(b.now, failed, 0)
+		b.noteOutcome(a.backend, failed)
+		if failed {
+			return s
+		}
+	}
 	if b.now.Before(s.coldUntil) && !failed {
 		return s
 	}
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -55,7 +55,7 @@
 		return descriptor.ServiceClosing, 0
 	case b.service.State == declarer.Closed:
 		return descriptor.ServiceClosed, 0
-	case b.position < 0:
+	case b.position < 0 && !b.options.Guests:
 		return descriptor.Misdirected, 0
 	case b.poisoned(e.Fingerprint):
 		return descriptor.Poisoned, 0
@@ -210,7 +210,7 @@
 func (b *Balancer[E, D, P, L]) candidateAt(set *container.Positions, i int) picker.Candidate {
 	position := set.At(i)
 	_, s := b.backends.At(position)
-	return picker.Candidate{Position: position, InFlight: s.inFlight, Share: max(1, s.share)}
+	return picker.Candidate{Position: position, InFlight: s.inFlight, Share: max(1, s.share), Trust: s.belief.Trust(b.now)}
 }
 
 // place stores the record at position and keeps the sets of free backend
@@ -218,11 +218,15 @@
 func (b *Balancer[E, D, P, L]) place(position int, s backend[E]) {
 	b.backends.SetAt(position, s)
 	free := s.inFlight < s.limit(b.now)
-	risky := s.avoided || s.mode == modeTrial
+	risky := s.avoided || s.mode == modeTrial || b.options.Guests && s.belief.Trust(b.now) < riskTrust
 	b.preferred.Set(position, free && !risky)
 	b.wary.Set(position, free && risky)
 }
 
+// riskTrust is the trust below which a backend server gets only work that may run
+// twice, as long as there is another one.
+const riskTrust = 0.5
+
 // pump starts queued requests while there are free slots.
 func (b *Balancer[E, D, P, L]) pump() {
 	b.pumpRetries()
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonswitch/descriptor"
+	"monsoonswitch/detector"
 )
 
 // mode tells which work a backend server may get.
@@ -67,6 +68,8 @@
 	// overdue requests at the last tick.
 	evidence E
 	open     float64
+	// belief is what the pooled outcomes of work say of failures.
+	belief detector.Belief
 	// fleet is the score over all serving instances at the last tick.
 	fleet float64
 	// recent counts the observations of the present window, and before those
@@ -97,8 +100,15 @@
 // unlimited is the cap of a backend server that did not shed.
 const unlimited = 1 << 20
 
-func newBackend[E any](listed descriptor.Backend) backend[E] {
-	return backend[E]{listed: listed, cap: unlimited}
+func newBackend[E any](listed descriptor.Backend, now time.Time) backend[E] {
+	return backend[E]{listed: listed, cap: unlimited, belief: detector.NewBelief(now)}
+}
+
+// WithOutcome returns b after a request that ended there; base is the share of
+// requests that fail at sound backend servers.
+func (b backend[E]) WithOutcome(now time.Time, failed bool, base float64) backend[E] {
+	b.belief = b.belief.WithOutcome(now, failed, base)
+	return b
 }
 
 // WithListed returns b as the platform lists it now.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -43,6 +43,9 @@
 	Seed uint64
 	// NextWrite returns an unused write ID.
 	NextWrite func() descriptor.WriteID
+	// Guests tells that instances that do not share the slots of the service
+	// serve it too. Outcomes of work are pooled then, and decide the placement.
+	Guests bool
 }
 
 // Balancer holds the state of one service. It belongs to one goroutine.
@@ -92,6 +95,9 @@
 	refusal   string
 	peers     map[string]peerEvidence
 	crashes   *container.Generations[uint64, crash]
+	// untold holds the outcomes that the other instances were not told yet.
+	untold *container.Table[string, descriptor.BackendOutcomes]
+	toldAt time.Time
 
 	lastEvent    time.Time
 	lastJudged   time.Time
@@ -135,6 +141,7 @@
 		budget:   retrier.NewBudget(),
 		position: -1,
 		peers:    make(map[string]peerEvidence),
+		untold:   container.NewTable[string, descriptor.BackendOutcomes](),
 		crashes:  container.NewGenerations[uint64, crash](maxCrashes),
 	}
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -112,7 +112,7 @@
 // serve answers a dispatched request after d.
 func (x *bench) serve(p descriptor.Dispatch, d time.Duration, status int) {
 	x.now = x.now.Add(d)
-	x.b.Answered(descriptor.Answered{At: x.now, Request: p.Request, Attempt: p.Attempt, Status: status, Free: -1})
+	x.b.Answered(descriptor.Answered{At: x.now, Request: p.Request, Attempt: p.Attempt, Status: status})
 	x.take()
 	if x.dispatched(p.Request) == nil {
 		x.b.Finished(descriptor.Finished{At: x.now, Request: p.Request, Attempt: p.Attempt, Bytes: 1})
@@ -258,7 +258,7 @@
 			for p != nil {
 				attempts++
 				failed := *p
-				x.b.Answered(descriptor.Answered{At: x.now, Request: failed.Request, Attempt: failed.Attempt, Status: 503, Free: -1})
+				x.b.Answered(descriptor.Answered{At: x.now, Request: failed.Request, Attempt: failed.Attempt, Status: 503})
 				x.take()
 				p = x.dispatched(failed.Request)
 				if p == nil {
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -17,7 +17,7 @@
 	a := r.attempts[i]
 	b.release(r, i)
 	r = r.WithoutAttempt(i)
-	ran := e.Fault != descriptor.FaultConnect && e.Fault != descriptor.FaultShed
+	ran := e.Fault != descriptor.FaultConnect && e.Fault != descriptor.FaultShed && e.Fault != descriptor.FaultForeign
 	if ran {
 		r = r.WithUncertainty()
 	}
@@ -47,7 +47,7 @@
 	if ran && b.poisoned(r.fingerprint) {
 		reason = descriptor.Poisoned
 	}
-	if e.Fault == descriptor.FaultShed {
+	if e.Fault == descriptor.FaultShed || e.Fault == descriptor.FaultForeign {
 		reason = descriptor.Overloaded
 	}
 	b.refuse(r, reason, r.outcome(), retryAfter)
@@ -56,7 +56,7 @@
 // mayRetry tells whether a request may be sent to another backend server.
 // Non-idempotent work needs proof that it did not run.
 func (b *Balancer[E, D, P, L]) mayRetry(r request, e descriptor.Failed, ran bool) bool {
-	if int(r.last) >= maxAttempts || b.backends.Len() <= int(r.last) {
+	if int(r.last) >= b.attemptLimit(r) || b.backends.Len() <= int(r.last) {
 		return false
 	}
 	if !r.replayable && !e.Untouched {
@@ -71,6 +71,14 @@
 	return b.spend()
 }
 
+// attemptLimit returns how many backend servers a request may be sent to.
+func (b *Balancer[E, D, P, L]) attemptLimit(r request) int {
+	if n := b.classes[r.class].declared.Attempts; n > 0 {
+		return min(n, maxAttempts)
+	}
+	return maxAttempts
+}
+
 // spend takes one retry out of the budget.
 func (b *Balancer[E, D, P, L]) spend() bool {
 	var ok bool
@@ -125,6 +133,8 @@
 	switch e.Fault {
 	case descriptor.FaultConnect:
 		s = b.refusedConnection(s)
+	case descriptor.FaultForeign:
+		s = b.drained(s)
 	case descriptor.FaultShed:
 		s = s.WithShed()
 	case descriptor.FaultBroken:
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -38,7 +38,7 @@
 func (b *Balancer[E, D, P, L]) enlist(listed descriptor.Backend) {
 	s, ok := b.backends.Get(listed.ID)
 	if !ok {
-		s = newBackend[E](listed)
+		s = newBackend[E](listed, b.now)
 		if b.listed {
 			s.rampFrom = b.now
 			s.coldUntil = b.now.Add(coldTime)
@@ -74,7 +74,14 @@
 	b.refresh()
 }
 
+// guestShare is the number of slots that an instance uses of which it has no part:
+// the queues of backend servers have room for a few requests more.
+const guestShare = 1
+
 func (b *Balancer[E, D, P, L]) shareOf(listed descriptor.Backend) int {
+	if b.options.Guests && b.position < 0 {
+		return guestShare
+	}
 	return allocator.Share(listed.Slots, len(b.serving), b.position, listed.ID)
 }
 
@@ -82,7 +89,7 @@
 func (b *Balancer[E, D, P, L]) Serve(now time.Time, serving []descriptor.Member) {
 	b.advance(now)
 	position := positionOf(serving, b.options.Self)
-	if position < 0 && b.position >= 0 {
+	if position < 0 && b.position >= 0 && !b.options.Guests {
 		if b.fadeUntil.IsZero() {
 			b.fadeUntil = now.Add(fadeTime)
 		}
--- /dev/null
+++ b/balancer/outcome.go
@@ -0,0 +1,64 @@
+package balancer
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
+
+// outcomesEvery is the time between messages about work that went well; failures
+// are told at once.
+const outcomesEvery = 300 * time.Millisecond
+
+// noteOutcome remembers how a request ended for the other instances.
+func (b *Balancer[E, D, P, L]) noteOutcome(id string, failed bool) {
+	o, _ := b.untold.Get(id)
+	o.Backend = id
+	b.untold.Put(id, o.WithOutcome(failed))
+}
+
+// tellOutcomes tells the instances that share the slots how work ended here.
+func (b *Balancer[E, D, P, L]) tellOutcomes() {
+	if b.untold.Len() == 0 {
+		return
+	}
+	var list []descriptor.BackendOutcomes
+	urgent := b.now.Sub(b.toldAt) >= outcomesEvery
+	for _, o := range b.untold.All {
+		list = append(list, o)
+		urgent = urgent || o.Bad > 0
+	}
+	if !urgent {
+		return
+	}
+	b.toldAt = b.now
+	for _, o := range list {
+		b.untold.Delete(o.Backend)
+	}
+	b.tell(descriptor.Outcomes{Service: b.service.Name, List: list})
+}
+
+// maxOutcomes bounds the outcomes of one kind taken from one message: more of
+// them change the belief no further.
+const maxOutcomes = 8
+
+// HearOutcomes takes in how work ended at other instances.
+func (b *Balancer[E, D, P, L]) HearOutcomes(now time.Time, m descriptor.Outcomes) {
+	b.advance(now)
+	for _, o := range m.List {
+		p := b.backends.Position(o.Backend)
+		if p < 0 {
+			continue
+		}
+		_, s := b.backends.At(p)
+		for _, part := range []struct {
+			count  int
+			failed bool
+		}{{o.Before, false}, {o.Bad, true}, {o.After, false}} {
+			for range min(part.count, maxOutcomes) {
+				s = s.WithOutcome(now, part.failed, 0)
+			}
+		}
+		b.place(p, s)
+	}
+}
--- a/balancer/share.go
+++ b/balancer/share.go
@@ -25,6 +25,7 @@
 
 // share tells the other serving instances what they need.
 func (b *Balancer[E, D, P, L]) share() {
+	b.tellOutcomes()
 	if b.position < 0 || len(b.serving) < 2 {
 		return
 	}
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -18,6 +18,9 @@
 	giveUpTargets = 20
 	// giveUpLeast is the least time after which short work is given up.
 	giveUpLeast = 10 * time.Second
+	// timeoutSlack is how long after its timeout work is given up, so that an
+	// answer that is just then ready is delivered.
+	timeoutSlack = 60 * time.Millisecond
 )
 
 // Tick does everything that depends on time alone.
@@ -171,7 +174,7 @@
 	if !declared.Idempotent || declared.Long || !r.replayable || r.delivered != 0 {
 		return false
 	}
-	if r.count != 1 || int(r.last) >= maxAttempts || r.attempts[0].clock.IsZero() {
+	if r.count != 1 || int(r.last) >= b.attemptLimit(r) || r.attempts[0].clock.IsZero() {
 		return false
 	}
 	late := max(b.references[r.class].Quantile(hedgeQuantile, declared.Target), declared.Target/10)
@@ -189,7 +192,7 @@
 	for _, r := range late {
 		r = b.cancelOthers(r, 0)
 		reason := descriptor.BackendFailed
-		if !r.deadline.IsZero() && b.now.After(r.deadline) {
+		if !r.deadline.IsZero() && !b.now.Before(r.deadline) {
 			reason = descriptor.Expired
 		}
 		b.refuse(r.WithUncertainty(), reason, descriptor.MayHaveRun, 0)
@@ -203,6 +206,9 @@
 	if r.count == 0 || r.delivered != 0 || declared.Long {
 		return false
 	}
+	if declared.Timeout > 0 && b.now.Sub(r.arrived) > declared.Timeout+timeoutSlack {
+		return true
+	}
 	if declared.Idempotent && !r.deadline.IsZero() && b.now.After(r.deadline) {
 		return true
 	}
--- a/configurer/callers.go
+++ b/configurer/callers.go
@@ -12,6 +12,9 @@
 	Listen string
 	// Advertise is the address that callers are told; empty means Listen.
 	Advertise string
+	// Questions lists further addresses, at which only questions are answered:
+	// whether the instance is ready, and which addresses to use.
+	Questions []string
 	// Header names the header that tells callers apart; empty means their
 	// address.
 	Header string
@@ -23,6 +26,7 @@
 	all.Callers = Callers{
 		Listen:    s.Address("listen", ""),
 		Advertise: s.OptionalAddress("advertise"),
+		Questions: s.Addresses("questions"),
 		Header:    s.Text("header", ""),
 		Keep:      s.DurationIn("keep", 30*time.Second, time.Second, time.Hour),
 	}
--- a/configurer/limits.go
+++ b/configurer/limits.go
@@ -23,6 +23,9 @@
 	IdleTimeout time.Duration
 	// StallTimeout bounds the time without progress of a body.
 	StallTimeout time.Duration
+	// FreshTime is how long an idle connection to a backend server is used again
+	// for work that may not run twice.
+	FreshTime time.Duration
 	// Policy is standard, or a baseline for comparison.
 	Policy string
 }
@@ -33,6 +36,7 @@
 		HeadTimeout:  s.DurationIn("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
 		IdleTimeout:  s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
 		StallTimeout: s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
+		FreshTime:    s.DurationIn("freshtime", time.Second, 0, time.Minute),
 		Policy:       s.Choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
 	}
 }
--- a/container/sums.go
+++ b/container/sums.go
@@ -42,6 +42,18 @@
 	return set
 }
 
+// Fold returns one number that differs for most sums that differ.
+func (s Sums) Fold() uint64 {
+	sum := uint64(s.Count)
+	for _, b := range s.Buckets {
+		sum = bits.RotateLeft64(sum, 5)*foldStep + b
+	}
+	return sum
+}
+
+// foldStep is an odd multiplier with many bits set.
+const foldStep = 0x9e3779b97f4a7c15
+
 // farShare is the part by which counts differ if one set is far behind.
 const farShare = 20
 
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -17,6 +17,7 @@
 	"monsoonswitch/keeper"
 	"monsoonswitch/limiter"
 	"monsoonswitch/picker"
+	"monsoonswitch/relayer"
 	"monsoonswitch/spreader"
 )
 
@@ -26,6 +27,9 @@
 	watchRole = "~watch"
 	// watchers is the number of those instances.
 	watchers = 3
+	// callersRole is the name under which the instances that callers are sent to
+	// under a routing are chosen.
+	callersRole = "~callers"
 	// keptNotes is the number of log events kept for dumps.
 	keptNotes = 64
 )
@@ -39,6 +43,17 @@
 	// Patience is how long an instance waits for others before it reads the
 	// platform's store itself.
 	Patience time.Duration
+	// Routing tells that one routing declares all services, every instance
+	// serves all of them, and nothing is written to the store about them.
+	Routing bool
+}
+
+// kinds lists the kinds of documents that come from the store.
+func (o Options) kinds() []descriptor.Kind {
+	if o.Routing {
+		return []descriptor.Kind{descriptor.KindRouting, descriptor.KindBackends}
+	}
+	return []descriptor.Kind{descriptor.KindService}
 }
 
 // declaration is a declared service and when its revision came into force.
@@ -61,6 +76,13 @@
 	counter  *counter.Counter
 	writer   *counter.Writer
 	index    *allocator.Index
+	relayer  *relayer.Relayer
+	// routes is nil unless a routing is in force.
+	routes *declarer.Map
+	// completed holds the kinds of which everything was read from the store.
+	completed *container.Table[descriptor.Kind, bool]
+	// published is the directory that traffic reads.
+	published *descriptor.Directory
 	// declared holds the declaration of each service.
 	declared *container.Table[string, declaration]
 	// served holds each service that this instance serves or finishes.
@@ -72,12 +94,13 @@
 	// synced tells that the configuration is known; watching that this
 	// instance follows the platform's store.
 	synced, watching bool
-	dirty            bool
-	gossipAt         time.Time
-	tallyAt          time.Time
-	publishAt        time.Time
-	digestAt         time.Time
-	quit             leave
+	// dirty tells that the directory changed, and stamped that only its time did.
+	dirty, stamped bool
+	gossipAt       time.Time
+	tallyAt        time.Time
+	publishAt      time.Time
+	digestAt       time.Time
+	quit           leave
 
 	actions []descriptor.Action
 	ended   []balancer.Ended
@@ -86,6 +109,9 @@
 // Standard is the decider with the policies of production.
 type Standard = Decider[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]
 
+// Routed is the decider under a routing.
+type Routed = Decider[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Adaptive]
+
 // RoundRobin is the baseline without ejection.
 type RoundRobin = Decider[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open]
 
@@ -95,22 +121,27 @@
 // New returns the decider of an instance that starts at now.
 func New[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](o Options, now time.Time) *Decider[E, D, P, L] {
 	d := &Decider[E, D, P, L]{
-		options:  o,
-		now:      now,
-		started:  now,
-		gossiper: gossiper.New(o.Self, now),
-		spreader: spreader.New(),
-		counter:  counter.New(o.Self),
-		index:    allocator.NewIndex(),
-		declared: container.NewTable[string, declaration](),
-		served:   container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
-		requests: container.NewTable[descriptor.RequestID, string](),
-		notes:    container.NewRing[descriptor.Note](keptNotes),
-		dirty:    true,
+		options:   o,
+		now:       now,
+		started:   now,
+		gossiper:  gossiper.New(o.Self, now),
+		spreader:  spreader.New(),
+		counter:   counter.New(o.Self),
+		index:     allocator.NewIndex(),
+		relayer:   relayer.New(o.Self),
+		completed: container.NewTable[descriptor.Kind, bool](),
+		declared:  container.NewTable[string, declaration](),
+		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
+		requests:  container.NewTable[descriptor.RequestID, string](),
+		notes:     container.NewRing[descriptor.Note](keptNotes),
+		dirty:     true,
 	}
 	d.keeper = keeper.New(o.Self, d.gossiper, d.nextWrite, now)
 	d.writer = counter.NewWriter(o.Self, d.nextWrite)
 	d.index.SetService(watchRole, watchers)
+	if o.Routing {
+		d.index.SetService(callersRole, allocator.LeastServing)
+	}
 	return d
 }
 
@@ -250,7 +281,7 @@
 		return
 	}
 	class, ok := declared.Class(e.Class)
-	if !ok || class.Idempotent {
+	if !ok || class.Idempotent || d.options.Routing {
 		d.admit(e, s)
 		return
 	}
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -252,7 +252,7 @@
 				id := descriptor.RequestID(i + 1)
 				now = now.Add(20 * time.Microsecond)
 				node.Step(descriptor.Arrived{At: now, Request: id, Service: "billing", Class: "read", Caller: "c", Fingerprint: uint64(id), Replayable: true})
-				node.Step(descriptor.Answered{At: now, Request: id, Attempt: 1, Status: 200, Free: -1})
+				node.Step(descriptor.Answered{At: now, Request: id, Attempt: 1, Status: 200})
 				node.Step(descriptor.Finished{At: now, Request: id, Attempt: 1, Bytes: 100})
 			}
 		})
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -3,6 +3,7 @@
 import (
 	"monsoonswitch/allocator"
 	"monsoonswitch/balancer"
+	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/gossiper"
 )
@@ -12,11 +13,34 @@
 	for _, document := range e.Documents {
 		d.take(document, "")
 	}
-	if e.Complete && e.Kind == descriptor.KindService && !d.synced {
+	if e.Complete {
+		d.completed.Put(e.Kind, true)
+	}
+	d.confirm(e)
+	if !d.synced && d.complete() {
 		d.sync("store")
 	}
 }
 
+// complete tells whether everything that callers need was read from the store.
+func (d *Decider[E, D, P, L]) complete() bool {
+	for _, k := range d.options.kinds() {
+		if !d.completed.Has(k) {
+			return false
+		}
+	}
+	return !d.options.Routing || d.routes != nil
+}
+
+// confirm takes in as of when the documents of a kind are the newest ones.
+func (d *Decider[E, D, P, L]) confirm(e descriptor.Learned) {
+	if e.AsOf.IsZero() {
+		return
+	}
+	d.relayer.Confirm(e.Kind, e.AsOf)
+	d.stamped = true
+}
+
 // sync records that the configuration is known, so that callers may come.
 func (d *Decider[E, D, P, L]) sync(source string) {
 	d.synced = true
@@ -36,6 +60,8 @@
 	switch document.Kind {
 	case descriptor.KindService:
 		d.declare(document)
+	case descriptor.KindRouting:
+		d.route(document)
 	case descriptor.KindBackends:
 		d.list(document)
 	case descriptor.KindEjections:
@@ -62,6 +88,36 @@
 	})
 }
 
+// route puts a routing in force. A service that it does not name any more takes
+// no new requests.
+func (d *Decider[E, D, P, L]) route(document descriptor.Document) {
+	if document.Routing == nil {
+		return
+	}
+	services := document.Routing.Derive()
+	named := make(map[string]bool, len(services))
+	for _, s := range services {
+		named[s.Name] = true
+	}
+	for name := range d.declared.All {
+		if !named[name] {
+			services = append(services, declarer.Service{Name: name, Share: 1})
+		}
+	}
+	for i := range services {
+		d.declare(descriptor.Document{
+			Kind:     descriptor.KindService,
+			Name:     services[i].Name,
+			Revision: document.Revision,
+			At:       document.At,
+			Service:  &services[i],
+		})
+		d.assign(services[i].Name)
+	}
+	d.routes = declarer.NewMap(*document.Routing)
+	d.publishNow()
+}
+
 func (d *Decider[E, D, P, L]) list(document descriptor.Document) {
 	d.resize(document.Name)
 	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.List(d.now, document.Backends) })
@@ -72,6 +128,10 @@
 	if !d.declared.Has(service) {
 		return
 	}
+	if d.options.Routing {
+		d.resizeCallers()
+		return
+	}
 	document, _ := d.spreader.Get(descriptor.KindBackends, service)
 	total, smallest := 0, 0
 	for _, b := range document.Backends {
@@ -88,12 +148,37 @@
 	}
 }
 
+// resizeCallers sets how many instances callers are sent to, by the slots of all
+// services together.
+func (d *Decider[E, D, P, L]) resizeCallers() {
+	total := 0
+	for service := range d.declared.All {
+		document, _ := d.spreader.Get(descriptor.KindBackends, service)
+		for _, b := range document.Backends {
+			total += b.Slots
+		}
+	}
+	if d.index.SetService(callersRole, allocator.CallerCount(total)) {
+		d.assign(callersRole)
+	}
+}
+
 // assign puts the serving instances of a service in force here.
 func (d *Decider[E, D, P, L]) assign(service string) {
 	d.dirty = true
 	if service == watchRole {
 		return
 	}
+	if service == callersRole {
+		for name := range d.declared.All {
+			d.assign(name)
+		}
+		return
+	}
+	if d.options.Routing {
+		d.assignRouted(service)
+		return
+	}
 	serving := d.index.Get(service)
 	if !d.served.Has(service) && includes(serving, d.options.Self.ID) {
 		d.open(service)
@@ -101,6 +186,16 @@
 	d.onService(service, func(s *balancer.Balancer[E, D, P, L]) { s.Serve(d.now, serving) })
 }
 
+// assignRouted puts the instances that callers are sent to in force as those that
+// share the slots of a service. Every other instance serves it as a guest.
+func (d *Decider[E, D, P, L]) assignRouted(service string) {
+	if !d.served.Has(service) {
+		d.open(service)
+	}
+	serving := d.index.Get(callersRole)
+	d.onService(service, func(s *balancer.Balancer[E, D, P, L]) { s.Serve(d.now, serving) })
+}
+
 // open creates the state of a service that this instance begins to serve.
 func (d *Decider[E, D, P, L]) open(service string) {
 	known, ok := d.declared.Get(service)
@@ -111,6 +206,7 @@
 		Self:      d.options.Self.ID,
 		Seed:      d.options.Seed,
 		NextWrite: d.nextWrite,
+		Guests:    d.options.Routing,
 	})
 	s.Declare(known.service, known.revision)
 	d.counter.InForce(d.now, service, known.revision)
@@ -125,6 +221,9 @@
 
 // retire forgets services that this instance has finished serving.
 func (d *Decider[E, D, P, L]) retire() {
+	if d.options.Routing {
+		return
+	}
 	var done []string
 	for service, s := range d.served.All {
 		if !s.Serves() && !s.Busy() {
@@ -182,21 +281,33 @@
 	return false
 }
 
-// directory builds the snapshot that traffic reads.
+// directory builds the snapshot that traffic reads. Without changes other than
+// of its time it shares everything with the one before.
 func (d *Decider[E, D, P, L]) directory() *descriptor.Directory {
-	services := make(map[string]*descriptor.Entry, d.declared.Len())
-	for name, s := range d.declared.All {
-		services[name] = d.entry(name, s)
-	}
-	return &descriptor.Directory{
-		Services: services,
-		Ready:    d.synced,
-		Leaving:  d.quit.started,
+	next := &descriptor.Directory{}
+	if d.published != nil && !d.dirty {
+		*next = *d.published
+	} else {
+		services := make(map[string]*descriptor.Entry, d.declared.Len())
+		for name, s := range d.declared.All {
+			services[name] = d.entry(name, s)
+		}
+		next.Services = services
+		next.Routes = d.routes
+		next.Callers = d.index.Get(callersRole)
 	}
+	next.Ready = d.synced
+	next.Leaving = d.quit.started
+	next.Current = d.relayer.Current(d.options.kinds())
+	d.published = next
+	return next
 }
 
 func (d *Decider[E, D, P, L]) entry(name string, known declaration) *descriptor.Entry {
 	serving := d.index.Get(name)
+	if d.options.Routing {
+		serving = d.index.Get(callersRole)
+	}
 	return &descriptor.Entry{
 		Service:  known.service,
 		Revision: known.revision,
--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -248,7 +248,7 @@
 		if p.Request != id {
 			continue
 		}
-		d.step(at, descriptor.Answered{At: d.now, Request: id, Attempt: p.Attempt, Status: 200, Free: -1})
+		d.step(at, descriptor.Answered{At: d.now, Request: id, Attempt: p.Attempt, Status: 200})
 		d.step(at, descriptor.Finished{At: d.now, Request: id, Attempt: p.Attempt, Bytes: 10})
 		return
 	}
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -67,7 +67,14 @@
 	}
 }
 
-func (d *Decider[E, D, P, L]) tallies() int { return d.counter.Unconfirmed() + d.writer.Unwritten() }
+// tallies counts the tallies that are not confirmed. Under a routing none are
+// kept in the store.
+func (d *Decider[E, D, P, L]) tallies() int {
+	if d.options.Routing {
+		return 0
+	}
+	return d.counter.Unconfirmed() + d.writer.Unwritten()
+}
 
 func (d *Decider[E, D, P, L]) bequeath() {
 	d.quit.bequeathed = true
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -25,10 +25,14 @@
 		for _, document := range m.List {
 			d.take(document, e.From)
 		}
+		d.relayer.Settle("", d.spreader.Digest().Fold())
+		d.stamped = true
 	case descriptor.Refresh:
 		for _, part := range d.spreader.Answer(m) {
 			d.send(from, part)
 		}
+	case descriptor.Pulse:
+		d.hearPulse(from, m)
 	case descriptor.TallyReport:
 		d.writer.Merge(m.Tally)
 	case descriptor.Receipt:
@@ -48,18 +52,32 @@
 // answered at once, and learns from the digest that follows that it has it all.
 func (d *Decider[E, D, P, L]) hearDigest(from descriptor.Member, m descriptor.Digest) {
 	d.gossiper.HearDigest(from.ID, m.Members)
-	for _, part := range d.spreader.HearDigest(from.ID, m.Documents, !from.Ready) {
+	for _, part := range d.spreader.HearDigest(from.ID, m.Documents, !from.Ready || m.Urgent) {
 		d.send(from, part)
 	}
 	if d.synced && !from.Ready {
 		d.sendDigest(from)
 	}
-	same := d.spreader.Digest().Differ(m.Documents) == 0
+	same := d.spreader.Digest().Differ(m.Documents) == 0 && (!d.options.Routing || d.routes != nil)
 	if !d.synced && from.Ready && same {
 		d.sync(from.ID)
 	}
 }
 
+// hearPulse takes in a pulse, passes it on, and asks its sender for the documents
+// that it is about unless they are held.
+func (d *Decider[E, D, P, L]) hearPulse(from descriptor.Member, m descriptor.Pulse) {
+	next, ok := d.relayer.Hear(d.now, m)
+	if !ok {
+		return
+	}
+	d.relay(next)
+	if d.relayer.Settle(m.Origin, d.spreader.Digest().Fold()) {
+		d.send(from, descriptor.Digest{Members: d.gossiper.Digest(), Documents: d.spreader.Digest(), Urgent: true})
+	}
+	d.stamped = true
+}
+
 func (d *Decider[E, D, P, L]) sendDigest(to descriptor.Member) {
 	d.send(to, descriptor.Digest{Members: d.gossiper.Digest(), Documents: d.spreader.Digest()})
 }
@@ -96,6 +114,8 @@
 // service.
 func (d *Decider[E, D, P, L]) receiveService(from descriptor.Member, message descriptor.Message) {
 	switch m := message.(type) {
+	case descriptor.Outcomes:
+		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearOutcomes(d.now, m) })
 	case descriptor.Evidence:
 		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearEvidence(d.now, from.ID, m) })
 	case descriptor.Crash:
@@ -119,6 +139,11 @@
 		for _, r := range receipts {
 			d.sendReceipt(r.Instance, r.Receipt)
 		}
+		if e.Result == descriptor.WriteConflict {
+			// Waiting for the next tick would lose against another writer again:
+			// a fleet that leaves all at once has as many writers as instances.
+			d.emitAll(d.writer.Due(d.now, d.declared.Len()))
+		}
 		return
 	}
 	for service, s := range d.served.All {
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -5,6 +5,7 @@
 
 	"monsoonswitch/counter"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/relayer"
 )
 
 // Times of periodic work.
@@ -27,6 +28,7 @@
 		d.collect(service, s)
 	}
 	d.spread()
+	d.pulse()
 	d.gossiper.Flush()
 	if d.now.Sub(d.gossipAt) >= gossipEvery {
 		d.gossipAt = d.now
@@ -73,6 +75,9 @@
 func (d *Decider[E, D, P, L]) followStore() {
 	chosen := includes(d.index.Get(watchRole), d.options.Self.ID)
 	alone := !d.synced && d.now.Sub(d.started) >= d.options.Patience
+	if d.options.Routing && d.synced {
+		alone = d.relayer.Stale(d.now, d.watching)
+	}
 	active := (chosen || alone) && !d.quit.started
 	if active == d.watching {
 		return
@@ -84,8 +89,30 @@
 	}
 }
 
+// pulse tells the other instances that nothing newer is in the store, if this
+// one follows it.
+func (d *Decider[E, D, P, L]) pulse() {
+	if !d.options.Routing || !d.watching || !d.synced {
+		return
+	}
+	p, ok := d.relayer.Pulse(d.now, d.options.kinds(), d.spreader.Digest().Fold())
+	if ok {
+		d.relay(p)
+	}
+}
+
+// relay passes a pulse on to this instance's part of the tree.
+func (d *Decider[E, D, P, L]) relay(p descriptor.Pulse) {
+	for _, m := range relayer.Children(d.options.Self.ID, p.Origin, d.gossiper.Members()) {
+		d.send(m, p)
+	}
+}
+
 // tally reports changed counts to the writers and writes those held here.
 func (d *Decider[E, D, P, L]) tally() {
+	if d.options.Routing {
+		return
+	}
 	every := counter.WriteInterval(d.declared.Len())
 	for _, t := range d.counter.Due(d.now) {
 		t.Every = every
@@ -114,13 +141,14 @@
 
 // publish gives traffic a new directory if anything in it changed.
 func (d *Decider[E, D, P, L]) publish() {
-	if d.dirty && d.now.Sub(d.publishAt) >= publishEvery {
+	if (d.dirty || d.stamped) && d.now.Sub(d.publishAt) >= publishEvery {
 		d.publishNow()
 	}
 }
 
 func (d *Decider[E, D, P, L]) publishNow() {
-	d.dirty = false
+	directory := d.directory()
+	d.dirty, d.stamped = false, false
 	d.publishAt = d.now
-	d.emit(descriptor.Publish{Directory: d.directory()})
+	d.emit(descriptor.Publish{Directory: directory})
 }
--- a/declarer/service.go
+++ b/declarer/service.go
@@ -42,6 +42,14 @@
 	Long bool
 	// Keyless admits non-idempotent work without an idempotency key.
 	Keyless bool
+	// Timeout is the longest time that a caller is kept waiting; 0 means that
+	// only the caller's deadline counts.
+	Timeout time.Duration `json:",omitempty" cbor:",omitempty"`
+	// Rank orders classes by urgency; 0 is the most urgent.
+	Rank int `json:",omitempty" cbor:",omitempty"`
+	// Attempts bounds the backend servers that one request is sent to; 0 means
+	// the general bound.
+	Attempts int `json:",omitempty" cbor:",omitempty"`
 }
 
 // Route assigns requests to a class.
@@ -73,6 +81,9 @@
 	Routes []Route
 	// Change identifies the write that stored this declaration.
 	Change string
+	// Connections is how many connections a backend server accepts from all
+	// instances together; 0 means that it is not known.
+	Connections int `json:",omitempty" cbor:",omitempty"`
 }
 
 // WithState returns s in state st.
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -1,6 +1,10 @@
 package descriptor
 
-import "monsoonswitch/declarer"
+import (
+	"time"
+
+	"monsoonswitch/declarer"
+)
 
 // Directory is an immutable snapshot of what traffic reads on each request.
 type Directory struct {
@@ -10,6 +14,13 @@
 	Ready bool
 	// Leaving tells that the instance is shutting down.
 	Leaving bool
+	// Routes finds services by host and path, and is nil unless a routing
+	// declares the services.
+	Routes *declarer.Map `json:",omitempty"`
+	// Callers lists the instances that callers are sent to under a routing.
+	Callers []Member `json:",omitempty"`
+	// Current is the time as of which nothing newer was in the platform's store.
+	Current time.Time `json:",omitzero"`
 }
 
 // Entry is what traffic knows of a service.
--- a/descriptor/enums.go
+++ b/descriptor/enums.go
@@ -110,11 +110,14 @@
 	FaultSource
 	// FaultStatus means an answer with a 5xx status.
 	FaultStatus
+	// FaultForeign means that another backend server has the address and did not
+	// run the work.
+	FaultForeign
 )
 
 // String returns the name used in logs and dumps.
 func (f Fault) String() string {
-	names := [...]string{"connect", "shed", "broken", "cut", "source", "status"}
+	names := [...]string{"connect", "shed", "broken", "cut", "source", "status", "foreign"}
 	if f < 0 || int(f) >= len(names) {
 		return "unknown"
 	}
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -26,6 +26,8 @@
 	Body bool
 	// Deadline is when the caller stops waiting; zero means none.
 	Deadline time.Time
+	// Label is the caller's own identifier of the request, for logs.
+	Label string `json:",omitempty"`
 }
 
 // Sent tells that the whole body of a request went to the backend server.
@@ -42,8 +44,7 @@
 	Attempt AttemptID
 	Status  int
 	Health  Health
-	// Free is how many slots the backend server reports free, or -1.
-	Free int
+	Load    Load `json:",omitzero"`
 }
 
 // Finished tells that the whole answer went to the caller.
@@ -111,6 +112,10 @@
 	// Complete tells that Documents is everything the platform has of Kind.
 	Complete bool
 	Kind     Kind
+	// AsOf is the time as of which nothing newer of Kind was there, and Revision
+	// the revision of the store then.
+	AsOf     time.Time
+	Revision uint64
 }
 
 // Written is the result of a write to the platform's store.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -31,6 +31,8 @@
 	TypeLoan
 	TypeDrain
 	TypeInherit
+	TypePulse
+	TypeOutcomes
 )
 
 // Hello opens a link in both directions.
@@ -54,6 +56,36 @@
 type Digest struct {
 	Members   container.Sums
 	Documents container.Sums
+	// Urgent asks for what differs at once.
+	Urgent bool
+}
+
+// Pulse tells that nothing newer than the documents with a sum was in the
+// platform's store a while ago. It goes down a tree of all instances.
+type Pulse struct {
+	// Origin and Incarnation identify the instance that follows the store.
+	Origin      string
+	Incarnation int64
+	// Sequence grows with each pulse of an incarnation.
+	Sequence uint64
+	// Sum is that of all documents.
+	Sum uint64
+	// Age is how long ago it was, in milliseconds at the time of sending.
+	Age int64
+}
+
+// Outcomes tells how the last requests at backend servers ended.
+type Outcomes struct {
+	Service string
+	List    []BackendOutcomes
+}
+
+// BackendOutcomes counts how requests at one backend server ended since the last
+// message, in order: those that went well before the first failure, the failures
+// and those that went well after it.
+type BackendOutcomes struct {
+	Backend            string
+	Before, Bad, After int
 }
 
 // References lists the documents that its sender holds in a set of buckets; the
@@ -163,6 +195,21 @@
 	Version     uint64
 }
 
+// WithOutcome returns o with one request more.
+func (o BackendOutcomes) WithOutcome(failed bool) BackendOutcomes {
+	switch {
+	case failed:
+		// What went well between failures does not weigh against them.
+		o.Bad++
+		o.After = 0
+	case o.Bad > 0:
+		o.After++
+	default:
+		o.Before++
+	}
+	return o
+}
+
 // Type implements Message.
 func (Hello) Type() MessageType { return TypeHello }
 
@@ -199,6 +246,12 @@
 // Type implements Message.
 func (Inherit) Type() MessageType { return TypeInherit }
 
+// Type implements Message.
+func (Pulse) Type() MessageType { return TypePulse }
+
+// Type implements Message.
+func (Outcomes) Type() MessageType { return TypeOutcomes }
+
 // Type implements Message.
 func (Crash) Type() MessageType { return TypeCrash }
 
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -16,6 +16,9 @@
 type Backend struct {
 	// ID is unique within the service and is not used again.
 	ID string
+	// Name is how the backend server calls itself; empty means ID. It may come
+	// back with another incarnation, which has another ID.
+	Name string `json:",omitempty" cbor:",omitempty"`
 	// Address is host:port.
 	Address string
 	// Domain is the failure domain.
@@ -26,6 +29,17 @@
 	Leaving bool
 }
 
+// Load is what a backend server says of its load.
+type Load struct {
+	// Known tells that it said anything.
+	Known bool
+	// Running counts the requests that hold a slot, Waiting those that wait for
+	// one.
+	Running, Waiting int
+	// Slots is the number of slots.
+	Slots int
+}
+
 // Member is one entry instance and what is agreed on about it.
 type Member struct {
 	// ID is unique among the instances that live at one time.
@@ -96,11 +110,12 @@
 	KindService Kind = iota
 	KindBackends
 	KindEjections
+	KindRouting
 )
 
 // String returns the prefix of the kind in the platform's store.
 func (k Kind) String() string {
-	names := [...]string{"service", "backends", "eject"}
+	names := [...]string{"service", "backends", "eject", "routing"}
 	if k < 0 || int(k) >= len(names) {
 		return "unknown"
 	}
@@ -133,6 +148,8 @@
 	Backends []Backend `cbor:",omitempty"`
 	// Ejections is set for KindEjections, oldest first.
 	Ejections []Ejection `cbor:",omitempty"`
+	// Routing is set for KindRouting.
+	Routing *declarer.Routing `cbor:",omitempty"`
 }
 
 // Reference names a revision of a document.
--- a/estimator/slope.go
+++ b/estimator/slope.go
@@ -263,7 +263,7 @@
 		id := descriptor.RequestID(i + 1)
 		at := now.Add(time.Duration(i) * 50 * time.Microsecond)
 		d.Step(descriptor.Arrived{At: at, Request: id, Service: "service-0", Class: "lookup", Caller: "c", Fingerprint: uint64(id), Replayable: true})
-		d.Step(descriptor.Answered{At: at, Request: id, Attempt: 1, Status: 200, Free: -1})
+		d.Step(descriptor.Answered{At: at, Request: id, Attempt: 1, Status: 200})
 		d.Step(descriptor.Finished{At: at, Request: id, Attempt: 1, Bytes: 100})
 	})
 }
--- a/experimenter/fake.go
+++ b/experimenter/fake.go
@@ -83,7 +83,6 @@
 			Attempt: v.attempt,
 			Status:  status,
 			Health:  health,
-			Free:    -1,
 		})
 		w.collect(v.instance)
 	})
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -4,9 +4,7 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -27,9 +25,9 @@
 func (s *session) copyAnswer(response *http.Response) (uint64, error) {
 	controller := http.NewResponseController(s.w)
 	copyHeader(s.w.Header(), response.Header)
-	s.w.Header().Set("Via", via)
+	s.owner.dialect.Pass(s.w.Header())
 	announceTrailers(s.w.Header(), response)
-	if !s.left {
+	if !s.away {
 		s.w.WriteHeader(response.StatusCode)
 	}
 	buffer := buffers.Get().(*[]byte)
@@ -38,7 +36,7 @@
 	for {
 		n, err := response.Body.Read(*buffer)
 		sum += uint64(n)
-		if n > 0 && !s.left {
+		if n > 0 && !s.away {
 			s.write(controller, (*buffer)[:n])
 		}
 		if errors.Is(err, io.EOF) {
@@ -59,7 +57,7 @@
 		err = controller.Flush()
 	}
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		s.left = true
+		s.away = true
 		s.gone = nil
 		s.owner.control.Post(descriptor.Gone{At: time.Now(), Request: s.id})
 	}
@@ -86,23 +84,13 @@
 	if a.Reason == descriptor.Misdirected && s.entry != nil {
 		body.Addresses = addresses(s.currentEntry(), s.owner.options.Domain, s.caller())
 	}
-	h := s.w.Header()
-	h.Set("Content-Type", "application/json")
-	h.Set(headerReason, body.Reason)
-	h.Set(headerOutcome, body.Outcome)
-	if a.Retry > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(a.Retry.Seconds()))))
+	if s.owner.dialect.Refuse(s.w, s.r, a) {
+		_ = json.NewEncoder(s.w).Encode(body)
 	}
-	if s.r.ContentLength != 0 {
-		// The rest of the body is not read.
-		h.Set("Connection", "close")
-	}
-	s.w.WriteHeader(statusOf(a.Reason))
-	_ = json.NewEncoder(s.w).Encode(body)
 }
 
 func (s *session) endReason(a descriptor.Refuse) descriptor.Reason {
-	if s.left {
+	if s.away {
 		return descriptor.Abandoned
 	}
 	return a.Reason
@@ -110,7 +98,7 @@
 
 // currentEntry returns the newest entry of the service.
 func (s *session) currentEntry() *descriptor.Entry {
-	if entry, ok := s.owner.directory.Load().Services[s.service]; ok {
+	if entry, ok := s.owner.snapshot.Load().Services[s.service]; ok {
 		return entry
 	}
 	return s.entry
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,10 +46,10 @@
 		t.fail(err)
 		return
 	}
-	health := descriptor.ParseHealth(response.Header.Get(headerState))
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != "" {
-		_ = response.Body.Close()
-		t.post(descriptor.FaultShed, health)
+	head := s.owner.dialect.Read(response, s.label)
+	if fault, ok := head.fault(); ok {
+		t.drop(response, head)
+		t.post(fault, head.Health)
 		return
 	}
 	t.response = response
@@ -57,19 +58,47 @@
 		Request: s.id,
 		Attempt: t.id,
 		Status:  response.StatusCode,
-		Health:  health,
-		Free:    freeSlots(response.Header.Get(headerLoad)),
+		Health:  head.Health,
+		Load:    head.Load,
 	})
 }
 
+// fault returns the fault that the head of an answer tells of.
+func (h Head) fault() (descriptor.Fault, bool) {
+	switch {
+	case h.Stray:
+		return descriptor.FaultBroken, true
+	case h.Foreign:
+		return descriptor.FaultForeign, true
+	case h.NotRun:
+		return descriptor.FaultShed, true
+	}
+	return 0, false
+}
+
+// drop gives up an answer that is not delivered. The connection of one that
+// belongs to another request is closed: what follows on it can't be told apart.
+func (t *attempt) drop(response *http.Response, h Head) {
+	if h.Stray {
+		t.cancel()
+	} else {
+		_, _ = io.CopyN(io.Discard, response.Body, maxDropped)
+	}
+	_ = response.Body.Close()
+}
+
+// maxDropped bounds the bytes read of an answer that is not delivered, so that
+// its connection can be used again.
+const maxDropped = 4 << 10
+
 // request builds the request for the backend server.
 func (t *attempt) request() *http.Request {
 	s := t.session
 	r := &http.Request{
 		Method:        s.r.Method,
-		URL:           &url.URL{Scheme: "http", Host: t.backend.Address, Path: s.r.URL.Path, RawPath: s.r.URL.RawPath, RawQuery: s.r.URL.RawQuery},
+		URL:           t.target(),
 		Host:          s.r.Host,
-		Header:        forwardHeader(s.r),
+		Header:        t.header(),
 		ContentLength: s.r.ContentLength,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
@@ -83,6 +112,32 @@
 	return r.WithContext(httptrace.WithClientTrace(t.ctx, &httptrace.ClientTrace{GotConn: t.gotConn}))
 }
 
+// target returns the URL of the request, whose path and query are those that the
+// caller sent, byte for byte.
+func (t *attempt) target() *url.URL {
+	u := &url.URL{Scheme: "http", Host: t.backend.Address}
+	if raw := t.session.r.RequestURI; strings.HasPrefix(raw, "/") && !strings.HasPrefix(raw, "//") {
+		u.Opaque = raw
+		return u
+	}
+	from := t.session.r.URL
+	u.Path, u.RawPath, u.RawQuery = from.Path, from.RawPath, from.RawQuery
+	return u
+}
+
+func (t *attempt) header() http.Header {
+	s := t.session
+	h := make(http.Header, len(s.r.Header)+4)
+	copyHeader(h, s.r.Header)
+	s.owner.dialect.Offer(h, s.r, t.backend, s.left(time.Now()))
+	if _, ok := h["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		h["User-Agent"] = []string{""}
+	}
+	hideKey(h)
+	return h
+}
+
 // gotConn watches net/http, which sends an idempotent request a second time by
 // itself when a kept connection breaks. That is right when the connection had
 // been unused for long and was closed meanwhile. Otherwise the request may have
@@ -92,7 +147,7 @@
 		t.idle.Store(int64(info.IdleTime))
 		return
 	}
-	if time.Duration(t.idle.Load()) <= freshTime {
+	if time.Duration(t.idle.Load()) <= t.session.owner.options.FreshTime {
 		t.broke.Store(true)
 		t.cancel()
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -5,6 +5,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -56,30 +57,40 @@
 	Keep time.Duration
 	// Domain is the failure domain of this instance.
 	Domain string
+	// FreshTime is how long an idle connection is used again for work that may
+	// not run twice; 0 means freshTime.
+	FreshTime time.Duration
 }
 
 // Forwarder serves callers. It is safe for use by many goroutines.
 type Forwarder struct {
-	options   Options
-	control   Control
-	recorder  *recorder.Recorder
-	directory atomic.Pointer[descriptor.Directory]
-	requests  atomic.Uint64
+	options  Options
+	control  Control
+	dialect  Dialect
+	recorder *recorder.Recorder
+	// turns counts the requests of each route that is split.
+	turns    sync.Map
+	snapshot atomic.Pointer[snapshot]
+	requests atomic.Uint64
 	// reusing sends work that may run twice, and careful all other work.
 	reusing, careful httpc.Service
 }
 
 // New returns a forwarder with an empty directory.
-func New(o Options, c Control, r *recorder.Recorder) *Forwarder {
+func New(o Options, d Dialect, c Control, r *recorder.Recorder) *Forwarder {
 	breaker.NoBreakerFor(clientName)
+	if o.FreshTime == 0 {
+		o.FreshTime = freshTime
+	}
 	f := &Forwarder{
 		options:  o,
 		control:  c,
+		dialect:  d,
 		recorder: r,
 		reusing:  newClient(reuseTime),
-		careful:  newClient(freshTime),
+		careful:  newClient(o.FreshTime),
 	}
-	f.directory.Store(&descriptor.Directory{})
+	f.snapshot.Store(newSnapshot(&descriptor.Directory{}))
 	return f
 }
 
@@ -99,8 +110,29 @@
 	return httpc.NewServiceWithClient(clientName, client)
 }
 
+// turn counts a request of a route and returns the count.
+func (f *Forwarder) turn(route string) uint64 {
+	v, ok := f.turns.Load(route)
+	if !ok {
+		v, _ = f.turns.LoadOrStore(route, new(atomic.Uint64))
+	}
+	return v.(*atomic.Uint64).Add(1)
+}
+
+// snapshot is a directory with a channel that is closed when a newer one is there.
+type snapshot struct {
+	*descriptor.Directory
+	replaced chan struct{}
+}
+
+func newSnapshot(d *descriptor.Directory) *snapshot {
+	return &snapshot{Directory: d, replaced: make(chan struct{})}
+}
+
 // SetDirectory replaces the directory.
-func (f *Forwarder) SetDirectory(d *descriptor.Directory) { f.directory.Store(d) }
+func (f *Forwarder) SetDirectory(d *descriptor.Directory) {
+	close(f.snapshot.Swap(newSnapshot(d)).replaced)
+}
 
 // Probe makes a connection to a backend server and posts whether it could. A
 // moment passes first: one that just broke down may still seem to listen.
@@ -121,10 +153,16 @@
 	}()
 }
 
+// ServeQuestion answers a question to the instance itself.
+func (f *Forwarder) ServeQuestion(w http.ResponseWriter, r *http.Request) {
+	if !f.dialect.Own(w, r, f.snapshot.Load().Directory) {
+		http.NotFound(w, r)
+	}
+}
+
 // ServeHTTP serves one request of a caller.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if isOwnPath(r.URL.Path) {
-		f.serveOwn(w, r)
+	if f.dialect.Own(w, r, f.snapshot.Load().Directory) {
 		return
 	}
 	f.recorder.Begin()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -78,7 +78,7 @@
 	b := httptest.NewServer(backend)
 	t.Cleanup(b.Close)
 	control := &simple{address: strings.TrimPrefix(b.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
-	f := New(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, control, recorder.New())
+	f := New(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, NewPlain(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}), control, recorder.New())
 	f.SetDirectory(&descriptor.Directory{Ready: true, Services: map[string]*descriptor.Entry{"ledger": {
 		Service: declarer.Service{
 			Name:    "ledger",
@@ -212,7 +212,7 @@
 	asserter.Equal(t, "class", arrived.Class, "all")
 	asserter.Equal(t, "deadline", arrived.Deadline.Sub(arrived.At).Round(time.Second), 3*time.Second)
 	t.Run("net/http never takes a key as leave to send twice", func(t *testing.T) {
-		h := forwardHeader(r)
+		h := offered(r)
 		_, plain := h["Idempotency-Key"]
 		asserter.Equal(t, "canonical key", plain, false)
 	})
@@ -298,11 +298,15 @@
 		r.Header["Prefer"] = []string{prefer}
 		r.Header["Request-Timeout"] = []string{timeout}
 		r.Header["Connection"] = []string{connection}
-		now := time.Unix(1000, 0)
-		if d := deadline(r, now); !d.IsZero() {
-			asserter.AtMost(t, "deadline", d.Sub(now), maxDeadline)
-		}
-		asserter.AtLeast(t, "free slots", freeSlots(load), -1)
-		asserter.Equal(t, "hop header", forwardHeader(r).Get("Connection"), "")
+		asserter.AtMost(t, "patience", patience(r), maxPatience)
+		asserter.AtLeast(t, "free slots", loadOf(load).Slots-loadOf(load).Running, 0)
+		asserter.Equal(t, "hop header", offered(r).Get("Connection"), "")
 	})
 }
+
+// offered returns the headers that a backend server gets for a caller's request.
+func offered(r *http.Request) http.Header {
+	f := New(Options{}, Plain{}, nil, recorder.New())
+	x := &attempt{session: &session{owner: f, r: r}}
+	return x.header()
+}
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -1,11 +1,14 @@
 package forwarder
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
+
+	"monsoonswitch/descriptor"
 )
 
 // Names of headers; docs/CALLERS.md and docs/PLATFORM.md explain them.
@@ -56,10 +59,8 @@
 	return named
 }
 
-// forwardHeader returns the headers of a request for a backend server.
-func forwardHeader(r *http.Request) http.Header {
-	h := make(http.Header, len(r.Header)+4)
-	copyHeader(h, r.Header)
+// offerPlain adds what a backend server is told of the way of a request.
+func offerPlain(h http.Header, r *http.Request) {
 	client := hostOf(r.RemoteAddr)
 	if before := r.Header.Values("X-Forwarded-For"); len(before) > 0 {
 		client = strings.Join(before, ", ") + ", " + client
@@ -68,8 +69,6 @@
 	h.Set("X-Forwarded-Host", r.Host)
 	h.Set("X-Forwarded-Proto", "http")
 	h.Set("Via", via)
-	hideKey(h)
-	return h
 }
 
 // hideKey spells the names of idempotency keys in lower case. They mean the same
@@ -96,9 +95,9 @@
 	}
 }
 
-// deadline returns when the caller stops waiting: from Prefer: wait=SECONDS of
-// RFC 7240, or Request-Timeout in seconds. Zero means that it does not say.
-func deadline(r *http.Request, now time.Time) time.Time {
+// patience returns how long the caller waits: from Prefer: wait=SECONDS of RFC
+// 7240, or Request-Timeout in seconds. Zero means that it does not say.
+func patience(r *http.Request) time.Duration {
 	text := r.Header.Get(headerTimeout)
 	for _, line := range r.Header.Values(headerPrefer) {
 		for _, part := range strings.Split(line, ",") {
@@ -108,30 +107,33 @@
 		}
 	}
 	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(seconds > 0) || seconds > maxDeadline.Seconds() {
-		return time.Time{}
+	if err != nil || !(seconds > 0) || seconds > maxPatience.Seconds() {
+		return 0
 	}
-	return now.Add(time.Duration(seconds * float64(time.Second)))
+	return time.Duration(seconds * float64(time.Second))
 }
 
-// maxDeadline is the largest deadline that is taken into account.
-const maxDeadline = 24 * time.Hour
+// maxPatience is the longest patience that is taken into account.
+const maxPatience = 24 * time.Hour
+
+// wholeSeconds returns a time in whole seconds, rounded up.
+func wholeSeconds(d time.Duration) string { return strconv.Itoa(int(math.Ceil(d.Seconds()))) }
 
-// freeSlots reads a load of the form USED/SLOTS and returns the free slots, or -1.
-func freeSlots(text string) int {
+// loadOf reads a load of the form USED/SLOTS; one that can't be read is unknown.
+func loadOf(text string) descriptor.Load {
 	used, slots, ok := strings.Cut(text, "/")
 	if !ok {
-		return -1
+		return descriptor.Load{}
 	}
 	u, err := strconv.Atoi(used)
 	if err != nil || u < 0 {
-		return -1
+		return descriptor.Load{}
 	}
 	n, err := strconv.Atoi(slots)
 	if err != nil || n < u {
-		return -1
+		return descriptor.Load{}
 	}
-	return n - u
+	return descriptor.Load{Known: true, Running: u, Slots: n}
 }
 
 func hostOf(address string) string {
--- a/forwarder/own.go
+++ b/forwarder/own.go
@@ -46,8 +46,7 @@
 	Reason string `json:"reason"`
 }
 
-func (f *Forwarder) serveOwn(w http.ResponseWriter, r *http.Request) {
-	directory := f.directory.Load()
+func (p Plain) serveOwn(w http.ResponseWriter, r *http.Request, directory *descriptor.Directory) {
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		writeJSON(w, http.StatusMethodNotAllowed, problem{"method"})
@@ -56,14 +55,14 @@
 	case r.URL.Path == ReadyPath:
 		writeJSON(w, http.StatusServiceUnavailable, problem{descriptor.Starting.String()})
 	case r.URL.Path == AddressPath:
-		f.serveAddresses(w, r, directory)
+		p.serveAddresses(w, r, directory)
 	default:
 		writeJSON(w, http.StatusNotFound, problem{"path"})
 	}
 }
 
 // serveAddresses answers which addresses to use for a service.
-func (f *Forwarder) serveAddresses(w http.ResponseWriter, r *http.Request, d *descriptor.Directory) {
+func (p Plain) serveAddresses(w http.ResponseWriter, r *http.Request, d *descriptor.Directory) {
 	if !d.Ready {
 		w.Header().Set("Retry-After", "1")
 		writeJSON(w, http.StatusServiceUnavailable, problem{descriptor.Starting.String()})
@@ -77,12 +76,12 @@
 	}
 	domain := r.URL.Query().Get("domain")
 	if domain == "" {
-		domain = f.options.Domain
+		domain = p.options.Domain
 	}
 	writeJSON(w, http.StatusOK, AddressAnswer{
 		Service:   name,
 		Addresses: addresses(entry, domain, hostOf(r.RemoteAddr)+r.URL.Query().Get("caller")),
-		Keep:      f.options.Keep.Seconds(),
+		Keep:      p.options.Keep.Seconds(),
 		Revision:  entry.Revision,
 		State:     entry.Service.State.String(),
 	})
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -24,9 +24,13 @@
 	class   declarer.Class
 	service string
 	body    *callerBody
-	// gone is nil once the caller's leaving was posted.
+	// label is the caller's own identifier of the request.
+	label string
+	// deadline is when the caller stops waiting; zero means that it never does.
+	deadline time.Time
+	// gone is nil once the caller's leaving was posted, which away tells.
 	gone     <-chan struct{}
-	left     bool
+	away     bool
 	attempts map[descriptor.AttemptID]*attempt
 	running  sync.WaitGroup
 }
@@ -38,18 +42,74 @@
 		r:        r,
 		id:       descriptor.RequestID(f.requests.Add(1)),
 		started:  time.Now(),
-		service:  serviceName(r),
 		gone:     r.Context().Done(),
 		attempts: make(map[descriptor.AttemptID]*attempt),
 	}
-	directory := f.directory.Load()
-	if entry, ok := directory.Services[s.service]; ok {
-		s.entry = entry
-		s.class, _ = entry.Service.Match(r.Method, r.URL.Path)
+	s.label = f.dialect.Label(r)
+	if p := f.dialect.Patience(r); p > 0 {
+		s.deadline = s.started.Add(p)
 	}
 	return s
 }
 
+// locate finds the service and the class of the request.
+func (s *session) locate() (descriptor.Reason, bool) {
+	directory := s.owner.snapshot.Load()
+	if directory.Routes != nil {
+		return s.locateRoute(directory)
+	}
+	s.service = serviceName(s.r)
+	entry, ok := directory.Services[s.service]
+	if !ok {
+		return descriptor.UnknownService, false
+	}
+	s.entry = entry
+	s.class, _ = entry.Service.Match(s.r.Method, s.r.URL.Path)
+	return descriptor.Served, true
+}
+
+// locateRoute finds the route of the request by host and path. A route that is
+// not known may be a new one: only knowledge of the platform's store that is
+// newer than the request can tell that there is none.
+func (s *session) locateRoute(d *snapshot) (descriptor.Reason, bool) {
+	timer := time.NewTimer(routeWait)
+	defer timer.Stop()
+	for {
+		if route, ok := d.Routes.Match(s.r.Host, s.r.URL.EscapedPath()); ok {
+			s.service = route.Choose(s.owner.turn(route.Class.Name))
+			s.class = route.Class
+			s.entry = d.Services[s.service]
+			if t := s.started.Add(route.Class.Timeout); route.Class.Timeout > 0 && (s.deadline.IsZero() || t.Before(s.deadline)) {
+				s.deadline = t
+			}
+			return descriptor.Served, true
+		}
+		if d.Current.After(s.started) {
+			return descriptor.UnknownRoute, false
+		}
+		select {
+		case <-d.replaced:
+			d = s.owner.snapshot.Load()
+		case <-timer.C:
+			return descriptor.Starting, false
+		case <-s.gone:
+			return descriptor.Abandoned, false
+		}
+	}
+}
+
+// routeWait is the longest wait for news of a route that is not known; the news
+// comes with the next confirmation of a follower of the store.
+const routeWait = 900 * time.Millisecond
+
+// left returns the time until the deadline, or 0 if there is none.
+func (s *session) left(now time.Time) time.Duration {
+	if s.deadline.IsZero() {
+		return 0
+	}
+	return max(s.deadline.Sub(now), time.Millisecond)
+}
+
 // serviceName returns the service that a request is for: the header Service, or
 // the first label of its host.
 func serviceName(r *http.Request) string {
@@ -83,7 +143,7 @@
 			}
 		case <-s.gone:
 			s.gone = nil
-			s.left = true
+			s.away = true
 			s.owner.control.Post(descriptor.Gone{At: time.Now(), Request: s.id})
 		}
 	}
@@ -94,12 +154,11 @@
 	switch {
 	case s.r.Method == http.MethodConnect || s.r.Header.Get("Upgrade") != "":
 		return descriptor.Unsupported, true
-	case !s.owner.directory.Load().Ready:
+	case !s.owner.snapshot.Load().Ready:
 		return descriptor.Starting, true
-	case s.entry == nil:
-		return descriptor.UnknownService, true
 	}
-	return descriptor.Served, false
+	reason, ok := s.locate()
+	return reason, !ok
 }
 
 // arrived describes the request to the decisions.
@@ -115,7 +174,8 @@
 		Fingerprint: s.fingerprint(),
 		Replayable:  !hasBody,
 		Body:        hasBody,
-		Deadline:    deadline(s.r, s.started),
+		Deadline:    s.deadline,
+		Label:       s.label,
 	}
 }
 
@@ -197,7 +257,7 @@
 	now := time.Now()
 	s.owner.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: a.Attempt, Bytes: bytes})
 	reason := descriptor.Served
-	if s.left {
+	if s.away {
 		reason = descriptor.Abandoned
 	}
 	s.owner.recorder.End(reason, now.Sub(s.started), bytes)
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -117,6 +117,8 @@
 	descriptor.TypeLoan:       decode[descriptor.Loan],
 	descriptor.TypeDrain:      decode[descriptor.Drain],
 	descriptor.TypeInherit:    decode[descriptor.Inherit],
+	descriptor.TypePulse:      decode[descriptor.Pulse],
+	descriptor.TypeOutcomes:   decode[descriptor.Outcomes],
 }
 
 func decode[T descriptor.Message](body cbor.RawMessage) (descriptor.Message, error) {
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -37,6 +37,8 @@
 		descriptor.Refresh{List: []descriptor.Reference{reference}},
 		descriptor.Demand{Service: "s", Slots: 2},
 		descriptor.Loan{Service: "s", Backend: "b", Slots: 1, Millis: 1000},
+		descriptor.Pulse{Origin: "a", Incarnation: 1, Sequence: 2, Sum: 1 << 63, Age: 30},
+		descriptor.Outcomes{Service: "s", List: []descriptor.BackendOutcomes{{Backend: "b", Before: 2, Bad: 1, After: 1}}},
 		descriptor.Drain{Service: "s", Backend: "b"},
 		descriptor.Inherit{Instance: "a", Incarnation: 1, Keys: []descriptor.KeyRecord{{Key: "k", State: 1, Holder: "b"}}, Last: true, Total: 1},
 	}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -9,6 +9,8 @@
 	InFlight int
 	// Share is the number of slots that may be used; it is positive.
 	Share int
+	// Trust is the probability that it does not fail the work.
+	Trust float64
 }
 
 // Source draws numbers; the same seed gives the same sequence.
@@ -47,6 +49,30 @@
 	return best
 }
 
+// trustPerSlot is the trust that a candidate with all its slots in use must have
+// ahead of one with none: a full backend server is slower.
+const trustPerSlot = 0.04
+
+// Trusted takes the candidate that is most likely not to fail the work, and of
+// those that are about as likely the least loaded one. It answers loads where
+// some backend servers fail quickly: those that served lately are known to be
+// sound, and those not asked for a while are not.
+type Trusted struct{}
+
+// Pick implements Policy.
+func (Trusted) Pick(n int, at func(int) Candidate, turn uint64, _ Source) int {
+	best, highest := -1, 0.0
+	for k := range n {
+		i := (int(turn%uint64(n)) + k) % n
+		c := at(i)
+		score := c.Trust - trustPerSlot*float64(c.InFlight)/float64(c.Share)
+		if best < 0 || score > highest {
+			best, highest = i, score
+		}
+	}
+	return best
+}
+
 // LeastLoaded takes the candidate with the smallest share of its slots in use.
 type LeastLoaded struct{}
 
--- /dev/null
+++ b/relayer/relayer.go
@@ -0,0 +1,189 @@
+// Package relayer decides how instances that do not follow the platform's store
+// know that they miss nothing: the few that do send pulses down a tree of all
+// instances, and one that gets none in time asks the store itself.
+package relayer
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonswitch/container"
+	"monsoonswitch/descriptor"
+)
+
+// Times and bounds of pulses. Together they keep the news of a change well below
+// the two seconds in which it must be in force, also where links are silent.
+const (
+	// pulseEvery is the time between pulses of an instance that follows the store.
+	pulseEvery = 400 * time.Millisecond
+	// staleTime is the age of the last confirmation from which an instance asks
+	// the store itself.
+	staleTime = 900 * time.Millisecond
+	// steadyTime is how long pulses must keep coming before it stops to.
+	steadyTime = 3 * time.Second
+	// fanout is the number of instances that each one passes a pulse on to.
+	fanout = 8
+)
+
+// origin is what is known of the pulses of one follower of the store.
+type origin struct {
+	// sequence is that of the last pulse passed on.
+	sequence uint64
+	// sum and asOf are those of the last pulse; asOf counts once the documents
+	// held have that sum.
+	sum  uint64
+	asOf time.Time
+}
+
+// Relayer holds what one instance knows of how current it is. It belongs to one
+// goroutine.
+type Relayer struct {
+	self descriptor.Member
+	// own holds the time as of which each kind was read from the store here.
+	own *container.Table[descriptor.Kind, time.Time]
+	// origins holds the followers of the store by ID.
+	origins *container.Table[string, origin]
+	// pulsed is the time as of which pulses confirm the documents held.
+	pulsed time.Time
+	// steady is since when pulses have kept coming; zero while they do not.
+	steady time.Time
+	// sequence and sentAt are those of the last pulse sent from here.
+	sequence uint64
+	sentAt   time.Time
+	sentSum  uint64
+}
+
+// New returns the relayer of an instance.
+func New(self descriptor.Member) *Relayer {
+	return &Relayer{
+		self:    self,
+		own:     container.NewTable[descriptor.Kind, time.Time](),
+		origins: container.NewTable[string, origin](),
+	}
+}
+
+// Confirm takes in that nothing newer of a kind was in the store at a time.
+func (r *Relayer) Confirm(kind descriptor.Kind, asOf time.Time) {
+	if before, ok := r.own.Get(kind); !ok || asOf.After(before) {
+		r.own.Put(kind, asOf)
+	}
+}
+
+// read returns the time as of which all of the given kinds were read here.
+func (r *Relayer) read(kinds []descriptor.Kind) time.Time {
+	var oldest time.Time
+	for _, k := range kinds {
+		asOf, ok := r.own.Get(k)
+		if !ok {
+			return time.Time{}
+		}
+		if oldest.IsZero() || asOf.Before(oldest) {
+			oldest = asOf
+		}
+	}
+	return oldest
+}
+
+// Current returns the time as of which the documents held were the newest ones.
+func (r *Relayer) Current(kinds []descriptor.Kind) time.Time {
+	if own := r.read(kinds); own.After(r.pulsed) {
+		return own
+	}
+	return r.pulsed
+}
+
+// Stale tells whether an instance that is not chosen to follow the store is to
+// ask it all the same; active tells whether it does now.
+func (r *Relayer) Stale(now time.Time, active bool) bool {
+	fresh := now.Sub(r.pulsed) < staleTime
+	if !fresh {
+		r.steady = time.Time{}
+		return true
+	}
+	if r.steady.IsZero() {
+		r.steady = now
+	}
+	return active && now.Sub(r.steady) < steadyTime
+}
+
+// Pulse returns the next pulse of an instance that follows the store, if one is
+// due: now and then, and at once when its documents changed.
+func (r *Relayer) Pulse(now time.Time, kinds []descriptor.Kind, sum uint64) (descriptor.Pulse, bool) {
+	asOf := r.read(kinds)
+	if asOf.IsZero() || now.Sub(asOf) >= staleTime {
+		return descriptor.Pulse{}, false
+	}
+	if sum == r.sentSum && now.Sub(r.sentAt) < pulseEvery {
+		return descriptor.Pulse{}, false
+	}
+	r.sequence++
+	r.sentAt, r.sentSum = now, sum
+	return descriptor.Pulse{
+		Origin:      r.self.ID,
+		Incarnation: r.self.Incarnation,
+		Sequence:    r.sequence,
+		Sum:         sum,
+		Age:         now.Sub(asOf).Milliseconds(),
+	}, true
+}
+
+// Hear takes in a pulse. It returns the pulse to pass on, and false if it is not
+// newer than the last one of its origin.
+func (r *Relayer) Hear(now time.Time, p descriptor.Pulse) (descriptor.Pulse, bool) {
+	o, ok := r.origins.Get(p.Origin)
+	order := uint64(p.Incarnation) + p.Sequence
+	if p.Age < 0 || ok && order <= o.sequence {
+		return p, false
+	}
+	o = origin{sequence: order, sum: p.Sum, asOf: now.Add(-time.Duration(p.Age) * time.Millisecond)}
+	r.origins.Put(p.Origin, o)
+	return p, true
+}
+
+// Settle confirms what the pulses of all origins say of the documents with a sum,
+// and tells whether the newest pulse of an origin is about other documents.
+func (r *Relayer) Settle(from string, sum uint64) bool {
+	differs := false
+	for id, o := range r.origins.All {
+		if o.sum == sum && o.asOf.After(r.pulsed) {
+			r.pulsed = o.asOf
+		}
+		if id == from && o.sum != sum {
+			differs = true
+		}
+	}
+	return differs
+}
+
+// Children returns the instances that this one passes the pulses of an origin on
+// to: its part of a tree in which every instance stands once, in an order that
+// differs from origin to origin.
+func Children(self, origin string, members []descriptor.Member) []descriptor.Member {
+	type place struct {
+		weight uint64
+		member descriptor.Member
+	}
+	places := make([]place, 0, len(members))
+	for _, m := range members {
+		if m.ID != origin && m.State < descriptor.Dead {
+			places = append(places, place{xxhash.Sum64String(origin + "/" + m.ID), m})
+		}
+	}
+	sort.Slice(places, func(i, j int) bool { return places[i].weight < places[j].weight })
+	position := 0
+	for i, p := range places {
+		if p.member.ID == self {
+			position = i + 1
+		}
+	}
+	if position == 0 && self != origin {
+		return nil
+	}
+	var result []descriptor.Member
+	for i := position*fanout + 1; i <= position*fanout+fanout && i <= len(places); i++ {
+		result = append(result, places[i-1].member)
+	}
+	return result
+}
--- a/server/gate.go
+++ b/server/gate.go
@@ -32,13 +32,14 @@
 	}
 }
 
-// gates are those of the three listeners.
-type gates struct{ callers, inner, operators *gate }
+// gates are those of the listeners.
+type gates struct{ callers, questions, inner, operators *gate }
 
-func newGates() *gates { return &gates{newGate(), newGate(), newGate()} }
+func newGates() *gates { return &gates{newGate(), newGate(), newGate(), newGate()} }
 
 func (g *gates) open(s *Server) {
 	g.callers.open(s.forwarder)
+	g.questions.open(http.HandlerFunc(s.forwarder.ServeQuestion))
 	g.inner.open(s.linker)
 	g.operators.open(operator.New(s))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -21,6 +21,7 @@
 	"monsoonswitch/logger"
 	"monsoonswitch/operator"
 	"monsoonswitch/picker"
+	"monsoonswitch/platform"
 	"monsoonswitch/recorder"
 	"monsoonswitch/storer"
 )
@@ -40,10 +41,12 @@
 	follower   *storer.Follower
 	writer     *storer.Writer
 	callers    *listener.Listener
-	inner      *listener.Listener
-	operators  *listener.Listener
-	left       chan struct{}
-	isLeft     atomic.Bool
+	// questions are the listeners that answer questions only.
+	questions []*listener.Listener
+	inner     *listener.Listener
+	operators *listener.Listener
+	left      chan struct{}
+	isLeft    atomic.Bool
 }
 
 // New starts an entry instance. The settings have been checked.
@@ -87,6 +90,14 @@
 		return eris.Wrap(err, "callers")
 	}
 	options.Plain2 = false
+	for _, address := range s.settings.Callers.Questions {
+		options.Address = address
+		l, err := listener.New(options, g.questions)
+		if err != nil {
+			return eris.Wrap(err, "questions")
+		}
+		s.questions = append(s.questions, l)
+	}
 	options.Address = s.settings.Inner.Listen
 	if s.inner, err = listener.New(options, g.inner); err != nil {
 		return eris.Wrap(err, "inner")
@@ -109,7 +120,7 @@
 
 // start creates the parts behind the listeners.
 func (s *Server) start(now time.Time) {
-	client := storer.NewClient(s.settings.Platform.Address)
+	client, feeds := s.source()
 	control := newLate()
 	s.linker = linker.New(linker.Options{
 		Self:  func() descriptor.Member { return s.self },
@@ -119,14 +130,16 @@
 			s.log.Event(descriptor.NoteLinkBad, "", peer, err.Error())
 		},
 	}, control)
-	s.follower = storer.NewFollower(client, control, platformReporter{s.log})
+	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log})
 	s.writer = storer.NewWriter(client, control)
-	s.forwarder = forwarder.New(forwarder.Options{
+	options := forwarder.Options{
 		CallerHeader: s.settings.Callers.Header,
 		StallTimeout: s.settings.Limits.StallTimeout,
 		Keep:         s.settings.Callers.Keep,
 		Domain:       s.settings.Instance.Domain,
-	}, control, s.recorder)
+		FreshTime:    s.settings.Limits.FreshTime,
+	}
+	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
 	control.set(s.controller)
 	s.recorder.Gauge("links.sentbytes", func() int64 { return int64(s.linker.Traffic().SentBytes) })
@@ -135,12 +148,36 @@
 	s.recorder.Gauge("links.dropped", func() int64 { return int64(s.linker.Traffic().Dropped) })
 }
 
+// routed tells that a routing of the platform's operator declares the services.
+func (s *Server) routed() bool { return s.settings.Platform.Source == configurer.SourceRouting }
+
+// source returns the client of the platform and what to follow there.
+func (s *Server) source() (*storer.Client, []storer.Feed) {
+	if s.routed() {
+		return storer.NewStoreClient(platform.NewStore(s.settings.Platform.Address)), platform.Feeds()
+	}
+	return storer.NewClient(s.settings.Platform.Address), []storer.Feed{storer.Declarations()}
+}
+
+func (s *Server) pace() storer.Pace {
+	return storer.Pace{Wait: s.settings.Platform.Wait, Gap: s.settings.Platform.Gap}
+}
+
+// dialect returns how callers and backend servers speak.
+func (s *Server) dialect(o forwarder.Options) forwarder.Dialect {
+	if s.routed() {
+		return platform.NewDialect(o.Keep, o.Domain)
+	}
+	return forwarder.NewPlain(o)
+}
+
 // machine returns the decisions with the policies that the settings name.
 func (s *Server) machine(now time.Time) controller.Machine {
 	o := decider.Options{
 		Self:     s.self,
 		Seed:     uint64(now.UnixNano()),
 		Patience: s.settings.Platform.Patience,
+		Routing:  s.routed(),
 	}
 	switch s.settings.Limits.Policy {
 	case configurer.PolicyRoundRobin:
@@ -148,6 +185,9 @@
 	case configurer.PolicyConsecutive:
 		return decider.New[int, detector.Consecutive, picker.LeastLoaded, limiter.Open](o, now)
 	}
+	if s.routed() {
+		return decider.New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Adaptive](o, now)
+	}
 	return decider.NewStandard(o, now)
 }
 
@@ -233,7 +273,7 @@
 }
 
 func (s *Server) closeListeners() {
-	for _, l := range []*listener.Listener{s.callers, s.inner, s.operators} {
+	for _, l := range append([]*listener.Listener{s.callers, s.inner, s.operators}, s.questions...) {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/storer/client.go
+++ b/storer/client.go
@@ -33,6 +33,8 @@
 	ErrNotFound = eris.New("no such key")
 	// ErrTooLarge means that a value is over MaxValue.
 	ErrTooLarge = eris.New("value too large")
+	// ErrCompacted means that the history asked for is gone.
+	ErrCompacted = eris.New("history compacted")
 	// ErrGarbage means that the platform's answer can't be read.
 	ErrGarbage = eris.New("unreadable answer of platform")
 )
@@ -58,6 +60,8 @@
 	At time.Time `json:"at"`
 	// Value is the value as JSON.
 	Value json.RawMessage `json:"value"`
+	// Deleted tells that the key is gone as of Revision.
+	Deleted bool `json:"deleted,omitempty"`
 }
 
 // Page is an answer with many values.
@@ -81,30 +85,62 @@
 	Backends []descriptor.Backend `json:"backends"`
 }
 
-// Client calls the platform. It is safe for use by many goroutines.
+// Store is a key-value service with compare-and-swap, leases and watches. It is
+// safe for use by many goroutines.
+type Store interface {
+	// Get returns the value of a key.
+	Get(ctx context.Context, key string) (Item, error)
+	// List returns all values whose keys begin with prefix.
+	List(ctx context.Context, prefix string) (Page, error)
+	// Watch returns the changes under prefix that are newer than after. It waits
+	// for one at most for wait, and returns none then. ErrCompacted means that
+	// not all of them are known any more.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
+	// Put writes a value if the key has the expected revision; 0 means that there
+	// is no value. A lease over 0 removes the value after that time. On
+	// ErrConflict the item found is returned.
+	Put(ctx context.Context, key string, value []byte, expect uint64, lease time.Duration) (Item, error)
+}
+
+// Client calls the platform's store. It is safe for use by many goroutines.
 type Client struct {
-	base    string
-	service httpc.Service
+	Store
+	// lists is where the list of backend servers is, or nil if it lies in Store.
+	lists *remote
 }
 
 // NewClient returns a client of the platform at address, which is host:port.
 func NewClient(address string) *Client {
+	r := newRemote(address)
+	return &Client{Store: r, lists: r}
+}
+
+// NewStoreClient returns a client of a store.
+func NewStoreClient(s Store) *Client { return &Client{Store: s} }
+
+// remote is a platform that speaks the protocol of docs/PLATFORM.md.
+type remote struct {
+	base    string
+	service httpc.Service
+}
+
+func newRemote(address string) *remote {
 	listener.Configure()
 	breaker.NoBreakerFor(clientName)
 	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: time.Minute}
 	client := &http.Client{Transport: transport}
-	return &Client{base: "http://" + address, service: httpc.NewServiceWithClient(clientName, client)}
+	return &remote{base: "http://" + address, service: httpc.NewServiceWithClient(clientName, client)}
 }
 
 // Get returns the value of a key.
-func (c *Client) Get(ctx context.Context, key string) (Item, error) {
+func (c *remote) Get(ctx context.Context, key string) (Item, error) {
 	var item Item
 	err := c.read(ctx, "/kv/"+key, nil, callTimeout, &item)
 	return item, err
 }
 
 // List returns all values whose keys begin with prefix.
-func (c *Client) List(ctx context.Context, prefix string) (Page, error) {
+func (c *remote) List(ctx context.Context, prefix string) (Page, error) {
 	var page Page
 	err := c.read(ctx, "/kv", url.Values{"prefix": {prefix}}, callTimeout, &page)
 	return page, err
@@ -112,7 +148,7 @@
 
 // Watch returns the values under prefix that are newer than after. It waits for
 // one at most for wait, and returns none then.
-func (c *Client) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
+func (c *remote) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
 	var page Page
 	query := url.Values{
 		"prefix": {prefix},
@@ -125,14 +161,14 @@
 
 // Instances returns the list of backend servers once it is newer than after, or
 // what there is after wait.
-func (c *Client) Instances(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+func (c *remote) Instances(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
 	var listing Listing
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
 	err := c.read(ctx, "/instances", query, wait+callTimeout, &listing)
 	return listing, err
 }
 
-func (c *Client) read(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) error {
+func (c *remote) read(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+query.Encode(), nil)
@@ -156,7 +192,7 @@
 // Put writes a value if the key has the expected revision; 0 means that there is
 // no value. A lease over 0 removes the value after that time. On ErrConflict the
 // item found is returned.
-func (c *Client) Put(ctx context.Context, key string, value []byte, expect uint64, lease time.Duration) (Item, error) {
+func (c *remote) Put(ctx context.Context, key string, value []byte, expect uint64, lease time.Duration) (Item, error) {
 	if len(value) > MaxValue {
 		return Item{}, eris.Wrapf(ErrTooLarge, "%s: %d bytes", key, len(value))
 	}
@@ -221,3 +257,11 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer))
 	_ = response.Body.Close()
 }
+
+// Instances returns the list of a platform that keeps one.
+func (c *Client) Instances(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	if c.lists == nil {
+		return Listing{}, eris.Wrap(ErrNotFound, "list of backend servers")
+	}
+	return c.lists.Instances(ctx, after, wait)
+}
--- a/storer/documents.go
+++ b/storer/documents.go
@@ -59,6 +59,22 @@
 	return d, eris.Wrapf(ErrGarbage, "key %q", item.Key)
 }
 
+// Declarations returns the feed of the documents under ConfigPrefix.
+func Declarations() Feed {
+	return Feed{
+		Name:   "store",
+		Prefix: ConfigPrefix,
+		Kind:   descriptor.KindService,
+		Read: func(i Item) (descriptor.Document, bool, error) {
+			if i.Deleted {
+				return descriptor.Document{}, false, nil
+			}
+			d, err := ParseDocument(i)
+			return d, err == nil, err
+		},
+	}
+}
+
 // backendsDocument returns the document of a service's backend servers. Those
 // that can't be used are left out.
 func backendsDocument(l ServiceListing) descriptor.Document {
