--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -114,8 +114,8 @@
 	Kind     Kind
 	// AsOf is the time as of which nothing newer of Kind was there, and Revision
 	// the revision of the store then.
-	AsOf     time.Time
-	Revision uint64
+	AsOf     time.Time `json:",omitzero"`
+	Revision uint64    `json:",omitzero"`
 }
 
 // Written is the result of a write to the platform's store.
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -149,7 +149,7 @@
 	// Ejections is set for KindEjections, oldest first.
 	Ejections []Ejection `cbor:",omitempty"`
 	// Routing is set for KindRouting.
-	Routing *declarer.Routing `cbor:",omitempty"`
+	Routing *declarer.Routing `json:",omitempty" cbor:",omitempty"`
 }
 
 // Reference names a revision of a document.
