Open placement by pooled trust and estimated load

Now every instance may use every slot, its own part first; the score of a backend server is its trust, the expected wait and the way there. Retries keep the fleet's bounds and any work known not to have run goes elsewhere, with its body. Callers are sent to two instances of their own failure domain. Store calls after loading stop.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -28,9 +28,18 @@
 	return max(1, min(n, max(smallest, 2)))
 }
 
+// callersPerDomain is the number of instances that the callers of a failure domain
+// are sent to at least: they need another one when one is lost.
+const callersPerDomain = 2
+
 // CallerCount returns how many instances callers are sent to if all services
-// together have a total of slots.
-func CallerCount(total int) int { return max(LeastServing, 1+total/slotsPerServing) }
+// together have a total of slots and the instances are in a number of failure
+// domains: as many in each of them.
+func CallerCount(total, domains int) int {
+	domains = max(1, domains)
+	each := (1 + total/slotsPerServing + domains - 1) / domains
+	return domains * max(callersPerDomain, each)
+}
 
 // Weight is the rendezvous weight of member id for service.
 func Weight(service, id string) uint64 {
--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -51,7 +51,9 @@
 	r = b.cancelOthers(r, e.Attempt)
 	b.requests.Put(r.id, r)
 	if e.Status < http.StatusInternalServerError {
-		b.budget = b.budget.WithSuccess()
+		if !b.options.Guests {
+			b.budget = b.budget.WithRequest(b.terms)
+		}
 		b.clearCrash(r.fingerprint)
 	}
 	b.emit(descriptor.Deliver{Request: r.id, Attempt: e.Attempt})
@@ -65,7 +67,7 @@
 		return
 	}
 	_, s := b.backends.At(p)
-	s = s.WithAnswer()
+	s = s.WithAnswer().WithLoad(e.Load, e.At)
 	if e.Health == descriptor.HealthDraining {
 		s = b.drained(s)
 	}
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -31,6 +31,9 @@
 		b.ended = append(b.ended, Ended{Request: r.id, Class: e.Class, Reason: descriptor.UnknownRoute})
 		return
 	}
+	if b.options.Guests {
+		b.budget = b.budget.WithTime(e.At, b.terms).WithRequest(b.terms)
+	}
 	if reason, retry := b.Barrier(e); reason != descriptor.Served {
 		b.refuse(r, reason, descriptor.NotRun, retry)
 		return
@@ -165,6 +168,9 @@
 
 // pick returns the position of a backend server for r, or -1.
 func (b *Balancer[E, D, P, L]) pick(r request) int {
+	if b.options.Guests {
+		return b.pickOpen(r)
+	}
 	if p := b.pickFrom(&b.preferred, r); p >= 0 {
 		return p
 	}
@@ -210,22 +216,36 @@
 func (b *Balancer[E, D, P, L]) candidateAt(set *container.Positions, i int) picker.Candidate {
 	position := set.At(i)
 	_, s := b.backends.At(position)
-	return picker.Candidate{Position: position, InFlight: s.inFlight, Share: max(1, s.share), Trust: s.belief.Trust(b.now)}
+	return picker.Candidate{
+		Position: position,
+		InFlight: s.inFlight,
+		Share:    max(1, s.share),
+		Trust:    s.belief.Trust(b.now),
+	}
+}
+
+// freeSets returns the sets of free backend servers, preferred ones first.
+func (b *Balancer[E, D, P, L]) freeSets() [2]*container.Positions {
+	return [2]*container.Positions{&b.preferred, &b.wary}
 }
 
 // place stores the record at position and keeps the sets of free backend
 // servers in step.
 func (b *Balancer[E, D, P, L]) place(position int, s backend[E]) {
 	b.backends.SetAt(position, s)
-	free := s.inFlight < s.limit(b.now)
-	risky := s.avoided || s.mode == modeTrial || b.options.Guests && s.belief.Trust(b.now) < riskTrust
+	free := s.inFlight < b.limit(s)
+	risky := s.avoided || s.mode == modeTrial
 	b.preferred.Set(position, free && !risky)
 	b.wary.Set(position, free && risky)
 }
 
-// riskTrust is the trust below which a backend server gets only work that may run
-// twice, as long as there is another one.
-const riskTrust = 0.5
+// limit returns how many attempts may be in flight at a backend server.
+func (b *Balancer[E, D, P, L]) limit(s backend[E]) int {
+	if b.options.Guests {
+		return s.openLimit(b.now)
+	}
+	return s.limit(b.now)
+}
 
 // pump starts queued requests while there are free slots.
 func (b *Balancer[E, D, P, L]) pump() {
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -62,6 +62,9 @@
 	// inFlight counts attempts that hold a slot; long is those of long work.
 	inFlight int
 	long     int
+	// others is the work of other instances there by its last report, at othersAt.
+	others   int
+	othersAt time.Time
 	// cap limits inFlight after a shed; it grows with answers and is at least 1.
 	cap float64
 	// evidence is what this instance observed; open is the weight of its
@@ -178,6 +181,28 @@
 	return b
 }
 
+// WithLoad returns b after it reported its load, the reported attempt included.
+func (b backend[E]) WithLoad(l descriptor.Load, now time.Time) backend[E] {
+	if l.Known {
+		b.others = max(0, l.Running+l.Waiting-b.inFlight)
+		b.othersAt = now
+	}
+	return b
+}
+
+// othersTime is how long a report of the work of other instances counts, less
+// and less: about as long as such work takes.
+const othersTime = 600 * time.Millisecond
+
+// load estimates how many requests b has per slot at now.
+func (b backend[E]) load(now time.Time) float64 {
+	others := 0.0
+	if age := now.Sub(b.othersAt); age < othersTime {
+		others = float64(b.others) * (1 - float64(age)/float64(othersTime))
+	}
+	return (float64(b.inFlight) + others) / float64(b.listed.Slots)
+}
+
 // WithShed returns b after it refused work at the present load.
 func (b backend[E]) WithShed() backend[E] {
 	b.cap = max(1, float64(b.inFlight-1))
@@ -257,6 +282,24 @@
 	return max(0, min(n, int(b.cap)))
 }
 
+// queueFactor is how many requests per slot a backend server may have where the
+// slots are not divided: what is over one waits there, in the order of all
+// instances.
+const queueFactor = 2
+
+// openLimit returns how many attempts may be in flight at now where the slots are
+// not divided among instances.
+func (b backend[E]) openLimit(now time.Time) int {
+	switch b.mode {
+	case modeEjected, modeDown, modeLeaving:
+		return 0
+	}
+	if b.load(now) >= queueFactor {
+		return 0
+	}
+	return min(queueFactor*b.listed.Slots, int(b.cap))
+}
+
 // ramped returns the part of n slots that may be used some time after a start.
 func ramped(n int, grown time.Duration) int {
 	if grown >= rampTime || n <= 0 {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -17,7 +17,6 @@
 )
 
 const (
-	maxAttempts = retrier.MaxAttempts
 	// maxQueued bounds the queued requests of a service at one instance.
 	maxQueued = 8192
 	// pauseLimit is the time between two events of a busy service from which
@@ -39,6 +38,8 @@
 type Options struct {
 	// Self is the ID of this instance.
 	Self string
+	// Domain is the failure domain of this instance.
+	Domain string
 	// Seed makes the choices of a balancer repeatable.
 	Seed uint64
 	// NextWrite returns an unused write ID.
@@ -46,6 +47,20 @@
 	// Guests tells that instances that do not share the slots of the service
 	// serve it too. Outcomes of work are pooled then, and decide the placement.
 	Guests bool
+	// Retries bounds what all instances together send again, under Guests.
+	Retries retrier.Bounds
+}
+
+// terms returns how the budget for retries grows at one of a number of serving
+// instances; position is -1 for a guest.
+func (o Options) terms(instances, position int) retrier.Terms {
+	switch {
+	case !o.Guests:
+		return retrier.Standard()
+	case position < 0:
+		return o.Retries.Guest()
+	}
+	return o.Retries.Part(instances)
 }
 
 // Balancer holds the state of one service. It belongs to one goroutine.
@@ -75,11 +90,14 @@
 	// preferred and wary hold the positions of backend servers with a free
 	// slot; wary are those used only if there is no other way.
 	preferred, wary container.Positions
+	// scratch holds the positions that one pick compares.
+	scratch []int
 	// slots is the sum of the limits at the last refresh; trusted is the number
 	// of healthy backend servers that are not suspected.
 	slots, trusted int
 	requests       *container.Table[descriptor.RequestID, request]
 	budget         retrier.Budget
+	terms          retrier.Terms
 	listed         bool
 
 	// serving lists the instances that serve the service; position is this
@@ -138,12 +156,13 @@
 		random:   rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15),
 		backends: container.NewTable[string, backend[E]](),
 		requests: container.NewTable[descriptor.RequestID, request](),
-		budget:   retrier.NewBudget(),
+		budget:   retrier.NewBudget(o.terms(0, -1)),
 		position: -1,
 		peers:    make(map[string]peerEvidence),
 		untold:   container.NewTable[string, descriptor.BackendOutcomes](),
 		crashes:  container.NewGenerations[uint64, crash](maxCrashes),
 	}
+	b.terms = o.terms(0, -1)
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
 	b.Declare(s, 0)
 	return b
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonswitch/descriptor"
+	"monsoonswitch/retrier"
 )
 
 // Failed takes in that an attempt ended without a whole answer.
@@ -20,6 +21,8 @@
 	ran := e.Fault != descriptor.FaultConnect && e.Fault != descriptor.FaultShed && e.Fault != descriptor.FaultForeign
 	if ran {
 		r = r.WithUncertainty()
+	} else {
+		r = r.WithoutRun()
 	}
 	b.requests.Put(r.id, r)
 	b.recover(r, a, e, ran)
@@ -56,7 +59,7 @@
 // mayRetry tells whether a request may be sent to another backend server.
 // Non-idempotent work needs proof that it did not run.
 func (b *Balancer[E, D, P, L]) mayRetry(r request, e descriptor.Failed, ran bool) bool {
-	if int(r.last) >= b.attemptLimit(r) || b.backends.Len() <= int(r.last) {
+	if int(r.last) >= retrier.MaxTries || int(r.last)-r.unrun >= b.attemptLimit(r) || b.backends.Len() <= int(r.last) {
 		return false
 	}
 	if !r.replayable && !e.Untouched {
@@ -74,9 +77,9 @@
 // attemptLimit returns how many backend servers a request may be sent to.
 func (b *Balancer[E, D, P, L]) attemptLimit(r request) int {
 	if n := b.classes[r.class].declared.Attempts; n > 0 {
-		return min(n, maxAttempts)
+		return min(n, retrier.MaxAttempts)
 	}
-	return maxAttempts
+	return retrier.MaxAttempts
 }
 
 // spend takes one retry out of the budget.
@@ -136,7 +139,7 @@
 	case descriptor.FaultForeign:
 		s = b.drained(s)
 	case descriptor.FaultShed:
-		s = s.WithShed()
+		s = b.shed(s, e)
 	case descriptor.FaultBroken:
 		s = b.broke(s, r, a)
 	case descriptor.FaultCut, descriptor.FaultStatus:
@@ -145,6 +148,21 @@
 	b.place(p, s)
 }
 
+// shed handles work that a backend server refused. One that has room by its own
+// report is in doubt; another is full.
+func (b *Balancer[E, D, P, L]) shed(s backend[E], e descriptor.Failed) backend[E] {
+	s = s.WithLoad(e.Load, e.At)
+	if b.options.Guests && !fullShed(e.Load) {
+		b.noteOutcome(s.listed.ID, true)
+		return s.WithOutcome(b.now, true, shedBase)
+	}
+	return s.WithShed()
+}
+
+// shedBase is the share of refusals taken as usual while a backend server has
+// room: one of them says less than a failure.
+const shedBase = 0.15
+
 func (b *Balancer[E, D, P, L]) refusedConnection(s backend[E]) backend[E] {
 	if s.mode == modeReady || s.mode == modeTrial {
 		b.note(descriptor.NoteDown, s.listed.ID, "refused a connection")
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -44,6 +44,10 @@
 			s.coldUntil = b.now.Add(coldTime)
 		}
 	}
+	if ok && s.listed.Leaving {
+		// A delayed entry may say that it does not, but no incarnation stays.
+		listed.Leaving = true
+	}
 	s = s.WithListed(listed).WithShare(b.shareOf(listed))
 	if listed.Leaving {
 		s = s.WithMode(modeLeaving)
@@ -98,6 +102,7 @@
 	b.fadeUntil = time.Time{}
 	b.serving = serving
 	b.position = position
+	b.terms = b.options.terms(len(serving), position)
 	b.reshare()
 	b.pump()
 }
@@ -169,7 +174,7 @@
 	b.trusted = 0
 	for i := range b.backends.Len() {
 		_, s := b.backends.At(i)
-		b.slots += s.limit(b.now)
+		b.slots += b.limit(s)
 		if s.mode == modeReady && !s.avoided && s.share > 0 {
 			b.trusted++
 		}
--- /dev/null
+++ b/balancer/place.go
@@ -0,0 +1,160 @@
+package balancer
+
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+	"monsoonswitch/picker"
+)
+
+// Parameters of the placement where the slots are not divided among instances.
+const (
+	// soundTrust is the trust from which a backend server gets any work.
+	soundTrust = 0.55
+	// holdPart is the part of its patience for which work waits for a backend
+	// server with that trust.
+	holdPart = 0.5
+	// nearBonus is what a backend server of the same failure domain is worth, and
+	// nearBodyBonus that for work with a body: bytes between domains cost.
+	nearBonus     = 0.01
+	nearBodyBonus = 0.04
+	// canaryEvery is the number of idempotent requests of which one asks the
+	// backend server that was not heard of for longest, if it is in doubt.
+	canaryEvery = 8
+	// canaryBudget is the least budget for retries that a canary leaves.
+	canaryBudget = 2
+)
+
+// pickOpen returns the position of a backend server for r by pooled trust and
+// estimated load, or -1 if r is to wait. Work that may not run twice waits a
+// while for a sound backend server rather than go to one in doubt.
+func (b *Balancer[E, D, P, L]) pickOpen(r request) int {
+	positions := b.untried(r)
+	if len(positions) == 0 {
+		return -1
+	}
+	if p := b.canary(r, positions); p >= 0 {
+		return p
+	}
+	b.turn++
+	at := func(i int) picker.Candidate { return b.openCandidate(r, positions[i]) }
+	best := positions[b.picker.Pick(len(positions), at, b.turn, b.random)]
+	if b.openCandidate(r, best).Trust < soundTrust && b.waits(r) {
+		return -1
+	}
+	return best
+}
+
+// untried returns the positions of the free backend servers that r was not sent
+// to, those that are not avoided first.
+func (b *Balancer[E, D, P, L]) untried(r request) []int {
+	b.scratch = b.scratch[:0]
+	for _, set := range b.freeSets() {
+		for i := range set.Len() {
+			position := set.At(i)
+			if id, _ := b.backends.At(position); !r.triedAt(id) {
+				b.scratch = append(b.scratch, position)
+			}
+		}
+		if len(b.scratch) > 0 {
+			return b.scratch
+		}
+	}
+	return nil
+}
+
+func (b *Balancer[E, D, P, L]) openCandidate(r request, position int) picker.Candidate {
+	_, s := b.backends.At(position)
+	c := picker.Candidate{
+		Position: position,
+		InFlight: s.inFlight,
+		Share:    s.listed.Slots,
+		Trust:    s.belief.Trust(b.now),
+		Load:     s.load(b.now),
+		Wait:     b.waitPart(r, s),
+	}
+	if s.listed.Domain == b.options.Domain {
+		c.Bonus = nearBonus
+		if r.body {
+			c.Bonus = nearBodyBonus
+		}
+	}
+	return c
+}
+
+// waitPart estimates for which part of the time that r has to spare it would wait
+// at a backend server. Within this instance's own part of the slots it does not.
+func (b *Balancer[E, D, P, L]) waitPart(r request, s backend[E]) float64 {
+	if s.inFlight < s.share {
+		return 0
+	}
+	typical := b.references[r.class].Quantile(0.5, defaultTypical)
+	spare := max(b.classes[r.class].declared.Target-typical, typical/2)
+	ahead := s.load(b.now) + 1/float64(s.listed.Slots) - 1
+	if ahead <= 0 {
+		// A slot that looks free may be taken by the instance whose part it is.
+		ahead = foreignSlot
+	}
+	return ahead * float64(typical) / float64(spare)
+}
+
+const (
+	// defaultTypical stands in for the usual service time while it is not known.
+	defaultTypical = 200 * time.Millisecond
+	// foreignSlot is the expected wait for a free slot that belongs to the part
+	// of another instance, in service times.
+	foreignSlot = 0.12
+)
+
+// waits tells whether r waits rather than go to a backend server in doubt: for
+// part of its patience, if there is any sound one.
+func (b *Balancer[E, D, P, L]) waits(r request) bool {
+	patience := b.limiter.Patience(b.work(r.class))
+	if float64(b.now.Sub(r.arrived)) > holdPart*float64(patience) {
+		return false
+	}
+	for _, s := range b.backends.All {
+		if s.mode == modeReady && !s.avoided && s.belief.Trust(b.now) >= soundTrust {
+			return true
+		}
+	}
+	return false
+}
+
+// canary returns a backend server in doubt for one of several idempotent
+// requests, or -1. It finds out who is back without spending work that can't be
+// sent again.
+func (b *Balancer[E, D, P, L]) canary(r request, positions []int) int {
+	if r.last > 0 || !b.repeatable(r) || b.queued > 0 || b.budget.Left < canaryBudget {
+		return -1
+	}
+	if b.random.Uint64()%canaryEvery != 0 {
+		return -1
+	}
+	oldest := -1
+	for _, p := range positions {
+		_, s := b.backends.At(p)
+		if s.belief.Trust(b.now) >= soundTrust || s.inFlight > 0 {
+			continue
+		}
+		if oldest < 0 {
+			oldest = p
+			continue
+		}
+		if _, o := b.backends.At(oldest); s.belief.At.Before(o.belief.At) {
+			oldest = p
+		}
+	}
+	return oldest
+}
+
+// repeatable tells whether r may run more than once.
+func (b *Balancer[E, D, P, L]) repeatable(r request) bool {
+	return b.classes[r.class].declared.Idempotent && r.replayable
+}
+
+// fullShed tells whether a backend server that refused work had no room by its
+// own report. One that refuses work with room is ill.
+func fullShed(l descriptor.Load) bool {
+	return !l.Known || l.Running >= l.Slots
+}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"monsoonswitch/descriptor"
+	"monsoonswitch/retrier"
 )
 
 // parallel is the number of attempts of one request that may be open at once.
@@ -39,7 +40,9 @@
 	// last is the ID of the newest attempt, 0 before the first.
 	last descriptor.AttemptID
 	// tried lists the backend servers of all attempts.
-	tried [maxAttempts]string
+	tried [retrier.MaxTries]string
+	// unrun counts the attempts that are known not to have run.
+	unrun int
 	// delivered is the attempt whose answer goes to the caller, or 0.
 	delivered descriptor.AttemptID
 	// uncertain tells that an ended attempt may have run.
@@ -93,6 +96,12 @@
 	return r
 }
 
+// WithoutRun returns r after an attempt that did not run.
+func (r request) WithoutRun() request {
+	r.unrun++
+	return r
+}
+
 // WithUncertainty returns r after an attempt that may have run.
 func (r request) WithUncertainty() request {
 	r.uncertain = true
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -25,6 +25,7 @@
 	Platform  Platform
 	Log       Log
 	Limits    Limits
+	Retries   Retries
 }
 
 // loaders holds the function of each section.
@@ -36,6 +37,7 @@
 	"platform":  loadPlatform,
 	"log":       loadLog,
 	"limits":    loadLimits,
+	"retries":   loadRetries,
 }
 
 // Load reads the settings file at path.
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -18,6 +18,7 @@
 	"monsoonswitch/limiter"
 	"monsoonswitch/picker"
 	"monsoonswitch/relayer"
+	"monsoonswitch/retrier"
 	"monsoonswitch/spreader"
 )
 
@@ -27,6 +28,9 @@
 	watchRole = "~watch"
 	// watchers is the number of those instances.
 	watchers = 3
+	// routedWatchers is that number under a routing, where everyone who misses
+	// their news asks the store.
+	routedWatchers = 2
 	// callersRole is the name under which the instances that callers are sent to
 	// under a routing are chosen.
 	callersRole = "~callers"
@@ -46,6 +50,8 @@
 	// Routing tells that one routing declares all services, every instance
 	// serves all of them, and nothing is written to the store about them.
 	Routing bool
+	// Retries bounds what all instances together send again, under a routing.
+	Retries retrier.Bounds
 }
 
 // kinds lists the kinds of documents that come from the store.
@@ -140,6 +146,7 @@
 	d.writer = counter.NewWriter(o.Self, d.nextWrite)
 	d.index.SetService(watchRole, watchers)
 	if o.Routing {
+		d.index.SetService(watchRole, routedWatchers)
 		d.index.SetService(callersRole, allocator.LeastServing)
 	}
 	return d
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -151,6 +151,12 @@
 // resizeCallers sets how many instances callers are sent to, by the slots of all
 // services together.
 func (d *Decider[E, D, P, L]) resizeCallers() {
+	domains := make(map[string]bool)
+	for _, m := range d.gossiper.Members() {
+		if m.State < descriptor.Dead {
+			domains[m.Domain] = true
+		}
+	}
 	total := 0
 	for service := range d.declared.All {
 		document, _ := d.spreader.Get(descriptor.KindBackends, service)
@@ -158,7 +164,7 @@
 			total += b.Slots
 		}
 	}
-	if d.index.SetService(callersRole, allocator.CallerCount(total)) {
+	if d.index.SetService(callersRole, allocator.CallerCount(total, len(domains))) {
 		d.assign(callersRole)
 	}
 }
@@ -207,6 +213,8 @@
 		Seed:      d.options.Seed,
 		NextWrite: d.nextWrite,
 		Guests:    d.options.Routing,
+		Domain:    d.options.Self.Domain,
+		Retries:   d.options.Retries,
 	})
 	s.Declare(known.service, known.revision)
 	d.counter.InForce(d.now, service, known.revision)
@@ -248,6 +256,9 @@
 			d.assign(service)
 		}
 	}
+	if len(changes) > 0 && d.options.Routing {
+		d.resizeCallers()
+	}
 }
 
 func (d *Decider[E, D, P, L]) reindex(m descriptor.Member) []string {
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -76,7 +76,7 @@
 	chosen := includes(d.index.Get(watchRole), d.options.Self.ID)
 	alone := !d.synced && d.now.Sub(d.started) >= d.options.Patience
 	if d.options.Routing && d.synced {
-		alone = d.relayer.Stale(d.now, d.watching)
+		alone = d.relayer.Stale(d.now, d.options.kinds())
 	}
 	active := (chosen || alone) && !d.quit.started
 	if active == d.watching {
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -23,6 +23,25 @@
 	Current time.Time `json:",omitzero"`
 }
 
+// leastNear is the number of instances in a failure domain from which on the
+// callers there are sent to these alone.
+const leastNear = 2
+
+// CallersNear returns the instances that the callers of a failure domain are sent
+// to: those in it, or all if it has too few.
+func (d *Directory) CallersNear(domain string) []Member {
+	var near []Member
+	for _, m := range d.Callers {
+		if m.Domain == domain {
+			near = append(near, m)
+		}
+	}
+	if len(near) < leastNear {
+		return d.Callers
+	}
+	return near
+}
+
 // Entry is what traffic knows of a service.
 type Entry struct {
 	Service  declarer.Service
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -62,8 +62,10 @@
 	Attempt AttemptID
 	Fault   Fault
 	Health  Health
-	// Untouched tells that nothing of the caller's body was read.
+	// Untouched tells that the caller's body can be sent again from its start.
 	Untouched bool
+	// Load is what the backend server said of its load, for FaultShed.
+	Load Load `json:",omitzero"`
 }
 
 // Probed is the result of a connection made to a backend server for Probe.
--- a/detector/belief.go
+++ b/detector/belief.go
@@ -8,12 +8,12 @@
 // Parameters of a belief. Backend servers turn gray and recover by themselves.
 const (
 	// onsetRate and recoveryRate are how often a second a sound backend server
-	// turns gray and a gray one recovers: gray spells of a few seconds, and
+	// turns gray and a gray one recovers: spells of about ten seconds, and about
 	// three backend servers in ten within one at a time.
-	onsetRate    = 0.11
-	recoveryRate = 0.25
+	onsetRate    = 0.035
+	recoveryRate = 0.09
 	// grayFails is the share of its work that a gray backend server fails.
-	grayFails = 0.85
+	grayFails = 0.8
 	// soundFails bounds the share that a sound one fails from below.
 	soundFails = 0.01
 	// beliefFloor bounds the probability of either state from below.
@@ -33,8 +33,9 @@
 // stationary is the probability of a gray spell when nothing is known.
 const stationary = onsetRate / (onsetRate + recoveryRate)
 
-// NewBelief returns what is believed of a backend server that just appeared.
-func NewBelief(now time.Time) Belief { return Belief{Gray: stationary / 2, At: now} }
+// NewBelief returns what is believed of a backend server that just appeared: one
+// that just started is hardly ever in a spell.
+func NewBelief(now time.Time) Belief { return Belief{Gray: beliefFloor, At: now} }
 
 // WithTime returns b as of now.
 func (b Belief) WithTime(now time.Time) Belief {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -49,7 +49,7 @@
 	head := s.owner.dialect.Read(response, s.label)
 	if fault, ok := head.fault(); ok {
 		t.drop(response, head)
-		t.post(fault, head.Health)
+		t.post(fault, head)
 		return
 	}
 	t.response = response
@@ -159,7 +159,7 @@
 		return
 	}
 	t.session.owner.recorder.Fault()
-	t.post(t.faultOf(err), descriptor.HealthUnknown)
+	t.post(t.faultOf(err), Head{})
 }
 
 func (t *attempt) faultOf(err error) descriptor.Fault {
@@ -173,15 +173,16 @@
 	return descriptor.FaultBroken
 }
 
-func (t *attempt) post(fault descriptor.Fault, health descriptor.Health) {
+func (t *attempt) post(fault descriptor.Fault, head Head) {
 	s := t.session
 	s.owner.control.Post(descriptor.Failed{
 		At:        time.Now(),
 		Request:   s.id,
 		Attempt:   t.id,
 		Fault:     fault,
-		Health:    health,
-		Untouched: s.body.untouched(),
+		Health:    head.Health,
+		Load:      head.Load,
+		Untouched: s.body.again(),
 	})
 }
 
@@ -194,14 +195,25 @@
 	})
 }
 
-// callerBody is the body of a caller's request. A nil callerBody stands for no
-// body.
+// maxKept bounds the bytes of a body that are kept to send it again.
+const maxKept = 1 << 20
+
+// callerBody is the body of a caller's request. Its first bytes are kept, so that
+// work that did not run at one backend server can go to another. A nil callerBody
+// stands for no body.
 type callerBody struct {
 	source     io.ReadCloser
 	controller *http.ResponseController
 	stall      time.Duration
-	read       atomic.Uint64
-	failed     atomic.Bool
+
+	// mu guards what follows; one attempt after the other reads.
+	mu sync.Mutex
+	// kept holds all bytes read so far unless lost is set.
+	kept []byte
+	lost bool
+	// end is the error at the end of the source, or nil before.
+	end    error
+	failed atomic.Bool
 }
 
 func newCallerBody(s *session) *callerBody {
@@ -215,21 +227,44 @@
 	}
 }
 
-func (b *callerBody) untouched() bool { return b == nil || b.read.Load() == 0 }
+// again tells whether the body can be sent again from its start.
+func (b *callerBody) again() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.lost
+}
 
 func (b *callerBody) broken() bool { return b != nil && b.failed.Load() }
 
-// Read reads on and fails if the caller sends nothing for too long.
-func (b *callerBody) Read(p []byte) (int, error) {
+// readAt reads the bytes from an offset on: those kept first, and then more of
+// the source. It fails if the caller sends nothing for too long.
+func (b *callerBody) readAt(p []byte, offset int) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if offset < len(b.kept) {
+		return copy(p, b.kept[offset:]), nil
+	}
+	if b.end != nil {
+		return 0, b.end
+	}
 	_ = b.controller.SetReadDeadline(time.Now().Add(b.stall))
 	n, err := b.source.Read(p)
-	b.read.Add(uint64(n))
 	if err != nil {
+		b.end = err
 		_ = b.controller.SetReadDeadline(time.Time{})
 	}
 	if err != nil && !errors.Is(err, io.EOF) {
 		b.failed.Store(true)
 	}
+	if !b.lost && len(b.kept)+n <= maxKept {
+		b.kept = append(b.kept, p[:n]...)
+		return n, err
+	}
+	b.lost = true
+	b.kept = nil
 	return n, err
 }
 
@@ -237,7 +272,9 @@
 type attemptBody struct {
 	*callerBody
 	attempt *attempt
-	sent    atomic.Bool
+	// offset is the number of bytes read by this attempt.
+	offset int
+	sent   atomic.Bool
 }
 
 // Read implements io.Reader and posts that the whole body was sent.
@@ -245,7 +282,8 @@
 	if err := b.attempt.ctx.Err(); err != nil {
 		return 0, err
 	}
-	n, err := b.callerBody.Read(p)
+	n, err := b.readAt(p, b.offset)
+	b.offset += n
 	if errors.Is(err, io.EOF) && !b.sent.Swap(true) {
 		s := b.attempt.session
 		s.owner.control.Post(descriptor.Sent{At: time.Now(), Request: s.id, Attempt: b.attempt.id})
@@ -253,6 +291,5 @@
 	return n, err
 }
 
-// Close implements io.Closer. The caller's body stays open: another attempt may
-// send it if nothing of it was read.
+// Close implements io.Closer. The caller's body stays open for other attempts.
 func (b *attemptBody) Close() error { return nil }
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -172,7 +172,7 @@
 		Caller:      s.caller(),
 		Key:         s.r.Header.Get(headerKey),
 		Fingerprint: s.fingerprint(),
-		Replayable:  !hasBody,
+		Replayable:  !hasBody || s.r.ContentLength > 0 && s.r.ContentLength <= maxKept,
 		Body:        hasBody,
 		Deadline:    s.deadline,
 		Label:       s.label,
--- a/parser/section.go
+++ b/parser/section.go
@@ -122,6 +122,15 @@
 	return v
 }
 
+// NumberIn returns a number from least to most.
+func (s *Section) NumberIn(key string, fallback, least, most float64) float64 {
+	v := s.Number(key, fallback)
+	if v < least || v > most {
+		s.Fail(key, "%v is not from %v to %v", v, least, most)
+	}
+	return v
+}
+
 // IntIn returns a whole number from least to most.
 func (s *Section) IntIn(key string, fallback, least, most int) int {
 	text := s.Text(key, strconv.Itoa(fallback))
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -11,6 +11,14 @@
 	Share int
 	// Trust is the probability that it does not fail the work.
 	Trust float64
+	// Load is the estimated number of requests of all instances per slot.
+	Load float64
+	// Wait is the part of the time that the work has to spare for which it is
+	// expected to wait there.
+	Wait float64
+	// Bonus is what the way to it is worth against the same work elsewhere, in
+	// units of Trust.
+	Bonus float64
 }
 
 // Source draws numbers; the same seed gives the same sequence.
@@ -49,14 +57,20 @@
 	return best
 }
 
-// trustPerSlot is the trust that a candidate with all its slots in use must have
-// ahead of one with none: a full backend server is slower.
-const trustPerSlot = 0.04
+// Weights of load against trust.
+const (
+	// loadWeight is the trust that a backend server with all slots in use must
+	// have ahead of an idle one: a full one is slower.
+	loadWeight = 0.06
+	// waitWeight is the trust for work that waits for all its spare time: as much
+	// of its value as it loses then.
+	waitWeight = 0.8
+)
 
-// Trusted takes the candidate that is most likely not to fail the work, and of
-// those that are about as likely the least loaded one. It answers loads where
-// some backend servers fail quickly: those that served lately are known to be
-// sound, and those not asked for a while are not.
+// Trusted takes the candidate that is most likely not to fail the work and not to
+// let it wait. It answers loads where some backend servers fail quickly: those
+// that served lately are known to be sound, while those that look idle and were
+// not asked for a while are not.
 type Trusted struct{}
 
 // Pick implements Policy.
@@ -65,7 +79,7 @@
 	for k := range n {
 		i := (int(turn%uint64(n)) + k) % n
 		c := at(i)
-		score := c.Trust - trustPerSlot*float64(c.InFlight)/float64(c.Share)
+		score := c.Trust + c.Bonus - loadWeight*min(c.Load, 1) - waitWeight*c.Wait
 		if best < 0 || score > highest {
 			best, highest = i, score
 		}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -17,12 +17,12 @@
 // the two seconds in which it must be in force, also where links are silent.
 const (
 	// pulseEvery is the time between pulses of an instance that follows the store.
-	pulseEvery = 400 * time.Millisecond
+	pulseEvery = 300 * time.Millisecond
 	// staleTime is the age of the last confirmation from which an instance asks
 	// the store itself.
-	staleTime = 900 * time.Millisecond
+	staleTime = 1200 * time.Millisecond
 	// steadyTime is how long pulses must keep coming before it stops to.
-	steadyTime = 3 * time.Second
+	steadyTime = time.Second
 	// fanout is the number of instances that each one passes a pulse on to.
 	fanout = 8
 )
@@ -49,10 +49,13 @@
 	pulsed time.Time
 	// steady is since when pulses have kept coming; zero while they do not.
 	steady time.Time
+	// asking tells that the store is asked for want of pulses.
+	asking bool
 	// sequence and sentAt are those of the last pulse sent from here.
 	sequence uint64
 	sentAt   time.Time
 	sentSum  uint64
+	sentAsOf time.Time
 }
 
 // New returns the relayer of an instance.
@@ -95,17 +98,19 @@
 }
 
 // Stale tells whether an instance that is not chosen to follow the store is to
-// ask it all the same; active tells whether it does now.
-func (r *Relayer) Stale(now time.Time, active bool) bool {
-	fresh := now.Sub(r.pulsed) < staleTime
-	if !fresh {
+// ask it all the same, and keeps in mind that it did: it goes on until pulses
+// have kept coming for a while.
+func (r *Relayer) Stale(now time.Time, kinds []descriptor.Kind) bool {
+	if now.Sub(r.pulsed) >= staleTime {
 		r.steady = time.Time{}
-		return true
+		r.asking = r.asking || now.Sub(r.Current(kinds)) >= staleTime
+		return r.asking
 	}
 	if r.steady.IsZero() {
 		r.steady = now
 	}
-	return active && now.Sub(r.steady) < steadyTime
+	r.asking = r.asking && now.Sub(r.steady) < steadyTime
+	return r.asking
 }
 
 // Pulse returns the next pulse of an instance that follows the store, if one is
@@ -115,11 +120,12 @@
 	if asOf.IsZero() || now.Sub(asOf) >= staleTime {
 		return descriptor.Pulse{}, false
 	}
-	if sum == r.sentSum && now.Sub(r.sentAt) < pulseEvery {
+	news := asOf.Sub(r.sentAsOf)
+	if sum == r.sentSum && (news <= 0 || now.Sub(r.sentAt) < pulseEvery) {
 		return descriptor.Pulse{}, false
 	}
 	r.sequence++
-	r.sentAt, r.sentSum = now, sum
+	r.sentAt, r.sentSum, r.sentAsOf = now, sum, asOf
 	return descriptor.Pulse{
 		Origin:      r.self.ID,
 		Incarnation: r.self.Incarnation,
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"monsoonswitch/picker"
 	"monsoonswitch/platform"
 	"monsoonswitch/recorder"
+	"monsoonswitch/retrier"
 	"monsoonswitch/storer"
 )
 
@@ -178,6 +179,7 @@
 		Seed:     uint64(now.UnixNano()),
 		Patience: s.settings.Platform.Patience,
 		Routing:  s.routed(),
+		Retries:  retrier.Bounds(s.settings.Retries),
 	}
 	switch s.settings.Limits.Policy {
 	case configurer.PolicyRoundRobin:
