Bounded queues, lighter gossip, decisions about requests in the log

Work beyond the slots waits here, where order and place can still change, and is refused at once when the work ahead is too much. Every decision about a request that failed, was refused, sent again or slow is logged, within a budget and without blocking.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -40,6 +40,7 @@
 		return
 	}
 	b.learn(r, i, e)
+	b.trace(r, descriptor.NoteAnswered, e.Attempt, r.attempts[i].backend, "", e.Status)
 	if r.delivered != 0 {
 		b.cancel(r, i)
 		return
@@ -145,6 +146,7 @@
 func (b *Balancer[E, D, P, L]) cancelOthers(r request, keep descriptor.AttemptID) request {
 	for i := r.count - 1; i >= 0; i-- {
 		if r.attempts[i].id != keep {
+			b.trace(r, descriptor.NoteCancelled, r.attempts[i].id, r.attempts[i].backend, "", 0)
 			b.emit(descriptor.Cancel{Request: r.id, Attempt: r.attempts[i].id})
 			b.lose(r, i)
 			r = r.WithoutAttempt(i)
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"sort"
 	"time"
 
 	"monsoonswitch/container"
@@ -18,6 +19,7 @@
 	b.advance(e.At)
 	r := request{
 		id:          e.Request,
+		label:       e.Label,
 		class:       b.classIndex(e.Class),
 		caller:      e.Caller,
 		fingerprint: e.Fingerprint,
@@ -72,7 +74,8 @@
 
 // admit starts a request or queues it.
 func (b *Balancer[E, D, P, L]) admit(r request) {
-	if b.queued == 0 && b.mayStart(r.class) && b.start(r) {
+	b.trace(r, descriptor.NoteAdmitted, 0, "", "", 0)
+	if (b.queued == 0 || b.options.Guests && b.ahead(r.class) == 0) && b.mayStart(r.class) && b.start(r) {
 		return
 	}
 	patience := b.limiter.Patience(b.work(r.class))
@@ -84,9 +87,14 @@
 		b.refuse(r, descriptor.Expired, descriptor.NotRun, 0)
 		return
 	}
+	if !b.limiter.Admits(b.work(r.class)) {
+		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, retryAfter)
+		return
+	}
 	r = r.WithQueued(expires)
 	b.requests.Put(r.id, r)
 	b.queued++
+	b.trace(r, descriptor.NoteQueued, 0, "", "", 0)
 	b.queues[r.class].Push(r.caller, r.id)
 	b.pump()
 }
@@ -98,7 +106,29 @@
 		Target:  declared.Target,
 		Typical: b.references[c].Quantile(0.5, 0),
 		Oldest:  b.oldest(c),
+		// Classes less urgent than c start after it.
+		Ahead:    b.ahead(c),
+		InFlight: b.inFlight(),
+	}
+}
+
+// ahead counts the queued requests of classes at least as urgent as c.
+func (b *Balancer[E, D, P, L]) ahead(c int) int {
+	n := 0
+	for i := range b.queues {
+		if b.classes[i].declared.Rank <= b.classes[c].declared.Rank {
+			n += b.queues[i].Len()
+		}
 	}
+	return n
+}
+
+func (b *Balancer[E, D, P, L]) inFlight() int {
+	n := 0
+	for i := range b.classes {
+		n += b.classes[i].inFlight
+	}
+	return n
 }
 
 // oldest returns how long the oldest queued request of a class has waited. The
@@ -160,6 +190,7 @@
 	id, s := b.backends.At(position)
 	long := b.classes[r.class].declared.Long
 	r = r.WithAttempt(id, b.now)
+	b.trace(r, descriptor.NotePlaced, r.last, id, "", 0)
 	b.requests.Put(r.id, r)
 	b.classes[r.class] = b.classes[r.class].WithInFlight(1)
 	b.place(position, s.WithStart(long))
@@ -250,6 +281,10 @@
 // pump starts queued requests while there are free slots.
 func (b *Balancer[E, D, P, L]) pump() {
 	b.pumpRetries()
+	if b.options.Guests {
+		b.pumpOpen()
+		return
+	}
 	for b.queued > 0 && b.preferred.Len()+b.wary.Len() > 0 {
 		c := b.nextClass()
 		if c < 0 || !b.startNext(c) {
@@ -269,6 +304,34 @@
 	}
 }
 
+// pumpOpen starts queued requests of all classes, the most urgent class first. A
+// request that waits for a sound backend server holds up none of other classes.
+func (b *Balancer[E, D, P, L]) pumpOpen() {
+	for _, c := range b.byRank() {
+		for b.queues[c].Len() > 0 && b.preferred.Len()+b.wary.Len() > 0 && b.startNext(c) {
+		}
+	}
+}
+
+// byRank lists the classes with queued requests by rank, and of one rank the class
+// whose oldest request is closest to its target first.
+func (b *Balancer[E, D, P, L]) byRank() []int {
+	var list []int
+	for c := range b.classes {
+		if b.queues[c].Len() > 0 {
+			list = append(list, c)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool {
+		x, y := b.classes[list[i]].declared, b.classes[list[j]].declared
+		if x.Rank != y.Rank {
+			return x.Rank < y.Rank
+		}
+		return x.Target-b.oldest(list[i]) < y.Target-b.oldest(list[j])
+	})
+	return list
+}
+
 // startNext starts the next queued request of class c and tells whether one
 // left the queue.
 func (b *Balancer[E, D, P, L]) startNext(c int) bool {
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -103,8 +103,8 @@
 // unlimited is the cap of a backend server that did not shed.
 const unlimited = 1 << 20
 
-func newBackend[E any](listed descriptor.Backend, now time.Time) backend[E] {
-	return backend[E]{listed: listed, cap: unlimited, belief: detector.NewBelief(now)}
+func newBackend[E any](listed descriptor.Backend, now time.Time, started bool) backend[E] {
+	return backend[E]{listed: listed, cap: unlimited, belief: detector.NewBelief(now, started)}
 }
 
 // WithOutcome returns b after a request that ended there; base is the share of
@@ -282,10 +282,11 @@
 	return max(0, min(n, int(b.cap)))
 }
 
-// queueFactor is how many requests per slot a backend server may have where the
-// slots are not divided: what is over one waits there, in the order of all
-// instances.
-const queueFactor = 2
+// spareRequests is how many requests more than its slots a backend server may
+// have where the slots are not divided: one that waits there saves the time in
+// which a slot would be idle. More would wait better here, where the order and
+// the place can still change.
+const spareRequests = 1
 
 // openLimit returns how many attempts may be in flight at now where the slots are
 // not divided among instances.
@@ -294,10 +295,11 @@
 	case modeEjected, modeDown, modeLeaving:
 		return 0
 	}
-	if b.load(now) >= queueFactor {
+	most := b.listed.Slots + spareRequests
+	if b.load(now)*float64(b.listed.Slots) >= float64(most) {
 		return 0
 	}
-	return min(queueFactor*b.listed.Slots, int(b.cap))
+	return min(most, int(b.cap))
 }
 
 // ramped returns the part of n slots that may be used some time after a start.
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -27,6 +27,7 @@
 // Ended is the end of a request, for tallies and idempotency keys.
 type Ended struct {
 	Request descriptor.RequestID
+	Label   string
 	Class   string
 	Reason  descriptor.Reason
 	Outcome descriptor.Outcome
@@ -246,6 +247,7 @@
 	}
 	b.ended = append(b.ended, Ended{
 		Request: r.id,
+		Label:   r.label,
 		Class:   b.classes[r.class].declared.Name,
 		Reason:  reason,
 		Outcome: outcome,
@@ -256,6 +258,7 @@
 
 // refuse ends a request and tells its caller why.
 func (b *Balancer[E, D, P, L]) refuse(r request, reason descriptor.Reason, outcome descriptor.Outcome, retry time.Duration) {
+	b.trace(r, descriptor.NoteRefused, 0, "", reason.String()+" "+outcome.String(), 0)
 	b.emit(descriptor.Refuse{Request: r.id, Reason: reason, Outcome: outcome, Retry: retry})
 	if r.gone {
 		reason = descriptor.Abandoned
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -16,6 +16,7 @@
 	}
 	b.blame(r, i, e)
 	a := r.attempts[i]
+	b.trace(r, descriptor.NoteAttemptFailed, a.id, a.backend, e.Fault.String(), 0)
 	b.release(r, i)
 	r = r.WithoutAttempt(i)
 	ran := e.Fault != descriptor.FaultConnect && e.Fault != descriptor.FaultShed && e.Fault != descriptor.FaultForeign
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -38,7 +38,7 @@
 func (b *Balancer[E, D, P, L]) enlist(listed descriptor.Backend) {
 	s, ok := b.backends.Get(listed.ID)
 	if !ok {
-		s = newBackend[E](listed, b.now)
+		s = newBackend[E](listed, b.now, b.listed)
 		if b.listed {
 			s.rampFrom = b.now
 			s.coldUntil = b.now.Add(coldTime)
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"monsoonswitch/allocator"
 	"monsoonswitch/descriptor"
 )
 
@@ -35,7 +36,28 @@
 	for _, o := range list {
 		b.untold.Delete(o.Backend)
 	}
-	b.tell(descriptor.Outcomes{Service: b.service.Name, List: list})
+	m := descriptor.Outcomes{Service: b.service.Name, List: list}
+	if b.position >= 0 {
+		b.tell(m)
+		return
+	}
+	if len(b.serving) > 0 {
+		m.Relay = true
+		b.emit(descriptor.Send{To: b.confidant(), Message: m})
+	}
+}
+
+// confidant returns the instance that a guest tells how work ended: always the
+// same one, which passes it on, so that a guest needs one link.
+func (b *Balancer[E, D, P, L]) confidant() descriptor.Member {
+	n := len(b.serving)
+	first := int(allocator.Weight(b.service.Name, b.options.Self) % uint64(n))
+	for k := range n {
+		if m := b.serving[(first+k)%n]; m.Domain == b.options.Domain {
+			return m
+		}
+	}
+	return b.serving[first]
 }
 
 // maxOutcomes bounds the outcomes of one kind taken from one message: more of
@@ -57,6 +79,9 @@
 		}{{o.Before, false}, {o.Bad, true}, {o.After, false}} {
 			for range min(part.count, maxOutcomes) {
 				s = s.WithOutcome(now, part.failed, 0)
+				if m.Relay {
+					b.noteOutcome(o.Backend, part.failed)
+				}
 			}
 		}
 		b.place(p, s)
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -18,9 +18,12 @@
 	// nearBodyBonus that for work with a body: bytes between domains cost.
 	nearBonus     = 0.01
 	nearBodyBonus = 0.04
+	// retryCost is what a failure costs work that is sent again, as a part of what
+	// it costs other work.
+	retryCost = 0.35
 	// canaryEvery is the number of idempotent requests of which one asks the
 	// backend server that was not heard of for longest, if it is in doubt.
-	canaryEvery = 8
+	canaryEvery = 16
 	// canaryBudget is the least budget for retries that a canary leaves.
 	canaryBudget = 2
 )
@@ -39,7 +42,7 @@
 	b.turn++
 	at := func(i int) picker.Candidate { return b.openCandidate(r, positions[i]) }
 	best := positions[b.picker.Pick(len(positions), at, b.turn, b.random)]
-	if b.openCandidate(r, best).Trust < soundTrust && b.waits(r) {
+	if _, s := b.backends.At(best); s.belief.Trust(b.now) < soundTrust && b.waits(r) {
 		return -1
 	}
 	return best
@@ -69,7 +72,7 @@
 		Position: position,
 		InFlight: s.inFlight,
 		Share:    s.listed.Slots,
-		Trust:    s.belief.Trust(b.now),
+		Trust:    b.trustFor(r, s),
 		Load:     s.load(b.now),
 		Wait:     b.waitPart(r, s),
 	}
@@ -82,6 +85,16 @@
 	return c
 }
 
+// trustFor returns the probability that r is served if it goes to a backend server
+// first. A failure of work that may be sent again costs little but a retry.
+func (b *Balancer[E, D, P, L]) trustFor(r request, s backend[E]) float64 {
+	trust := s.belief.Trust(b.now)
+	if !b.repeatable(r) || b.budget.Left < canaryBudget || int(r.last)-r.unrun+1 >= b.attemptLimit(r) {
+		return trust
+	}
+	return 1 - retryCost*(1-trust)
+}
+
 // waitPart estimates for which part of the time that r has to spare it would wait
 // at a backend server. Within this instance's own part of the slots it does not.
 func (b *Balancer[E, D, P, L]) waitPart(r request, s backend[E]) float64 {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -25,6 +25,7 @@
 type request struct {
 	id    descriptor.RequestID
 	class int
+	label string
 	// caller, fingerprint, replayable and deadline are as in Arrived.
 	caller      string
 	fingerprint uint64
--- a/balancer/share.go
+++ b/balancer/share.go
@@ -25,7 +25,10 @@
 
 // share tells the other serving instances what they need.
 func (b *Balancer[E, D, P, L]) share() {
-	b.tellOutcomes()
+	if b.options.Guests {
+		b.tellOutcomes()
+		return
+	}
 	if b.position < 0 || len(b.serving) < 2 {
 		return
 	}
--- /dev/null
+++ b/balancer/trace.go
@@ -0,0 +1,30 @@
+package balancer
+
+import "monsoonswitch/descriptor"
+
+// trace records a decision about a request. Only balancers whose outcomes are
+// pooled do so; a is 0 for decisions that concern no attempt.
+func (b *Balancer[E, D, P, L]) trace(r request, number int, a descriptor.AttemptID, backend, cause string, status int) {
+	if !b.options.Guests {
+		return
+	}
+	t := descriptor.Trace{
+		At:       b.now,
+		Number:   number,
+		Request:  r.id,
+		Attempt:  a,
+		Backend:  backend,
+		Queued:   b.queued,
+		InFlight: b.inFlight(),
+		Status:   status,
+		Cause:    cause,
+	}
+	if !r.deadline.IsZero() {
+		t.Left = r.deadline.Sub(b.now)
+	}
+	if s, ok := b.backends.Get(backend); ok {
+		t.Trust = s.belief.Trust(b.now)
+		t.Load = s.load(b.now)
+	}
+	b.emit(t)
+}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -23,15 +23,17 @@
 	return clause
 }
 
-func (c *serveCommand) run(_ context.Context, _, log io.Writer) error {
+func (c *serveCommand) run(_ context.Context, out, _ io.Writer) error {
 	settings, err := configurer.Load(c.settings)
 	if err != nil {
 		return err
 	}
-	l, err := logger.New(log, settings.Log.Level, settings.Log.Format, settings.Instance.Name)
+	volume := logger.Volume{Notable: settings.Log.Notable, Sampled: settings.Log.Sampled}
+	l, err := logger.New(out, settings.Log.Level, settings.Log.Format, settings.Instance.Name, volume)
 	if err != nil {
 		return eris.Wrapf(configurer.ErrInvalid, "%v", err)
 	}
+	defer l.Close()
 	stop := stopper.New()
 	s, err := server.New(settings, l)
 	if err != nil {
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -95,7 +95,9 @@
 	served *container.Table[string, *balancer.Balancer[E, D, P, L]]
 	// requests maps each open request to its service.
 	requests *container.Table[descriptor.RequestID, string]
-	notes    *container.Ring[descriptor.Note]
+	// trails holds the decisions about each open request.
+	trails *container.Table[descriptor.RequestID, []descriptor.Trace]
+	notes  *container.Ring[descriptor.Note]
 
 	// synced tells that the configuration is known; watching that this
 	// instance follows the platform's store.
@@ -116,7 +118,7 @@
 type Standard = Decider[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]
 
 // Routed is the decider under a routing.
-type Routed = Decider[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Adaptive]
+type Routed = Decider[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded]
 
 // RoundRobin is the baseline without ejection.
 type RoundRobin = Decider[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open]
@@ -139,6 +141,7 @@
 		declared:  container.NewTable[string, declaration](),
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
 		requests:  container.NewTable[descriptor.RequestID, string](),
+		trails:    container.NewTable[descriptor.RequestID, []descriptor.Trace](),
 		notes:     container.NewRing[descriptor.Note](keptNotes),
 		dirty:     true,
 	}
@@ -251,13 +254,22 @@
 func (d *Decider[E, D, P, L]) collect(service string, s *balancer.Balancer[E, D, P, L]) {
 	before := len(d.actions)
 	d.actions, d.ended = s.Flush(d.actions, d.ended[:0])
+	kept := d.actions[:before]
 	for _, a := range d.actions[before:] {
+		if t, ok := a.(descriptor.Trace); ok {
+			d.follow(t)
+			continue
+		}
 		d.inspect(a)
+		kept = append(kept, a)
 	}
+	clear(d.actions[len(kept):])
+	d.actions = kept
 	for _, e := range d.ended {
 		d.requests.Delete(e.Request)
 		d.counter.End(d.now, service, e.Class, e.Reason, e.Outcome, e.Bytes, e.Latency)
 		d.emitAll(d.keeper.End(e.Request, e.Outcome))
+		d.endTrail(service, e)
 	}
 }
 
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -50,6 +50,11 @@
 	if !d.spreader.HasFresh() {
 		return
 	}
+	if d.options.Routing {
+		// Pulses tell of changes, and whoever lacks them asks.
+		d.spreader.Fresh(nil)
+		return
+	}
 	for _, a := range d.spreader.Fresh(d.gossiper.Links()) {
 		if to, ok := d.gossiper.Member(a.To); ok {
 			d.send(to, a.References)
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -78,6 +78,8 @@
 type Outcomes struct {
 	Service string
 	List    []BackendOutcomes
+	// Relay asks the receiver to tell the other instances that share the slots.
+	Relay bool `cbor:",omitempty"`
 }
 
 // BackendOutcomes counts how requests at one backend server ended since the last
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -25,6 +25,15 @@
 	NoteDrain         = 4007
 	NotePoison        = 4008
 	NoteTrial         = 4009
+	NoteAdmitted      = 6001
+	NoteQueued        = 6002
+	NotePlaced        = 6003
+	NoteAnswered      = 6004
+	NoteAttemptFailed = 6005
+	NoteRefused       = 6006
+	NoteCancelled     = 6007
+	NoteEnded         = 6008
+	NoteLogDropped    = 6009
 	NoteTallyLate     = 5001
 	NoteTallyFinal    = 5002
 )
--- a/detector/belief.go
+++ b/detector/belief.go
@@ -33,9 +33,14 @@
 // stationary is the probability of a gray spell when nothing is known.
 const stationary = onsetRate / (onsetRate + recoveryRate)
 
-// NewBelief returns what is believed of a backend server that just appeared: one
-// that just started is hardly ever in a spell.
-func NewBelief(now time.Time) Belief { return Belief{Gray: beliefFloor, At: now} }
+// NewBelief returns what is believed of a backend server: one that just started is
+// hardly ever in a spell, and of others nothing is known.
+func NewBelief(now time.Time, started bool) Belief {
+	if started {
+		return Belief{Gray: beliefFloor, At: now}
+	}
+	return Belief{Gray: stationary, At: now}
+}
 
 // WithTime returns b as of now.
 func (b Belief) WithTime(now time.Time) Belief {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -99,9 +99,14 @@
 	ring []spot
 	// wanted holds the IDs of the instances that this one watches.
 	wanted []string
+	// watchers holds the instances that watch this one.
+	watchers map[string]bool
 	// wantedAt is when each was first wanted without being heard.
 	wantedAt *container.Table[string, time.Time]
-	// pending lists the members whose records changed since the last flush.
+	// source is the instance whose records are taken in now.
+	source string
+	// pending holds the members whose records changed since the last flush, with
+	// the instance that told of each.
 	pending  *container.Table[string, string]
 	sequence uint64
 	// digest sums up all records.
@@ -208,6 +213,8 @@
 // HearMembers takes in records. A message that holds every record of some
 // buckets is answered with the records that it lacks or has in older versions.
 func (g *Gossiper) HearMembers(now time.Time, from string, m descriptor.Members) {
+	g.source = from
+	defer func() { g.source = "" }()
 	seen := make(map[string]descriptor.Member, len(m.Records))
 	for _, r := range m.Records {
 		seen[r.ID] = r
@@ -306,7 +313,16 @@
 
 // mergeSelf refutes what others believe of this instance if it is wrong.
 func (g *Gossiper) mergeSelf(m descriptor.Member, now time.Time) {
-	if m.Incarnation != g.self.Incarnation || g.self.State == descriptor.Left {
+	if g.self.State == descriptor.Left {
+		return
+	}
+	if m.Incarnation > g.self.Incarnation {
+		// The clock of an earlier start was ahead of the present one.
+		g.self.Incarnation = m.Incarnation + 1
+		g.restate(now, g.self)
+		return
+	}
+	if m.Incarnation < g.self.Incarnation {
 		return
 	}
 	if m.Version > g.self.Version || m.Version == g.self.Version && m.State != g.self.State {
@@ -348,7 +364,7 @@
 	}
 	g.digest = with(g.digest, m)
 	g.members.Put(m.ID, entry{member: m, since: since})
-	g.pending.Put(m.ID, m.ID)
+	g.pending.Put(m.ID, g.source)
 	g.changes = append(g.changes, Change{Before: before.member, After: m})
 	g.place(m)
 }
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -44,12 +44,23 @@
 		}
 	}
 	g.wanted = wanted
+	g.watchers = g.watchersOf(i, n)
 	for _, id := range keysNotIn(g, wanted) {
 		g.wantedAt.Delete(id)
 	}
 	g.actions = append(g.actions, descriptor.Connect{Peers: peers})
 }
 
+// watchersOf lists the instances that watch the one at position i of a ring of n
+// instances, if they know the same ring.
+func (g *Gossiper) watchersOf(i, n int) map[string]bool {
+	result := make(map[string]bool)
+	for distance := 1; distance < n; distance *= 2 {
+		result[g.ring[(i-distance+n)%n].id] = true
+	}
+	return result
+}
+
 func keysNotIn(g *Gossiper, wanted []string) []string {
 	var result []string
 	for id := range g.wantedAt.All {
@@ -65,13 +76,13 @@
 	every := DigestInterval(g.links.Len())
 	for i := range g.links.Len() {
 		id, l := g.links.At(i)
-		if now.Sub(l.beaten) < heartbeatEvery {
+		if now.Sub(l.beaten) < g.beatEvery(id) {
 			continue
 		}
 		g.sequence++
 		g.send(id, descriptor.Heartbeat{Sequence: g.sequence})
 		l = l.WithBeat(now)
-		if now.Sub(l.digested) >= every {
+		if now.Sub(l.digested) >= every && (g.watchers[id] || contains(g.wanted, id)) {
 			g.send(id, descriptor.Digest{Members: g.digest, Documents: documents})
 			l = l.WithDigest(now)
 		}
@@ -79,6 +90,19 @@
 	}
 }
 
+// beatEvery returns the time between heartbeats on a link: often to those that
+// watch this instance, less often to those that may come to, and hardly ever on
+// links that carry something else.
+func (g *Gossiper) beatEvery(id string) time.Duration {
+	switch {
+	case g.watchers[id] || len(g.watchers) == 0:
+		return heartbeatEvery
+	case contains(g.wanted, id):
+		return 2 * heartbeatEvery
+	}
+	return 10 * heartbeatEvery
+}
+
 // accuse marks watched instances that were silent for too long.
 func (g *Gossiper) accuse(now time.Time) {
 	for _, id := range g.wanted {
@@ -132,24 +156,33 @@
 	if g.pending.Len() == 0 {
 		return
 	}
-	var records []descriptor.Member
-	for id := range g.pending.All {
-		if e, ok := g.members.Get(id); ok {
-			records = append(records, e.member)
+	for _, to := range g.spreadTo() {
+		var records []descriptor.Member
+		for id, from := range g.pending.All {
+			if e, ok := g.members.Get(id); ok && from != to {
+				records = append(records, e.member)
+			}
 		}
+		g.sendRecords(to, records)
 	}
-	for _, id := range g.pendingIDs() {
-		g.pending.Delete(id)
-	}
-	for _, id := range g.Links() {
-		g.sendRecords(id, records)
-	}
+	g.pending = container.NewTable[string, string]()
 }
 
-func (g *Gossiper) pendingIDs() []string {
-	ids := make([]string, 0, g.pending.Len())
-	for id := range g.pending.All {
-		ids = append(ids, id)
+// spreadTo lists the instances that changes go to: those that this one watches.
+// They reach everyone by that; an instance without links to them tells all it has.
+func (g *Gossiper) spreadTo() []string {
+	var result []string
+	for _, id := range g.wanted {
+		if g.links.Has(id) {
+			result = append(result, id)
+		}
+	}
+	if len(result) < min(leastSpread, len(g.wanted)) || len(result) == 0 {
+		return g.Links()
 	}
-	return ids
+	return result
 }
+
+// leastSpread is the number of watched instances linked to from which on changes
+// go to these alone.
+const leastSpread = 2
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -12,6 +12,9 @@
 	Typical time.Duration
 	// Oldest is how long the oldest queued request has waited.
 	Oldest time.Duration
+	// Ahead counts the queued requests that start before a new one, and InFlight
+	// those that run.
+	Ahead, InFlight int
 }
 
 // Policy decides the order of queued work and the share of long work.
@@ -25,6 +28,8 @@
 	LongLimit(slots int) int
 	// LongShare returns how many of slots long work gets ahead of short work.
 	LongShare(slots int) int
+	// Admits tells whether a new request is to join the queue.
+	Admits(w Work) bool
 	// Hedges tells whether overdue work is sent to a second backend server.
 	Hedges() bool
 }
@@ -64,6 +69,9 @@
 // LongShare implements Policy.
 func (Adaptive) LongShare(slots int) int { return max(1, int(longLeast*float64(slots))) }
 
+// Admits implements Policy.
+func (Adaptive) Admits(Work) bool { return true }
+
 // Hedges implements Policy.
 func (Adaptive) Hedges() bool { return true }
 
@@ -73,6 +81,33 @@
 // Newest implements Policy.
 func (Ordered) Newest(Work) bool { return false }
 
+// Parameters of Bounded.
+const (
+	// queuePart is the part of its spare time that work may be expected to wait.
+	queuePart = 0.6
+	// meanFactor is the mean service time of work with a long tail, in usual ones.
+	meanFactor = 1.3
+)
+
+// Bounded refuses a request at once when the work ahead of it takes so long that
+// it could not be answered within its target. It answers crests above what the
+// backend servers can do: what is admitted is served in time, and what is not
+// learns so without a wait.
+type Bounded struct{ Adaptive }
+
+// Admits implements Policy.
+func (b Bounded) Admits(w Work) bool {
+	if w.InFlight == 0 || w.Typical <= 0 {
+		return true
+	}
+	wait := meanFactor * float64(w.Ahead) * float64(w.Typical) / float64(w.InFlight)
+	return wait <= queuePart*float64(b.Patience(w))
+}
+
+// Newest implements Policy: the bound keeps the queue short, so its order is that
+// of arrival.
+func (Bounded) Newest(Work) bool { return false }
+
 // Open is the baseline: the oldest request first, no early refusal and no limit
 // on long work.
 type Open struct{}
@@ -89,5 +124,8 @@
 // LongShare implements Policy.
 func (Open) LongShare(int) int { return 0 }
 
+// Admits implements Policy.
+func (Open) Admits(Work) bool { return true }
+
 // Hedges implements Policy.
 func (Open) Hedges() bool { return false }
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
@@ -45,17 +46,38 @@
 	descriptor.NoteDrain:         {logrus.InfoLevel, "backend server draining"},
 	descriptor.NotePoison:        {logrus.ErrorLevel, "request brings backend servers down"},
 	descriptor.NoteTrial:         {logrus.InfoLevel, "backend server on trial"},
+	descriptor.NoteAdmitted:      {logrus.InfoLevel, "request admitted"},
+	descriptor.NoteQueued:        {logrus.InfoLevel, "request queued"},
+	descriptor.NotePlaced:        {logrus.InfoLevel, "request sent to backend server"},
+	descriptor.NoteAnswered:      {logrus.InfoLevel, "backend server answered"},
+	descriptor.NoteAttemptFailed: {logrus.InfoLevel, "attempt failed"},
+	descriptor.NoteRefused:       {logrus.InfoLevel, "request refused"},
+	descriptor.NoteCancelled:     {logrus.InfoLevel, "attempt cancelled"},
+	descriptor.NoteEnded:         {logrus.InfoLevel, "request ended"},
+	descriptor.NoteLogDropped:    {logrus.InfoLevel, "requests left out of the log"},
 	descriptor.NoteTallyLate:     {logrus.WarnLevel, "tallies unconfirmed"},
 	descriptor.NoteTallyFinal:    {logrus.InfoLevel, "tallies confirmed"},
 }
 
 // Logger writes events of one instance. It is safe for use by many goroutines.
-type Logger struct{ entry *logrus.Entry }
+type Logger struct {
+	entry  *logrus.Entry
+	writer *writer
+	trails trails
+}
+
+// Volume bounds the lines about requests.
+type Volume struct {
+	// Notable is the number of requests a second that are told in full because
+	// they failed, were refused, sent again or slow; Sampled that of others.
+	Notable, Sampled float64
+}
 
 // New returns a logger with the given level and format, which is text or json.
-func New(w io.Writer, level, format, instance string) (*Logger, error) {
+func New(w io.Writer, level, format, instance string, v Volume) (*Logger, error) {
 	l := logrus.New()
-	l.SetOutput(w)
+	out := newWriter(w)
+	l.SetOutput(out)
 	parsed, err := logrus.ParseLevel(level)
 	if err != nil {
 		return nil, eris.Wrapf(ErrSetting, "level %q", level)
@@ -69,7 +91,20 @@
 	default:
 		return nil, eris.Wrapf(ErrSetting, "format %q", format)
 	}
-	return &Logger{entry: l.WithField("instance", instance)}, nil
+	return &Logger{entry: l.WithField("instance", instance), writer: out, trails: trails{volume: v}}, nil
+}
+
+// closeTime bounds the wait for the last lines.
+const closeTime = 500 * time.Millisecond
+
+// Close waits a moment until what was logged is written; what is logged later is
+// dropped. It is called once.
+func (l *Logger) Close() {
+	close(l.writer.stop)
+	select {
+	case <-l.writer.done:
+	case <-time.After(closeTime):
+	}
 }
 
 // Event writes one numbered event. An unknown number is written as an error.
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -32,12 +32,13 @@
 
 func TestNew(t *testing.T) {
 	var out bytes.Buffer
-	l, err := New(&out, "info", "json", "entry-1")
+	l, err := New(&out, "info", "json", "entry-1", Volume{})
 	asserter.NoError(t, "new", err)
 	l.Event(1001, "", "entry-1", "")
+	l.Close()
 	asserter.True(t, "numbered", bytes.Contains(out.Bytes(), []byte(`"event":1001`)))
-	_, err = New(&out, "loud", "json", "entry-1")
+	_, err = New(&out, "loud", "json", "entry-1", Volume{})
 	asserter.ErrorIs(t, "level", err, ErrSetting)
-	_, err = New(&out, "info", "xml", "entry-1")
+	_, err = New(&out, "info", "xml", "entry-1", Volume{})
 	asserter.ErrorIs(t, "format", err, ErrSetting)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -188,7 +188,7 @@
 		return decider.New[int, detector.Consecutive, picker.LeastLoaded, limiter.Open](o, now)
 	}
 	if s.routed() {
-		return decider.New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Adaptive](o, now)
+		return decider.New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](o, now)
 	}
 	return decider.NewStandard(o, now)
 }
@@ -210,6 +210,8 @@
 		s.follower.SetActive(a.Active)
 	case descriptor.Note:
 		s.log.Note(a)
+	case descriptor.Trail:
+		s.log.Trail(time.Now(), a)
 	case descriptor.Leave:
 		if !s.isLeft.Swap(true) {
 			close(s.left)
