--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -282,12 +282,6 @@
 	return max(0, min(n, int(b.cap)))
 }
 
-// spareRequests is how many requests more than its slots a backend server may
-// have where the slots are not divided: one that waits there saves the time in
-// which a slot would be idle. More would wait better here, where the order and
-// the place can still change.
-const spareRequests = 1
-
 // openLimit returns how many attempts may be in flight at now where the slots are
 // not divided among instances.
 func (b backend[E]) openLimit(now time.Time) int {
@@ -295,11 +289,11 @@
 	case modeEjected, modeDown, modeLeaving:
 		return 0
 	}
-	most := b.listed.Slots + spareRequests
-	if b.load(now)*float64(b.listed.Slots) >= float64(most) {
+	// What is over the slots waits here, where its order and place can change.
+	if b.load(now) >= 1 {
 		return 0
 	}
-	return min(most, int(b.cap))
+	return min(b.listed.Slots, int(b.cap))
 }
 
 // ramped returns the part of n slots that may be used some time after a start.
--- a/main_test.go
+++ b/main_test.go
@@ -167,7 +167,7 @@
 // launch starts the process and reads its addresses from its first log event.
 func (f *fleet) launch(p *process) {
 	f.t.Helper()
-	out, err := p.cmd.StderrPipe()
+	out, err := p.cmd.StdoutPipe()
 	asserter.NoError(f.t, "pipe", err)
 	asserter.NoError(f.t, "start", p.cmd.Start())
 	lines := bufio.NewScanner(out)
