Leaving incarnations stay so; a restarted fleet names nobody before it knows itself

Departed incarnations are remembered; the test sends such an entry to real processes and failed before. Ruled out: lists of two followers in the wrong order.

After all instances were killed each named itself alone to callers and had a full budget for retries. Now one that starts is told of all members at once, names nobody for half a second, and begins without retries. Work past its deadline is given up, so shutdowns end in time.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,6 +19,9 @@
 const (
 	// maxQueued bounds the queued requests of a service at one instance.
 	maxQueued = 8192
+	// maxDeparted is the number of leaving backend servers remembered in one
+	// generation.
+	maxDeparted = 4096
 	// pauseLimit is the time between two events of a busy service from which
 	// on this process must have been stopped in between.
 	pauseLimit = 250 * time.Millisecond
@@ -52,6 +55,14 @@
 	Retries retrier.Bounds
 }
 
+// budget returns the budget for retries of an instance that starts.
+func (o Options) budget() retrier.Budget {
+	if o.Guests {
+		return retrier.NewEmptyBudget()
+	}
+	return retrier.NewBudget(retrier.Standard())
+}
+
 // terms returns how the budget for retries grows at one of a number of serving
 // instances; position is -1 for a guest.
 func (o Options) terms(instances, position int) retrier.Terms {
@@ -114,6 +125,8 @@
 	refusal   string
 	peers     map[string]peerEvidence
 	crashes   *container.Generations[uint64, crash]
+	// departed holds the incarnations that were once listed as leaving.
+	departed *container.Generations[string, bool]
 	// untold holds the outcomes that the other instances were not told yet.
 	untold *container.Table[string, descriptor.BackendOutcomes]
 	toldAt time.Time
@@ -157,10 +170,11 @@
 		random:   rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15),
 		backends: container.NewTable[string, backend[E]](),
 		requests: container.NewTable[descriptor.RequestID, request](),
-		budget:   retrier.NewBudget(o.terms(0, -1)),
+		budget:   o.budget(),
 		position: -1,
 		peers:    make(map[string]peerEvidence),
 		untold:   container.NewTable[string, descriptor.BackendOutcomes](),
+		departed: container.NewGenerations[string, bool](maxDeparted),
 		crashes:  container.NewGenerations[uint64, crash](maxCrashes),
 	}
 	b.terms = o.terms(0, -1)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -44,10 +44,7 @@
 			s.coldUntil = b.now.Add(coldTime)
 		}
 	}
-	if ok && s.listed.Leaving {
-		// A delayed entry may say that it does not, but no incarnation stays.
-		listed.Leaving = true
-	}
+	listed = b.stillLeaving(listed)
 	s = s.WithListed(listed).WithShare(b.shareOf(listed))
 	if listed.Leaving {
 		s = s.WithMode(modeLeaving)
@@ -55,6 +52,20 @@
 	b.backends.Put(listed.ID, s)
 }
 
+// stillLeaving returns the entry of a backend server that keeps on leaving: a
+// delayed entry may say that it does not, but no incarnation stays.
+func (b *Balancer[E, D, P, L]) stillLeaving(listed descriptor.Backend) descriptor.Backend {
+	if !b.options.Guests {
+		return listed
+	}
+	if listed.Leaving {
+		b.departed.Put(listed.ID, true)
+	}
+	left, _ := b.departed.Get(listed.ID)
+	listed.Leaving = left
+	return listed
+}
+
 func (b *Balancer[E, D, P, L]) delist(id string) {
 	s, _ := b.backends.Get(id)
 	if s.inFlight == 0 {
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -210,6 +210,10 @@
 	if declared.Timeout > 0 && b.now.Sub(r.arrived) > declared.Timeout+timeoutSlack {
 		return true
 	}
+	if b.options.Guests && !r.deadline.IsZero() && b.now.Sub(r.deadline) > timeoutSlack {
+		// The backend server ended it too, as it knows the deadline.
+		return true
+	}
 	if declared.Idempotent && !r.deadline.IsZero() && b.now.After(r.deadline) {
 		return true
 	}
--- a/configurer/limits.go
+++ b/configurer/limits.go
@@ -26,6 +26,9 @@
 	// FreshTime is how long an idle connection to a backend server is used again
 	// for work that may not run twice.
 	FreshTime time.Duration
+	// Grace is how long after SIGTERM the platform ends the process; 0 means that
+	// it never does.
+	Grace time.Duration
 	// Policy is standard, or a baseline for comparison.
 	Policy string
 }
@@ -37,6 +40,7 @@
 		IdleTimeout:  s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
 		StallTimeout: s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
 		FreshTime:    s.DurationIn("freshtime", time.Second, 0, time.Minute),
+		Grace:        time.Duration(s.NumberIn("grace", 0, 0, 3600) * float64(time.Second)),
 		Policy:       s.Choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
 	}
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -52,6 +52,9 @@
 	Routing bool
 	// Retries bounds what all instances together send again, under a routing.
 	Retries retrier.Bounds
+	// Grace is the longest time from being asked to leave until the platform ends
+	// the process; 0 means that it never does.
+	Grace time.Duration
 }
 
 // kinds lists the kinds of documents that come from the store.
@@ -102,6 +105,9 @@
 	// synced tells that the configuration is known; watching that this
 	// instance follows the platform's store.
 	synced, watching bool
+	// settled tells that syncedAt is long enough ago to know the other members.
+	settled  bool
+	syncedAt time.Time
 	// dirty tells that the directory changed, and stamped that only its time did.
 	dirty, stamped bool
 	gossipAt       time.Time
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -44,6 +44,7 @@
 // sync records that the configuration is known, so that callers may come.
 func (d *Decider[E, D, P, L]) sync(source string) {
 	d.synced = true
+	d.syncedAt = d.now
 	// Traffic must know before others send callers here.
 	d.publishNow()
 	d.note(descriptor.NoteReady, d.options.Self.ID, "configuration from "+source)
@@ -309,6 +310,7 @@
 	}
 	next.Ready = d.synced
 	next.Leaving = d.quit.started
+	next.Settled = d.options.Routing && d.settled
 	next.Current = d.relayer.Current(d.options.kinds())
 	d.published = next
 	return next
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -13,6 +13,8 @@
 	lingerTime = 2500 * time.Millisecond
 	// tallyWait is the longest wait for the last tallies to be confirmed.
 	tallyWait = 5 * time.Second
+	// gracePart is the part of the grace time that a shutdown may use.
+	gracePart = 0.93
 	// farewellTime is how long the last messages have to go out.
 	farewellTime = 300 * time.Millisecond
 )
@@ -47,6 +49,13 @@
 	if !q.started || q.done {
 		return
 	}
+	if d.options.Grace > 0 && d.now.Sub(q.at) >= time.Duration(gracePart*float64(d.options.Grace)) {
+		// What is still open would end with the process anyway.
+		q.done = true
+		d.gossiper.Leave(d.now, "")
+		d.emit(descriptor.Leave{})
+		return
+	}
 	if d.requests.Len() > 0 || d.keeper.Waiting() > 0 || d.now.Sub(q.at) < lingerTime {
 		return
 	}
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -41,6 +41,7 @@
 		d.tallyAt = d.now
 		d.tally()
 	}
+	d.settleMembers()
 	d.leaveStep()
 	d.publish()
 }
@@ -144,6 +145,18 @@
 	return d.gossiper.Self(), d.quit.started
 }
 
+// settleTime is how long after it knows the configuration an instance tells no
+// callers which others to use: it would name only the few that it met so far.
+const settleTime = 500 * time.Millisecond
+
+// settleMembers notes that the members are known well enough.
+func (d *Decider[E, D, P, L]) settleMembers() {
+	if d.synced && !d.settled && d.now.Sub(d.syncedAt) >= settleTime {
+		d.settled = true
+		d.stamped = true
+	}
+}
+
 // publish gives traffic a new directory if anything in it changed.
 func (d *Decider[E, D, P, L]) publish() {
 	if (d.dirty || d.stamped) && d.now.Sub(d.publishAt) >= publishEvery {
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -17,6 +17,9 @@
 	// Routes finds services by host and path, and is nil unless a routing
 	// declares the services.
 	Routes *declarer.Map `json:",omitempty"`
+	// Settled tells that the members known are about all there are, so that
+	// callers can be told which instances to use.
+	Settled bool `json:",omitempty"`
 	// Callers lists the instances that callers are sent to under a routing.
 	Callers []Member `json:",omitempty"`
 	// Current is the time as of which nothing newer was in the platform's store.
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -42,6 +42,8 @@
 
 // Member is one entry instance and what is agreed on about it.
 type Member struct {
+	// Records go around a lot, so their encoding names no fields.
+	_ struct{} `cbor:",toarray"`
 	// ID is unique among the instances that live at one time.
 	ID string
 	// Incarnation grows with each start of the instance.
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -26,6 +26,7 @@
 	controller := http.NewResponseController(s.w)
 	copyHeader(s.w.Header(), response.Header)
 	s.owner.dialect.Pass(s.w.Header())
+	s.sendAway()
 	announceTrailers(s.w.Header(), response)
 	if !s.away {
 		s.w.WriteHeader(response.StatusCode)
@@ -49,6 +50,14 @@
 	}
 }
 
+// sendAway ends the caller's connection after an answer if this instance leaves,
+// so that the next request goes to another one.
+func (s *session) sendAway() {
+	if s.owner.snapshot.Load().Leaving {
+		s.w.Header().Set("Connection", "close")
+	}
+}
+
 // write passes bytes on and notes if the caller left.
 func (s *session) write(controller *http.ResponseController, data []byte) {
 	_ = controller.SetWriteDeadline(time.Now().Add(s.owner.options.StallTimeout))
@@ -84,6 +93,7 @@
 	if a.Reason == descriptor.Misdirected && s.entry != nil {
 		body.Addresses = addresses(s.currentEntry(), s.owner.options.Domain, s.caller())
 	}
+	s.sendAway()
 	if s.owner.dialect.Refuse(s.w, s.r, a) {
 		_ = json.NewEncoder(s.w).Encode(body)
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -26,6 +26,9 @@
 	accusersNeeded = 2
 	// maxRecords bounds the records of one message.
 	maxRecords = 256
+	// maxWelcome is the number of members up to which an instance that just
+	// started is told of all; in larger fleets digests do that bucket by bucket.
+	maxWelcome = 512
 	// digestLeast is the least time between digests on a link, and digestShare
 	// that between digests on any link.
 	digestLeast = 10 * time.Second
@@ -192,9 +195,26 @@
 
 // LinkOpened takes in a link to an instance.
 func (g *Gossiper) LinkOpened(e descriptor.LinkOpened) {
+	before, known := g.members.Get(e.Peer.ID)
 	g.links.Put(e.Peer.ID, link{heard: e.At})
 	g.merge(e.Peer, e.At)
-	g.send(e.Peer.ID, descriptor.Members{Records: []descriptor.Member{g.self}})
+	if known && before.member.Incarnation == e.Peer.Incarnation || g.members.Len() > maxWelcome {
+		g.send(e.Peer.ID, descriptor.Members{Records: []descriptor.Member{g.self}})
+		return
+	}
+	// One that just started learns of everybody at once.
+	g.sendRecords(e.Peer.ID, g.living())
+}
+
+// living returns the records of the members that are not given up.
+func (g *Gossiper) living() []descriptor.Member {
+	var result []descriptor.Member
+	for _, e := range g.members.All {
+		if e.member.State < descriptor.Dead {
+			result = append(result, e.member)
+		}
+	}
+	return result
 }
 
 // LinkClosed takes in that there is no link to an instance any more.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -11,7 +11,7 @@
 
 // Version is the version of the inner protocol. Instances with other versions
 // refuse each other's links.
-const Version = 1
+const Version = 2
 
 // MaxFrame bounds a frame in bytes.
 const MaxFrame = 4 << 20
--- /dev/null
+++ b/platform_test.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+)
+
+// platformFleet is a number of processes on a stand-in of the operators' platform.
+type platformFleet struct {
+	t         *testing.T
+	store     *platformStore
+	address   string
+	backends  []*platformBackend
+	instances []*platformInstance
+	seeds     []string
+}
+
+// platformInstance is one process, which can be started again.
+type platformInstance struct {
+	name, front, inner, settings string
+	cmd                          *exec.Cmd
+}
+
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	asserter.NoError(t, "listen", err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// routing is a configuration with one route for each service.
+func routing(version int, services ...string) map[string]any {
+	var routes, list [][]any
+	for _, s := range services {
+		routes = append(routes, []any{"safe-" + s, s + ".example", "/safe/", "safe", 2, 1, 1, nil, 3, s})
+		routes = append(routes, []any{"once-" + s, s + ".example", "/once/", "unsafe", 2, 1, 1, nil, 1, s})
+		list = append(list, []any{s, "/health", 100})
+	}
+	return map[string]any{
+		"version":  fmt.Sprintf("r%d", version),
+		"routes":   map[string]any{"columns": []string{"name", "hostname", "path_prefix", "kind", "timeout_s", "target_latency_s", "priority", "traffic_split", "max_attempts", "service"}, "rows": routes},
+		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections"}, "rows": list},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_s": 3, "idle_timeout_s": 15},
+	}
+}
+
+func newPlatformFleet(t *testing.T, instances, backends int) *platformFleet {
+	f := &platformFleet{t: t, store: newPlatformStore()}
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.address = strings.TrimPrefix(server.URL, "http://")
+	f.store.set("op/config", routing(1, "ledger"))
+	f.store.set("servers/strange", map[string]any{"service": 7, "slots": "many"})
+	for i := range backends {
+		b := newPlatformBackend("ledger", i)
+		t.Cleanup(b.server.Close)
+		f.backends = append(f.backends, b)
+		f.store.set("servers/"+b.id, b.entry("ready"))
+	}
+	for i := range instances {
+		f.add(i)
+	}
+	for _, p := range f.instances {
+		f.start(p)
+	}
+	t.Cleanup(f.killAll)
+	f.waitServed()
+	return f
+}
+
+func (f *platformFleet) add(i int) {
+	p := &platformInstance{name: fmt.Sprintf("entry-%d", i), front: freeAddress(f.t), inner: freeAddress(f.t)}
+	f.seeds = append(f.seeds, p.inner)
+	text := fmt.Sprintf(`[instance]
+name = %s
+domain = a
+[callers]
+listen = %s
+keep = 2s
+[inner]
+listen = %s
+key = a-key-for-the-tests
+seeds = %s
+[operators]
+listen = 127.0.0.1:0
+[platform]
+address = %s
+source = routing
+patience = 0s
+wait = 300ms
+gap = 100ms
+[log]
+format = json
+[limits]
+grace = 6
+[retries]
+ratio = 0.2
+extra = 50
+window = 10
+`, p.name, p.front, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address)
+	p.settings = filepath.Join(f.t.TempDir(), p.name+".ini")
+	asserter.NoError(f.t, "write settings", os.WriteFile(p.settings, []byte(text), 0o600))
+	f.instances = append(f.instances, p)
+}
+
+func (f *platformFleet) start(p *platformInstance) {
+	p.cmd = exec.Command(binary, "serve", "--settings", p.settings)
+	asserter.NoError(f.t, "start", p.cmd.Start())
+}
+
+// kill ends a process at once.
+func (f *platformFleet) kill(p *platformInstance) {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+}
+
+func (f *platformFleet) killAll() {
+	for _, p := range f.instances {
+		f.kill(p)
+	}
+}
+
+// waitServed waits until every instance serves and names others.
+func (f *platformFleet) waitServed() {
+	f.t.Helper()
+	for _, p := range f.instances {
+		asserter.Eventually(f.t, p.name+" serves", patience, func() bool {
+			status, _ := f.get(p, "/resolve?name=ledger.example&zone=a")
+			served, _ := f.ask(p, "GET", "ledger.example", "/safe/x", "")
+			return status == 200 && served == 200
+		})
+	}
+}
+
+func (f *platformFleet) get(p *platformInstance, path string) (int, string) {
+	return f.do(p, "GET", "", path, "", 2000)
+}
+
+var requests struct {
+	mu sync.Mutex
+	n  int
+}
+
+// ask sends a request with an identifier of its own.
+func (f *platformFleet) ask(p *platformInstance, method, host, path, body string) (int, string) {
+	return f.do(p, method, host, path, body, 2000)
+}
+
+func (f *platformFleet) do(p *platformInstance, method, host, path, body string, deadline int) (int, string) {
+	requests.mu.Lock()
+	requests.n++
+	id := fmt.Sprintf("id%d", requests.n)
+	requests.mu.Unlock()
+	r, err := http.NewRequest(method, "http://"+p.front+path, strings.NewReader(body))
+	asserter.NoError(f.t, "request", err)
+	r.Host = host
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", fmt.Sprint(deadline))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(data)
+}
+
+func TestPlatformServes(t *testing.T) {
+	f := newPlatformFleet(t, 3, 4)
+	t.Run("by host and path, as the backend server said it", func(t *testing.T) {
+		status, body := f.ask(f.instances[1], "POST", "ledger.example:80", "/once/a", "work")
+		asserter.Equal(t, "status", status, 200)
+		asserter.Equal(t, "body", body, "POST /once/a by ledger")
+	})
+	t.Run("no route is certain", func(t *testing.T) {
+		status, _ := f.ask(f.instances[0], "GET", "ledger.example", "/other/", "")
+		asserter.Equal(t, "status", status, 404)
+	})
+	t.Run("a new route is in force everywhere and never goes back", func(t *testing.T) {
+		b := newPlatformBackend("billing", 0)
+		t.Cleanup(b.server.Close)
+		f.store.set("servers/"+b.id, b.entry("ready"))
+		f.store.set("op/config", routing(4, "ledger", "billing"))
+		for _, p := range f.instances {
+			asserter.Eventually(t, p.name, patience, func() bool {
+				status, _ := f.ask(p, "GET", "billing.example", "/safe/", "")
+				return status == 200
+			})
+		}
+		f.store.set("op/config", routing(3, "ledger"))
+		time.Sleep(time.Second)
+		for _, p := range f.instances {
+			status, _ := f.ask(p, "GET", "billing.example", "/safe/", "")
+			asserter.Equal(t, "after an older version", status, 200)
+		}
+	})
+	t.Run("the history is forgotten", func(t *testing.T) {
+		f.store.forget()
+		b := newPlatformBackend("audit", 0)
+		t.Cleanup(b.server.Close)
+		f.store.set("servers/"+b.id, b.entry("ready"))
+		f.store.set("op/config", routing(6, "ledger", "billing", "audit"))
+		for _, p := range f.instances {
+			asserter.Eventually(t, p.name, patience, func() bool {
+				status, _ := f.ask(p, "GET", "audit.example", "/safe/", "")
+				return status == 200
+			})
+		}
+	})
+}
+
+func TestPlatformBackends(t *testing.T) {
+	f := newPlatformFleet(t, 3, 5)
+	runs := func() (total, most int) {
+		for _, b := range f.backends {
+			n, m := b.counts()
+			total += n
+			most = max(most, m)
+		}
+		return total, most
+	}
+	t.Run("a refusal that says not run is true, and other work goes elsewhere", func(t *testing.T) {
+		f.backends[0].set(func(b *platformBackend) { b.shed = true })
+		for i := range 40 {
+			status, _ := f.ask(f.instances[i%3], "POST", "ledger.example", "/once/a", "work")
+			asserter.Equal(t, "status", status, 200)
+		}
+		f.backends[0].set(func(b *platformBackend) { b.shed = false })
+	})
+	t.Run("a gray one gets little work, and none runs twice", func(t *testing.T) {
+		f.backends[1].set(func(b *platformBackend) { b.gray = true })
+		before, _ := f.backends[1].counts()
+		for i := range 150 {
+			f.ask(f.instances[i%3], "POST", "ledger.example", "/once/a", "work")
+		}
+		after, _ := f.backends[1].counts()
+		asserter.AtMost(t, "requests at the gray one, of 150", after-before, 15)
+		_, most := runs()
+		asserter.Equal(t, "runs of one request", most, 1)
+		f.backends[1].set(func(b *platformBackend) { b.gray = false })
+	})
+	t.Run("a leaving one gets nothing after two seconds, also by a delayed entry", func(t *testing.T) {
+		b := f.backends[2]
+		f.store.set("servers/"+b.id, b.entry("draining"))
+		time.Sleep(time.Second)
+		f.store.set("servers/"+b.id, b.entry("ready"))
+		time.Sleep(time.Second)
+		since := time.Now()
+		for i := range 90 {
+			f.ask(f.instances[i%3], "GET", "ledger.example", "/safe/a", "")
+		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		asserter.True(t, "nothing later", b.last.Before(since))
+	})
+	t.Run("an address that another service has", func(t *testing.T) {
+		b := f.backends[3]
+		b.set(func(b *platformBackend) { b.id = "i-other" })
+		for i := range 40 {
+			status, _ := f.ask(f.instances[i%3], "POST", "ledger.example", "/once/a", "work")
+			asserter.Equal(t, "status", status, 200)
+		}
+	})
+}
+
+func TestPlatformOutage(t *testing.T) {
+	f := newPlatformFleet(t, 4, 3)
+	f.store.setDown(true)
+	t.Run("serves on", func(t *testing.T) {
+		time.Sleep(1500 * time.Millisecond)
+		for _, p := range f.instances {
+			status, _ := f.ask(p, "POST", "ledger.example", "/once/a", "work")
+			asserter.Equal(t, p.name, status, 200)
+		}
+	})
+	t.Run("one that starts learns from the others", func(*testing.T) {
+		f.kill(f.instances[3])
+		f.start(f.instances[3])
+		f.waitServed()
+	})
+	t.Run("no route is not certain", func(t *testing.T) {
+		status, _ := f.ask(f.instances[0], "GET", "ledger.example", "/new/", "")
+		asserter.Equal(t, "status", status, 503)
+	})
+	t.Run("all killed at once come back with the store", func(*testing.T) {
+		f.killAll()
+		for _, p := range f.instances {
+			f.start(p)
+		}
+		f.store.setDown(false)
+		f.waitServed()
+	})
+}
+
+func TestPlatformShutdown(t *testing.T) {
+	f := newPlatformFleet(t, 3, 4)
+	for _, b := range f.backends {
+		b.set(func(b *platformBackend) { b.work = 300 * time.Millisecond })
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	bad := 0
+	leaving := f.instances[0]
+	for range 6 {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			status, _ := f.ask(leaving, "POST", "ledger.example", "/once/a", "work")
+			mu.Lock()
+			defer mu.Unlock()
+			if status != 200 {
+				bad++
+			}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	asserter.NoError(t, "signal", leaving.cmd.Process.Signal(syscall.SIGTERM))
+	asserter.Eventually(t, "not ready", patience, func() bool {
+		status, _ := f.get(leaving, "/readiness")
+		return status == 503
+	})
+	wait.Wait()
+	asserter.Equal(t, "requests cut", bad, 0)
+	asserter.NoError(t, "exit", leaving.cmd.Wait())
+	asserter.Eventually(t, "others do not name it", patience, func() bool {
+		_, body := f.get(f.instances[1], "/resolve?name=x&zone=a")
+		return body != "" && !strings.Contains(body, leaving.front)
+	})
+}
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -42,12 +42,16 @@
 	Limit float64
 }
 
+// leastSharing is the number of instances that are taken to share bounds at least:
+// one that knows few others may know too few.
+const leastSharing = 4
+
 // Standard returns the terms of an instance without bounds of the fleet.
 func Standard() Terms { return Terms{Share: share, Limit: limit} }
 
 // Part returns the terms of one of a number of instances that share b.
 func (b Bounds) Part(instances int) Terms {
-	n := float64(max(1, instances))
+	n := float64(max(leastSharing, instances))
 	return Terms{
 		Share:     b.Ratio * ratioPart,
 		PerSecond: b.Extra * refillPart / b.Window.Seconds() / n,
@@ -66,9 +70,13 @@
 	At time.Time
 }
 
-// NewBudget returns a full budget.
+// NewBudget returns a full budget, and NewEmptyBudget one that time and requests
+// fill: many instances may have started at the same moment.
 func NewBudget(t Terms) Budget { return Budget{Left: t.Limit} }
 
+// NewEmptyBudget returns a budget without retries.
+func NewEmptyBudget() Budget { return Budget{} }
+
 // WithTime returns b as of now.
 func (b Budget) WithTime(now time.Time, t Terms) Budget {
 	if passed := now.Sub(b.At).Seconds(); !b.At.IsZero() && passed > 0 {
--- a/server/server.go
+++ b/server/server.go
@@ -180,6 +180,7 @@
 		Patience: s.settings.Platform.Patience,
 		Routing:  s.routed(),
 		Retries:  retrier.Bounds(s.settings.Retries),
+		Grace:    s.settings.Limits.Grace,
 	}
 	switch s.settings.Limits.Policy {
 	case configurer.PolicyRoundRobin:
