Lists of backend servers say what the store says, in the order of heartbeats

Now lists hold what the store holds, delayed entries are told by their sequence, and each instance itself keeps what it misses for two seconds after an outage that it saw. Ruled out: forgotten departures, the order of lists, the compacted history.

A process that was stopped excuses the silence of others in that time.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -85,6 +85,7 @@
 func (b *Balancer[E, D, P, L]) observe(s backend[E], c int, a attempt, failed bool) backend[E] {
 	if b.options.Guests {
 		s = s.WithOutcome(b.now, failed, 0)
+		b.recent = b.recent.WithOutcome(b.now, failed)
 		b.noteOutcome(a.backend, failed)
 		if failed {
 			return s
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -73,6 +73,8 @@
 	open     float64
 	// belief is what the pooled outcomes of work say of failures.
 	belief detector.Belief
+	// usedAt is when an instance last heard of work there.
+	usedAt time.Time
 	// fleet is the score over all serving instances at the last tick.
 	fleet float64
 	// recent counts the observations of the present window, and before those
@@ -86,6 +88,9 @@
 	rampFrom time.Time
 	// coldUntil is until when service times are no evidence.
 	coldUntil time.Time
+	// lostUntil is until when a backend server that is not listed may come back,
+	// after an outage of the store; zero while it is listed.
+	lostUntil time.Time
 	// drainUntil is until when an announced drain holds.
 	drainUntil time.Time
 	// probeAt is when a backend server that is down is probed next.
@@ -111,6 +116,7 @@
 // requests that fail at sound backend servers.
 func (b backend[E]) WithOutcome(now time.Time, failed bool, base float64) backend[E] {
 	b.belief = b.belief.WithOutcome(now, failed, base)
+	b.usedAt = now
 	return b
 }
 
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -130,6 +130,10 @@
 	// untold holds the outcomes that the other instances were not told yet.
 	untold *container.Table[string, descriptor.BackendOutcomes]
 	toldAt time.Time
+	// recent are the outcomes of the last second or so at all instances.
+	recent recent
+	// spreading tells that too few backend servers are in use while work fails.
+	spreading bool
 
 	lastEvent    time.Time
 	lastJudged   time.Time
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -52,7 +52,7 @@
 	for i := range instances {
 		members = append(members, descriptor.Member{ID: fmt.Sprintf("entry-%d", i)})
 	}
-	x.b.List(x.now, backendList(backends, slots))
+	x.b.List(x.now, backendList(backends, slots), time.Time{})
 	x.b.Serve(x.now, members)
 	x.take()
 	return x
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -162,6 +162,10 @@
 // updateAvoidance prefers other backend servers as soon as this instance alone
 // has enough evidence, and tries again after a growing wait.
 func (b *Balancer[E, D, P, L]) updateAvoidance(v verdict) {
+	if b.options.Guests {
+		// The pooled outcomes say whom to avoid, and for how long.
+		return
+	}
 	id, s := b.backends.At(v.position)
 	if s.mode == modeTrial {
 		b.finishTrial(v)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -9,8 +9,9 @@
 )
 
 // List puts a list of backend servers in force. Those that are no longer listed
-// finish what they run.
-func (b *Balancer[E, D, P, L]) List(now time.Time, list []descriptor.Backend) {
+// finish what they run. Until mayReturn they count as listed: after an outage of
+// the store, entries that lapsed meanwhile take a while to come back.
+func (b *Balancer[E, D, P, L]) List(now time.Time, list []descriptor.Backend, mayReturn time.Time) {
 	b.advance(now)
 	present := make(map[string]bool, len(list))
 	for _, listed := range list {
@@ -20,7 +21,7 @@
 	b.listed = true
 	for _, id := range b.backendIDs() {
 		if !present[id] {
-			b.delist(id)
+			b.miss(id, mayReturn)
 		}
 	}
 	b.refresh()
@@ -45,6 +46,7 @@
 		}
 	}
 	listed = b.stillLeaving(listed)
+	s.lostUntil = time.Time{}
 	s = s.WithListed(listed).WithShare(b.shareOf(listed))
 	if listed.Leaving {
 		s = s.WithMode(modeLeaving)
@@ -66,6 +68,26 @@
 	return listed
 }
 
+// miss takes in that a backend server is not listed.
+func (b *Balancer[E, D, P, L]) miss(id string, mayReturn time.Time) {
+	s, _ := b.backends.Get(id)
+	if s.listed.Leaving || !b.now.Before(mayReturn) {
+		b.delist(id)
+		return
+	}
+	s.lostUntil = mayReturn
+	b.backends.Put(id, s)
+}
+
+// dropLost gives up the backend servers that did not come back.
+func (b *Balancer[E, D, P, L]) dropLost() {
+	for _, id := range b.backendIDs() {
+		if s, _ := b.backends.Get(id); !s.lostUntil.IsZero() && !b.now.Before(s.lostUntil) {
+			b.delist(id)
+		}
+	}
+}
+
 func (b *Balancer[E, D, P, L]) delist(id string) {
 	s, _ := b.backends.Get(id)
 	if s.inFlight == 0 {
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -18,6 +18,14 @@
 	b.untold.Put(id, o.WithOutcome(failed))
 }
 
+// noteLate remembers for the other instances that a request runs far too long.
+func (b *Balancer[E, D, P, L]) noteLate(id string) {
+	o, _ := b.untold.Get(id)
+	o.Backend = id
+	o.Late++
+	b.untold.Put(id, o)
+}
+
 // tellOutcomes tells the instances that share the slots how work ended here.
 func (b *Balancer[E, D, P, L]) tellOutcomes() {
 	if b.untold.Len() == 0 {
@@ -27,7 +35,7 @@
 	urgent := b.now.Sub(b.toldAt) >= outcomesEvery
 	for _, o := range b.untold.All {
 		list = append(list, o)
-		urgent = urgent || o.Bad > 0
+		urgent = urgent || o.Bad+o.Late > 0
 	}
 	if !urgent {
 		return
@@ -60,6 +68,15 @@
 	return b.serving[first]
 }
 
+// passOn remembers the outcomes at a guest for the other instances.
+func (b *Balancer[E, D, P, L]) passOn(o descriptor.BackendOutcomes) {
+	mine, ok := b.untold.Get(o.Backend)
+	if !ok {
+		mine.Backend = o.Backend
+	}
+	b.untold.Put(o.Backend, mine.WithOutcomes(o))
+}
+
 // maxOutcomes bounds the outcomes of one kind taken from one message: more of
 // them change the belief no further.
 const maxOutcomes = 8
@@ -76,14 +93,16 @@
 		for _, part := range []struct {
 			count  int
 			failed bool
-		}{{o.Before, false}, {o.Bad, true}, {o.After, false}} {
+			base   float64
+		}{{o.Before, false, 0}, {o.Bad, true, 0}, {o.Late, true, lateBase}, {o.After, false, 0}} {
 			for range min(part.count, maxOutcomes) {
-				s = s.WithOutcome(now, part.failed, 0)
-				if m.Relay {
-					b.noteOutcome(o.Backend, part.failed)
-				}
+				s = s.WithOutcome(now, part.failed, part.base)
+				b.recent = b.recent.WithOutcome(now, part.failed)
 			}
 		}
+		if m.Relay {
+			b.passOn(o)
+		}
 		b.place(p, s)
 	}
 }
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -19,6 +19,9 @@
 	clock time.Time
 	// answered tells that the head of the answer came.
 	answered bool
+	// late tells that the attempt was held against its backend server because it
+	// ran for so long.
+	late bool
 }
 
 // request is the record of a request that has not ended.
@@ -84,6 +87,12 @@
 	return r
 }
 
+// WithLate returns r with the attempt at index i found far too long.
+func (r request) WithLate(i int) request {
+	r.attempts[i].late = true
+	return r
+}
+
 // WithAnswer returns r with the attempt at index i answered.
 func (r request) WithAnswer(i int) request {
 	r.attempts[i].answered = true
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -29,10 +29,12 @@
 	b.advance(now)
 	b.fade()
 	b.expireQueued()
+	b.dropLost()
 	b.wake()
 	if now.Sub(b.lastJudged) >= judgeEvery {
 		b.lastJudged = now
 		b.measureOverdue()
+		b.watchSpread()
 		b.judge()
 		b.hedge()
 		b.giveUp()
@@ -103,13 +105,51 @@
 			b.backends.SetAt(i, s)
 		}
 	}
-	for _, r := range b.requests.All {
+	for i := range b.requests.Len() {
+		_, r := b.requests.At(i)
 		for k := range r.count {
 			b.weighOpen(r, r.attempts[k])
+			if b.options.Guests && b.isLate(r, r.attempts[k]) {
+				b.requests.SetAt(i, r.WithLate(k))
+				b.holdLate(r.attempts[k].backend)
+			}
 		}
 	}
 }
 
+// Parameters of work that runs far too long.
+const (
+	// lateFactor is how many usual service times work takes at most but for a few
+	// in a hundred requests.
+	lateFactor = 5
+	// lateBase is the share of such requests at sound backend servers.
+	lateBase = 0.06
+)
+
+// isLate tells whether an open attempt runs for so long, for the first time, that
+// its backend server may hang.
+func (b *Balancer[E, D, P, L]) isLate(r request, a attempt) bool {
+	if a.late || a.answered || a.clock.IsZero() {
+		return false
+	}
+	typical := b.references[r.class].Quantile(0.5, b.classes[r.class].declared.Target/2)
+	return b.now.Sub(a.clock) > lateFactor*typical
+}
+
+// holdLate holds a request that runs far too long against its backend server.
+func (b *Balancer[E, D, P, L]) holdLate(id string) {
+	p := b.backends.Position(id)
+	if p < 0 {
+		return
+	}
+	_, s := b.backends.At(p)
+	if b.now.Before(s.coldUntil) {
+		return
+	}
+	b.noteLate(id)
+	b.backends.SetAt(p, s.WithOutcome(b.now, true, lateBase))
+}
+
 func (b *Balancer[E, D, P, L]) weighOpen(r request, a attempt) {
 	if a.answered || a.clock.IsZero() {
 		return
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -1,6 +1,8 @@
 package decider
 
 import (
+	"time"
+
 	"monsoonswitch/allocator"
 	"monsoonswitch/balancer"
 	"monsoonswitch/declarer"
@@ -10,6 +12,7 @@
 
 // learn takes in documents read from the platform.
 func (d *Decider[E, D, P, L]) learn(e descriptor.Learned) {
+	d.relayer.Notice(d.now, e.AsOf)
 	for _, document := range e.Documents {
 		d.take(document, "")
 	}
@@ -121,7 +124,7 @@
 
 func (d *Decider[E, D, P, L]) list(document descriptor.Document) {
 	d.resize(document.Name)
-	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.List(d.now, document.Backends) })
+	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.List(d.now, document.Backends, d.relayer.MayReturn()) })
 }
 
 // resize sets how many instances serve a service, by the size of the service.
@@ -220,7 +223,7 @@
 	s.Declare(known.service, known.revision)
 	d.counter.InForce(d.now, service, known.revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
-		s.List(d.now, list.Backends)
+		s.List(d.now, list.Backends, time.Time{})
 	}
 	if set, ok := d.spreader.Get(descriptor.KindEjections, service); ok {
 		s.Eject(d.now, set)
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"monsoonswitch/balancer"
 	"monsoonswitch/descriptor"
@@ -71,6 +72,7 @@
 	if !ok {
 		return
 	}
+	d.relayer.Notice(d.now, d.now.Add(-time.Duration(m.Age)*time.Millisecond))
 	d.relay(next)
 	if d.relayer.Settle(m.Origin, d.spreader.Digest().Fold()) {
 		d.send(from, descriptor.Digest{Members: d.gossiper.Digest(), Documents: d.spreader.Digest(), Urgent: true})
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -88,6 +88,8 @@
 type BackendOutcomes struct {
 	Backend            string
 	Before, Bad, After int
+	// Late counts the requests that ran far longer than usual.
+	Late int `cbor:",omitempty"`
 }
 
 // References lists the documents that its sender holds in a set of buckets; the
@@ -212,6 +214,24 @@
 	return o
 }
 
+// WithOutcomes returns o with the outcomes of p after its own.
+func (o BackendOutcomes) WithOutcomes(p BackendOutcomes) BackendOutcomes {
+	o.Late += p.Late
+	switch {
+	case p.Bad > 0:
+		if o.Bad == 0 {
+			o.Before += p.Before
+		}
+		o.Bad += p.Bad
+		o.After = p.After
+	case o.Bad > 0:
+		o.After += p.Before
+	default:
+		o.Before += p.Before
+	}
+	return o
+}
+
 // Type implements Message.
 func (Hello) Type() MessageType { return TypeHello }
 
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -144,7 +144,7 @@
 				return w.writes
 			},
 		})
-		b.List(w.now, list)
+		b.List(w.now, list, time.Time{})
 		b.Serve(w.now, w.members)
 		w.balancers = append(w.balancers, b)
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -106,6 +106,8 @@
 	watchers map[string]bool
 	// wantedAt is when each was first wanted without being heard.
 	wantedAt *container.Table[string, time.Time]
+	// ticked is when the last tick was.
+	ticked time.Time
 	// source is the instance whose records are taken in now.
 	source string
 	// pending holds the members whose records changed since the last flush, with
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -12,6 +12,7 @@
 
 // Tick sends heartbeats, accuses silent instances and spreads changes.
 func (g *Gossiper) Tick(now time.Time, documents container.Sums) {
+	g.excuse(now)
 	if g.stale {
 		g.choose(now)
 	}
@@ -21,6 +22,27 @@
 	g.Flush()
 }
 
+// pauseLimit is the time between two ticks from which on this process must have
+// been stopped in between.
+const pauseLimit = time.Second
+
+// excuse takes a time in which this process was stopped out of the silence of the
+// others: it could not have heard them.
+func (g *Gossiper) excuse(now time.Time) {
+	gap := now.Sub(g.ticked)
+	if !g.ticked.IsZero() && gap > pauseLimit {
+		for i := range g.links.Len() {
+			_, l := g.links.At(i)
+			g.links.SetAt(i, l.WithHeard(l.heard.Add(gap)))
+		}
+		for i := range g.wantedAt.Len() {
+			_, at := g.wantedAt.At(i)
+			g.wantedAt.SetAt(i, at.Add(gap))
+		}
+	}
+	g.ticked = now
+}
+
 // choose picks the instances to watch: those at distances 1, 2, 4, ... on the
 // ring. Everyone is watched by as many, and a change reaches everyone in a
 // logarithmic number of steps.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -23,6 +23,12 @@
 	staleTime = 1200 * time.Millisecond
 	// steadyTime is how long pulses must keep coming before it stops to.
 	steadyTime = time.Second
+	// outageTime is the time without an answer of the store from which it counts
+	// as having been away.
+	outageTime = 2 * time.Second
+	// returnTime is how long after that entries that lapsed meanwhile may still
+	// come back: about two seconds by the platform's promise.
+	returnTime = 2200 * time.Millisecond
 	// fanout is the number of instances that each one passes a pulse on to.
 	fanout = 8
 )
@@ -49,6 +55,9 @@
 	pulsed time.Time
 	// steady is since when pulses have kept coming; zero while they do not.
 	steady time.Time
+	// noticed is the newest time as of which the store answered anybody, and
+	// recovered when it came back after the last outage.
+	noticed, recovered time.Time
 	// asking tells that the store is asked for want of pulses.
 	asking bool
 	// sequence and sentAt are those of the last pulse sent from here.
@@ -74,6 +83,27 @@
 	}
 }
 
+// Notice takes in that the store answered somebody as of a time. A gap since the
+// last such time is an outage, or a cut of this instance from everybody.
+func (r *Relayer) Notice(now, asOf time.Time) {
+	if asOf.IsZero() || !asOf.After(r.noticed) {
+		return
+	}
+	if !r.noticed.IsZero() && asOf.Sub(r.noticed) >= outageTime {
+		r.recovered = now
+	}
+	r.noticed = asOf
+}
+
+// MayReturn returns until when entries that lapsed during an outage may still
+// come back.
+func (r *Relayer) MayReturn() time.Time {
+	if r.recovered.IsZero() {
+		return r.recovered
+	}
+	return r.recovered.Add(returnTime)
+}
+
 // read returns the time as of which all of the given kinds were read here.
 func (r *Relayer) read(kinds []descriptor.Kind) time.Time {
 	var oldest time.Time
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -50,9 +50,9 @@
 	// Read returns the document of an item, and false if it holds none. It is
 	// nil for a feed of entries.
 	Read func(Item) (descriptor.Document, bool, error)
-	// Entry returns the service and backend server of an entry. It is nil for a
-	// feed of documents.
-	Entry func(key string, value []byte) (string, descriptor.Backend, error)
+	// Entry returns what an item of a backend server says. It is nil for a feed of
+	// documents.
+	Entry func(key string, value []byte) (Entry, error)
 }
 
 // Follower watches the platform while it is active and posts what it learns.
@@ -130,8 +130,6 @@
 	after    uint64
 	complete bool
 	roster   *Roster
-	// hurt tells that the last call failed.
-	hurt bool
 }
 
 func newChaser(f *Follower, feed Feed) *chaser {
@@ -149,13 +147,8 @@
 		return err
 	}
 	if err != nil {
-		c.hurt = true
 		return err
 	}
-	if c.hurt {
-		c.hurt = false
-		c.roster.Recover(now)
-	}
 	c.complete = true
 	c.after = max(c.after, page.Revision)
 	c.post(page, listed, c.asOf(started, now, listed, len(page.Items)), now)
@@ -188,7 +181,7 @@
 func (c *chaser) post(page Page, listed bool, asOf, now time.Time) {
 	e := descriptor.Learned{At: now, Kind: c.feed.Kind, Complete: listed, AsOf: asOf, Revision: page.Revision}
 	if c.feed.Entry != nil {
-		e.Documents = c.entries(page, listed, now)
+		e.Documents = c.entries(page, listed)
 	} else {
 		e.Documents = c.documents(page)
 	}
@@ -211,26 +204,26 @@
 }
 
 // entries returns the lists of backend servers that an answer changes.
-func (c *chaser) entries(page Page, listed bool, now time.Time) []descriptor.Document {
+func (c *chaser) entries(page Page, listed bool) []descriptor.Document {
 	var present []string
 	for _, item := range page.Items {
 		if item.Deleted {
-			c.roster.Remove(item.Key, now)
+			c.roster.Remove(item.Key)
 			continue
 		}
 		present = append(present, item.Key)
-		service, backend, err := c.feed.Entry(item.Key, item.Value)
+		entry, err := c.feed.Entry(item.Key, item.Value)
 		if err != nil {
 			c.owner.reporter.BadDocument(item.Key, err)
-			c.roster.Remove(item.Key, now)
+			c.roster.Remove(item.Key)
 			continue
 		}
-		c.roster.Put(item.Key, service, backend)
+		c.roster.Put(item.Key, entry)
 	}
 	if listed {
-		c.roster.Keep(present, now)
+		c.roster.Keep(present)
 	}
-	return c.roster.Flush(page.Revision, now)
+	return c.roster.Flush(page.Revision)
 }
 
 // followList returns a step that reads the list of backend servers of a platform
--- /dev/null
+++ b/storer/roster_test.go
@@ -0,0 +1,58 @@
+package storer_test
+
+import (
+	"testing"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/storer"
+)
+
+func TestRoster(t *testing.T) {
+	entry := func(id string, order uint64, leaving bool) storer.Entry {
+		return storer.Entry{Service: "ledger", Order: order, Backend: descriptor.Backend{ID: id, Address: "10.0.0.1:1", Slots: 3, Leaving: leaving}}
+	}
+	// want flushes and compares how many are listed and how many of them leave.
+	want := func(t *testing.T, r *storer.Roster, documents, listed, leaving int) {
+		t.Helper()
+		list := r.Flush(9)
+		asserter.Equal(t, "documents", len(list), documents)
+		if documents == 0 {
+			return
+		}
+		asserter.Equal(t, "listed", len(list[0].Backends), listed)
+		n := 0
+		for _, b := range list[0].Backends {
+			if b.Leaving {
+				n++
+			}
+		}
+		asserter.Equal(t, "leaving", n, leaving)
+	}
+	r := storer.NewRoster()
+	r.Put("servers/a", entry("a@1", 4, false))
+	r.Put("servers/b", entry("b@1", 1, false))
+	want(t, r, 1, 2, 0)
+	t.Run("a heartbeat without news changes nothing", func(t *testing.T) {
+		r.Put("servers/a", entry("a@1", 5, false))
+		want(t, r, 0, 0, 0)
+	})
+	t.Run("a delayed entry does not take a drain back", func(t *testing.T) {
+		r.Put("servers/a", entry("a@1", 6, true))
+		r.Put("servers/a", entry("a@1", 5, false))
+		want(t, r, 1, 2, 1)
+	})
+	t.Run("a delayed entry does not bring one back that is gone", func(t *testing.T) {
+		r.Remove("servers/a")
+		r.Put("servers/a", entry("a@1", 5, false))
+		want(t, r, 1, 1, 0)
+	})
+	t.Run("another incarnation is there with its own count", func(t *testing.T) {
+		r.Put("servers/a", entry("a@2", 1, false))
+		want(t, r, 1, 2, 0)
+	})
+	t.Run("what is not listed is gone", func(t *testing.T) {
+		r.Keep([]string{"servers/b"})
+		want(t, r, 1, 1, 0)
+	})
+}
