Most sound backend servers get work, whatever happens next; guests learn whom to doubt

Work is now spread until 72 in 100 of those that may be sound are in use, by work that can be sent again where there is some.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -193,6 +193,7 @@
 	b.trace(r, descriptor.NotePlaced, r.last, id, "", 0)
 	b.requests.Put(r.id, r)
 	b.classes[r.class] = b.classes[r.class].WithInFlight(1)
+	s.usedAt = b.now
 	b.place(position, s.WithStart(long))
 	b.emit(descriptor.Dispatch{Request: r.id, Attempt: r.last, Backend: s.listed})
 }
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -5,6 +5,7 @@
 
 	"monsoonswitch/allocator"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/detector"
 )
 
 // outcomesEvery is the time between messages about work that went well; failures
@@ -68,6 +69,44 @@
 	return b.serving[first]
 }
 
+// bulletinDoubt is the probability of being gray from which a backend server is
+// told of in bulletins.
+const bulletinDoubt = 0.25
+
+// Doubts returns the backend servers in doubt.
+func (b *Balancer[E, D, P, L]) Doubts(now time.Time) []descriptor.Doubt {
+	var list []descriptor.Doubt
+	for id, s := range b.backends.All {
+		if gray := s.belief.WithTime(now).Gray; gray >= bulletinDoubt {
+			list = append(list, descriptor.Doubt{Backend: id, Gray: float32(gray)})
+		}
+	}
+	return list
+}
+
+// HearBulletin takes over what the instances that share the slots have in doubt.
+// One of these knows better itself, unless it just began.
+func (b *Balancer[E, D, P, L]) HearBulletin(now time.Time, m descriptor.Bulletin) {
+	b.advance(now)
+	if b.position >= 0 && b.heardAll {
+		return
+	}
+	b.heardAll = true
+	doubts := make(map[string]float64, len(m.List))
+	for _, d := range m.List {
+		doubts[d.Backend] = float64(d.Gray)
+	}
+	for i := range b.backends.Len() {
+		id, s := b.backends.At(i)
+		gray, ok := doubts[id]
+		if !ok {
+			gray = detector.SoundGray
+		}
+		s.belief = detector.Belief{Gray: min(1, max(0, gray)), At: now}
+		b.place(i, s)
+	}
+}
+
 // passOn remembers the outcomes at a guest for the other instances.
 func (b *Balancer[E, D, P, L]) passOn(o descriptor.BackendOutcomes) {
 	mine, ok := b.untold.Get(o.Backend)
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -43,7 +43,7 @@
 	at := func(i int) picker.Candidate { return b.openCandidate(r, positions[i]) }
 	best := positions[b.picker.Pick(len(positions), at, b.turn, b.random)]
 	_, s := b.backends.At(best)
-	if trust := s.belief.Trust(b.now); trust < soundTrust && b.spreadTo(s, trust) == 0 && b.waits(r) {
+	if trust := s.belief.Trust(b.now); trust < soundTrust && b.spreadTo(r, s, trust) == 0 && b.waits(r) {
 		return -1
 	}
 	return best
@@ -83,7 +83,7 @@
 			c.Bonus = nearBodyBonus
 		}
 	}
-	c.Bonus += b.spreadTo(s, s.belief.Trust(b.now))
+	c.Bonus += b.spreadTo(r, s, s.belief.Trust(b.now))
 	return c
 }
 
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"time"
+
+	"monsoonswitch/allocator"
 )
 
-// Parameters of spreading. When part of the work fails although backend servers
-// in doubt are avoided, too few of the others may be in use: every one that may
-// be sound then gets a request now and then.
+// Parameters of spreading. Work goes to the backend servers known best, but most
+// of those that may be sound get a request now and then, whatever happens next:
+// when much work fails at once, too few may be in use otherwise.
 const (
 	// recentTime is the time constant of the recent outcomes.
 	recentTime = time.Second
@@ -18,12 +20,19 @@
 	spreadShare = 0.08
 	// spreadPart is the part of the backend servers that may be sound from which
 	// on enough of them are in use.
-	spreadPart = 0.8
+	spreadPart = 0.72
 	// spreadAfter is the time without work after which a backend server is due.
-	spreadAfter = 1500 * time.Millisecond
-	// spreadTrust is the trust from which one may be sound.
+	spreadAfter = 1900 * time.Millisecond
+	// homePart is the part of that time after which the instance does so that a
+	// backend server belongs to; the others come in if it does not.
+	homePart = 0.8
+	// calmTrust is the trust from which one may be sound, and spreadTrust that
+	// while work fails.
+	calmTrust   = 0.4
 	spreadTrust = 0.35
-	// spreadBonus puts a backend server that is due ahead of all others.
+	// calmBonus puts a backend server that is due ahead of most others, and
+	// spreadBonus ahead of all while work fails.
+	calmBonus   = 0.65
 	spreadBonus = 0.7
 )
 
@@ -59,32 +68,67 @@
 
 // spreadTo returns what it is worth to send work to a backend server because it
 // had none for a while.
-func (b *Balancer[E, D, P, L]) spreadTo(s backend[E], trust float64) float64 {
-	if !b.spreading || trust < spreadTrust || b.inUse(s) {
+func (b *Balancer[E, D, P, L]) spreadTo(r request, s backend[E], trust float64) float64 {
+	if !b.repeatable(r) && b.hasIdempotent() && !b.recent.failing() {
+		// Work that can be sent again finds out at a lower price.
+		return 0
+	}
+	if !b.spreading || trust < b.leastTrust() || b.inUse(s, b.spreadTime(s)) {
 		return 0
 	}
-	return spreadBonus
+	if b.recent.failing() {
+		return spreadBonus
+	}
+	return calmBonus
+}
+
+// hasIdempotent tells whether the service has a class of work that may run twice.
+func (b *Balancer[E, D, P, L]) hasIdempotent() bool {
+	for i := range b.classes {
+		if b.classes[i].declared.Idempotent && !b.classes[i].retired {
+			return true
+		}
+	}
+	return false
+}
+
+// leastTrust returns the trust from which a backend server may be sound.
+func (b *Balancer[E, D, P, L]) leastTrust() float64 {
+	if b.recent.failing() {
+		return spreadTrust
+	}
+	return calmTrust
+}
+
+// spreadTime returns the time without work after which a backend server is due
+// here.
+func (b *Balancer[E, D, P, L]) spreadTime(s backend[E]) time.Duration {
+	if allocator.Share(1, len(b.serving), b.position, s.listed.ID) == 0 {
+		return spreadAfter
+	}
+	home := homePart * float64(spreadAfter)
+	return time.Duration(home)
 }
 
 // inUse tells whether a backend server had work lately.
-func (b *Balancer[E, D, P, L]) inUse(s backend[E]) bool {
-	return s.inFlight > 0 || b.now.Sub(s.usedAt) < spreadAfter
+func (b *Balancer[E, D, P, L]) inUse(s backend[E], within time.Duration) bool {
+	return b.now.Sub(s.usedAt) < within
 }
 
 // watchSpread finds out whether work is to be spread.
 func (b *Balancer[E, D, P, L]) watchSpread() {
 	b.recent = b.recent.WithTime(b.now)
 	b.spreading = false
-	if !b.options.Guests || !b.recent.failing() {
+	if !b.options.Guests || b.position < 0 {
 		return
 	}
 	sound, used := 0, 0
 	for _, s := range b.backends.All {
-		if s.mode != modeReady || s.belief.Trust(b.now) < spreadTrust {
+		if s.mode != modeReady || s.belief.Trust(b.now) < b.leastTrust() {
 			continue
 		}
 		sound++
-		if b.inUse(s) {
+		if b.inUse(s, b.spreadTime(s)) {
 			used++
 		}
 	}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -114,7 +114,10 @@
 	tallyAt        time.Time
 	publishAt      time.Time
 	digestAt       time.Time
-	quit           leave
+	// bulletinAt is when the last bulletins went out, and bulletins counts them.
+	bulletinAt time.Time
+	bulletins  uint64
+	quit       leave
 
 	actions []descriptor.Action
 	ended   []balancer.Ended
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -34,6 +34,8 @@
 		}
 	case descriptor.Pulse:
 		d.hearPulse(from, m)
+	case descriptor.Bulletin:
+		d.hearBulletin(m)
 	case descriptor.TallyReport:
 		d.writer.Merge(m.Tally)
 	case descriptor.Receipt:
@@ -80,6 +82,15 @@
 	d.stamped = true
 }
 
+// hearBulletin takes in which backend servers are in doubt and passes it on.
+func (d *Decider[E, D, P, L]) hearBulletin(m descriptor.Bulletin) {
+	if !d.relayer.Newer("bulletin/"+m.Service+"/"+m.Origin, m.Incarnation, m.Sequence) {
+		return
+	}
+	d.spreadOut(m.Origin, m)
+	d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HearBulletin(d.now, m) })
+}
+
 func (d *Decider[E, D, P, L]) sendDigest(to descriptor.Member) {
 	d.send(to, descriptor.Digest{Members: d.gossiper.Digest(), Documents: d.spreader.Digest()})
 }
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -36,6 +36,7 @@
 		d.askForSync()
 		d.retire()
 		d.followStore()
+		d.announceDoubts()
 	}
 	if d.now.Sub(d.tallyAt) >= tallyEvery {
 		d.tallyAt = d.now
@@ -109,8 +110,37 @@
 
 // relay passes a pulse on to this instance's part of the tree.
 func (d *Decider[E, D, P, L]) relay(p descriptor.Pulse) {
-	for _, m := range relayer.Children(d.options.Self.ID, p.Origin, d.gossiper.Members()) {
-		d.send(m, p)
+	d.spreadOut(p.Origin, p)
+}
+
+// spreadOut passes a message on to this instance's part of the tree of an origin.
+func (d *Decider[E, D, P, L]) spreadOut(origin string, message descriptor.Message) {
+	for _, m := range relayer.Children(d.options.Self.ID, origin, d.gossiper.Members()) {
+		d.send(m, message)
+	}
+}
+
+// bulletinEvery is the time between bulletins about a service.
+const bulletinEvery = time.Second
+
+// announceDoubts tells all instances which backend servers are in doubt, if this
+// is the first of those that share the slots.
+func (d *Decider[E, D, P, L]) announceDoubts() {
+	callers := d.index.Get(callersRole)
+	if !d.options.Routing || d.now.Sub(d.bulletinAt) < bulletinEvery || len(callers) == 0 || callers[0].ID != d.options.Self.ID {
+		return
+	}
+	d.bulletinAt = d.now
+	for service, s := range d.served.All {
+		d.bulletins++
+		m := descriptor.Bulletin{
+			Origin:      d.options.Self.ID,
+			Incarnation: d.options.Self.Incarnation,
+			Sequence:    d.bulletins,
+			Service:     service,
+			List:        s.Doubts(d.now),
+		}
+		d.spreadOut(m.Origin, m)
 	}
 }
 
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -33,6 +33,7 @@
 	TypeInherit
 	TypePulse
 	TypeOutcomes
+	TypeBulletin
 )
 
 // Hello opens a link in both directions.
@@ -274,6 +275,26 @@
 // Type implements Message.
 func (Outcomes) Type() MessageType { return TypeOutcomes }
 
+// Bulletin tells which backend servers the instances that share the slots have in
+// doubt. It goes down a tree of all instances.
+type Bulletin struct {
+	// Origin, Incarnation and Sequence are as in Pulse.
+	Origin      string
+	Incarnation int64
+	Sequence    uint64
+	Service     string
+	List        []Doubt
+}
+
+// Doubt is the probability that a backend server is gray.
+type Doubt struct {
+	Backend string
+	Gray    float32
+}
+
+// Type implements Message.
+func (Bulletin) Type() MessageType { return TypeBulletin }
+
 // Type implements Message.
 func (Crash) Type() MessageType { return TypeCrash }
 
--- a/detector/belief.go
+++ b/detector/belief.go
@@ -13,11 +13,14 @@
 	onsetRate    = 0.035
 	recoveryRate = 0.09
 	// grayFails is the share of its work that a gray backend server fails.
-	grayFails = 0.8
+	grayFails = 0.85
 	// soundFails bounds the share that a sound one fails from below.
 	soundFails = 0.01
 	// beliefFloor bounds the probability of either state from below.
 	beliefFloor = 1e-3
+	// SoundGray is the probability that stands for a backend server that nobody
+	// has in doubt.
+	SoundGray = 0.05
 )
 
 // Belief is the probability that a backend server is in a gray spell, by how
--- /dev/null
+++ b/detector/belief_test.go
@@ -0,0 +1,40 @@
+package detector
+
+import (
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+)
+
+func TestBelief(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	after := func(b Belief, outcomes string) Belief {
+		for _, o := range outcomes {
+			b = b.WithOutcome(now, o == 'x', 0)
+		}
+		return b
+	}
+	t.Run("two failures in a row are enough", func(t *testing.T) {
+		b := after(NewBelief(now, false), "....xx")
+		asserter.AtMost(t, "trust", b.Trust(now), 0.3)
+	})
+	t.Run("one failure among good answers is not", func(t *testing.T) {
+		b := after(NewBelief(now, false), "......x..")
+		asserter.AtLeast(t, "trust", b.Trust(now), 0.9)
+	})
+	t.Run("good answers bring trust back", func(t *testing.T) {
+		b := after(NewBelief(now, false), "xxxx......")
+		asserter.AtLeast(t, "trust", b.Trust(now), 0.9)
+	})
+	t.Run("time makes both uncertain", func(t *testing.T) {
+		later := now.Add(20 * time.Second)
+		bad, good := after(NewBelief(now, false), "xxxx"), after(NewBelief(now, false), "....")
+		asserter.AtLeast(t, "after failures", bad.Trust(later), 0.6)
+		asserter.AtMost(t, "after good answers", good.Trust(later), 0.85)
+		asserter.AtLeast(t, "still better", good.Trust(later), bad.Trust(later))
+	})
+	t.Run("one that just started is trusted", func(t *testing.T) {
+		asserter.AtLeast(t, "trust", NewBelief(now, true).Trust(now), 0.95)
+	})
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -119,6 +119,7 @@
 	descriptor.TypeInherit:    decode[descriptor.Inherit],
 	descriptor.TypePulse:      decode[descriptor.Pulse],
 	descriptor.TypeOutcomes:   decode[descriptor.Outcomes],
+	descriptor.TypeBulletin:   decode[descriptor.Bulletin],
 }
 
 func decode[T descriptor.Message](body cbor.RawMessage) (descriptor.Message, error) {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -61,7 +61,7 @@
 const (
 	// loadWeight is the trust that a backend server with all slots in use must
 	// have ahead of an idle one: a full one is slower.
-	loadWeight = 0.1
+	loadWeight = 0.035
 	// waitWeight is the trust for work that waits for all its spare time: as much
 	// of its value as it loses then.
 	waitWeight = 0.8
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -168,22 +168,34 @@
 // Hear takes in a pulse. It returns the pulse to pass on, and false if it is not
 // newer than the last one of its origin.
 func (r *Relayer) Hear(now time.Time, p descriptor.Pulse) (descriptor.Pulse, bool) {
-	o, ok := r.origins.Get(p.Origin)
-	order := uint64(p.Incarnation) + p.Sequence
-	if p.Age < 0 || ok && order <= o.sequence {
+	if p.Age < 0 || !r.Newer(p.Origin, p.Incarnation, p.Sequence) {
 		return p, false
 	}
-	o = origin{sequence: order, sum: p.Sum, asOf: now.Add(-time.Duration(p.Age) * time.Millisecond)}
+	o, _ := r.origins.Get(p.Origin)
+	o = origin{sequence: o.sequence, sum: p.Sum, asOf: now.Add(-time.Duration(p.Age) * time.Millisecond)}
 	r.origins.Put(p.Origin, o)
 	return p, true
 }
 
+// Newer takes in the sequence of a message that goes down a tree, and tells
+// whether it is newer than the last one of its origin.
+func (r *Relayer) Newer(id string, incarnation int64, sequence uint64) bool {
+	o, ok := r.origins.Get(id)
+	order := uint64(incarnation) + sequence
+	if ok && order <= o.sequence {
+		return false
+	}
+	o.sequence = order
+	r.origins.Put(id, o)
+	return true
+}
+
 // Settle confirms what the pulses of all origins say of the documents with a sum,
 // and tells whether the newest pulse of an origin is about other documents.
 func (r *Relayer) Settle(from string, sum uint64) bool {
 	differs := false
 	for id, o := range r.origins.All {
-		if o.sum == sum && o.asOf.After(r.pulsed) {
+		if !o.asOf.IsZero() && o.sum == sum && o.asOf.After(r.pulsed) {
 			r.pulsed = o.asOf
 		}
 		if id == from && o.sum != sum {
--- /dev/null
+++ b/retrier/budget_test.go
@@ -0,0 +1,63 @@
+package retrier
+
+import (
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+)
+
+// TestBounds spends whatever a fleet may, under several loads and numbers of
+// instances, and compares every window with the bounds.
+func TestBounds(t *testing.T) {
+	bounds := Bounds{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	loads := map[string]func(second int) int{
+		"none":   func(int) int { return 0 },
+		"steady": func(int) int { return 80 },
+		"burst":  func(s int) int { return 20 + 300*(s/15%2) },
+	}
+	for name, load := range loads {
+		for _, instances := range []int{1, 6, 16} {
+			t.Run(name, func(t *testing.T) {
+				requests, retries := spend(bounds, instances, load)
+				for end := 20; end < len(requests); end++ {
+					allowed := bounds.Ratio*float64(max(sum(requests, end-10, end), sum(requests, end-20, end-10))) + bounds.Extra
+					asserter.AtMost(t, "retries in a window", float64(sum(retries, end-10, end)), allowed)
+				}
+			})
+		}
+	}
+}
+
+// spend returns the requests and retries of each second.
+func spend(bounds Bounds, instances int, load func(int) int) (requests, retries []int) {
+	terms := bounds.Part(instances)
+	budgets := make([]Budget, instances)
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	for second := range 90 {
+		n, spent := load(second), 0
+		for i := range n {
+			k := i % instances
+			budgets[k] = budgets[k].WithTime(now, terms).WithRequest(terms)
+		}
+		for k := range budgets {
+			budgets[k] = budgets[k].WithTime(now.Add(time.Second), terms)
+			for ok := true; ok; {
+				if budgets[k], ok = budgets[k].WithRetry(); ok {
+					spent++
+				}
+			}
+		}
+		requests, retries = append(requests, n), append(retries, spent)
+		now = now.Add(time.Second)
+	}
+	return requests, retries
+}
+
+func sum(list []int, from, to int) int {
+	n := 0
+	for _, v := range list[from:to] {
+		n += v
+	}
+	return n
+}
