--- a/commander/commander.go
+++ b/commander/commander.go
@@ -54,6 +54,7 @@
 		&statusCommand{},
 		&dumpCommand{},
 		&reportCommand{},
+		&explainCommand{},
 		&standinStoreCommand{},
 		&standinBackendCommand{},
 		&demoCommand{},
--- a/decider/trail.go
+++ b/decider/trail.go
@@ -27,6 +27,7 @@
 	known, _ := d.declared.Get(service)
 	class, _ := known.service.Class(e.Class)
 	d.emit(descriptor.Trail{
+		At:       d.now,
 		Request:  e.Request,
 		Label:    e.Label,
 		Service:  service,
--- a/descriptor/trace.go
+++ b/descriptor/trace.go
@@ -25,6 +25,8 @@
 
 // Trail is what was decided about a request that ended.
 type Trail struct {
+	// At is when the request ended.
+	At      time.Time
 	Request RequestID
 	// Label is the caller's own identifier.
 	Label          string
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -87,7 +87,7 @@
 	case "text":
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	case "json":
-		l.SetFormatter(&logrus.JSONFormatter{})
+		l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
 	default:
 		return nil, eris.Wrapf(ErrSetting, "format %q", format)
 	}
--- a/logger/trail.go
+++ b/logger/trail.go
@@ -87,7 +87,7 @@
 	}
 	e := Catalogue[descriptor.NoteEnded]
 	l.entry.WithFields(logrus.Fields{
-		"event": descriptor.NoteEnded, "id": t.Label, "request": t.Request, "service": t.Service, "class": t.Class,
+		"event": descriptor.NoteEnded, "at": t.At.Format(time.RFC3339Nano), "id": t.Label, "request": t.Request, "service": t.Service, "class": t.Class,
 		"reason": t.Reason.String(), "outcome": t.Outcome.String(), "millis": millis(t.Latency), "target": millis(t.Target),
 		"revision": t.Revision, "listed": t.Listed, "currentage": millis(t.Current),
 	}).Log(e.Level, e.Text)
