--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -162,7 +162,7 @@
 
 // shedBase is the share of refusals taken as usual while a backend server has
 // room: one of them says less than a failure.
-const shedBase = 0.15
+const shedBase = 0.4
 
 func (b *Balancer[E, D, P, L]) refusedConnection(s backend[E]) backend[E] {
 	if s.mode == modeReady || s.mode == modeTrial {
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -124,6 +124,10 @@
 // waits tells whether r waits rather than go to a backend server in doubt: for
 // part of its patience, if there is any sound one.
 func (b *Balancer[E, D, P, L]) waits(r request) bool {
+	if r.unrun > 0 {
+		// It cost nothing to ask and may cost nothing again.
+		return false
+	}
 	patience := b.limiter.Patience(b.work(r.class))
 	if float64(b.now.Sub(r.arrived)) > holdPart*float64(patience) {
 		return false
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -69,9 +69,10 @@
 
 // rig is a forwarder between a test client and a backend server.
 type rig struct {
-	t       *testing.T
-	front   *httptest.Server
-	control *simple
+	t         *testing.T
+	front     *httptest.Server
+	control   *simple
+	forwarder *Forwarder
 }
 
 func newRig(t *testing.T, backend http.HandlerFunc) *rig {
@@ -92,7 +93,7 @@
 	}}})
 	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
-	return &rig{t: t, front: front, control: control}
+	return &rig{t: t, front: front, control: control, forwarder: f}
 }
 
 func (x *rig) request(method, path string, body io.Reader) *http.Request {
--- /dev/null
+++ b/forwarder/routed_test.go
@@ -0,0 +1,134 @@
+package forwarder
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+)
+
+// retrying is a control that sends a request again as long as it did not run and
+// its body can be sent again.
+type retrying struct {
+	*simple
+	mu       sync.Mutex
+	attempts map[descriptor.RequestID]descriptor.AttemptID
+}
+
+// Post implements Control.
+func (c *retrying) Post(event descriptor.Event) {
+	e, ok := event.(descriptor.Failed)
+	if !ok || e.Fault != descriptor.FaultShed || !e.Untouched {
+		c.simple.Post(event)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts[e.Request]++
+	c.simple.mu.Lock()
+	defer c.simple.mu.Unlock()
+	c.open[e.Request] <- descriptor.Dispatch{Request: e.Request, Attempt: 1 + c.attempts[e.Request], Backend: descriptor.Backend{ID: "b", Address: c.address}}
+}
+
+// routes returns a directory with one route, confirmed as of a time.
+func routes(current time.Time, paths ...string) *descriptor.Directory {
+	r := declarer.Routing{Version: 1}
+	for _, p := range paths {
+		r.Routes = append(r.Routes, declarer.HostRoute{
+			Host: "a.example", Path: p, Parts: []declarer.Part{{Service: "ledger", Weight: 1}},
+			Class: declarer.Class{Name: p, Target: time.Second, Timeout: 3 * time.Second},
+		})
+	}
+	return &descriptor.Directory{
+		Ready: true, Routes: declarer.NewMap(r), Current: current,
+		Services: map[string]*descriptor.Entry{"ledger": {Service: declarer.Service{Name: "ledger"}}},
+	}
+}
+
+func (x *rig) ask(path string) int {
+	r := x.request("GET", path, nil)
+	r.Host = "a.example"
+	response, _, err := x.do(r)
+	asserter.NoError(x.t, "ask", err)
+	return response.StatusCode
+}
+
+func TestRoutes(t *testing.T) {
+	x := newRig(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+	f := x.forwarder
+	t.Run("a known route", func(t *testing.T) {
+		f.SetDirectory(routes(time.Time{}, "/a/"))
+		asserter.Equal(t, "status", x.ask("/a/1"), http.StatusTeapot)
+		arrived := x.control.arrived()
+		asserter.Equal(t, "service", arrived.Service, "ledger")
+		asserter.True(t, "the timeout bounds the deadline", arrived.Deadline.Sub(arrived.At) <= 3*time.Second)
+	})
+	t.Run("no route, and the store was asked after the request came", func(t *testing.T) {
+		f.SetDirectory(routes(time.Now().Add(time.Minute), "/a/"))
+		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusNotFound)
+	})
+	t.Run("a route that is news", func(t *testing.T) {
+		f.SetDirectory(routes(time.Now().Add(-time.Minute), "/a/"))
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			f.SetDirectory(routes(time.Now(), "/a/", "/b/"))
+		}()
+		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusTeapot)
+	})
+	t.Run("no route, and nobody can tell", func(t *testing.T) {
+		f.SetDirectory(routes(time.Now().Add(-time.Minute), "/a/"))
+		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusServiceUnavailable)
+	})
+}
+
+func TestBodyAgain(t *testing.T) {
+	var calls atomic.Int32
+	var last atomic.Value
+	x := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		data, _ := io.ReadAll(r.Body)
+		last.Store(string(data))
+		if calls.Add(1) < 3 {
+			w.Header().Set(headerRefused, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	control := &retrying{simple: x.control, attempts: make(map[descriptor.RequestID]descriptor.AttemptID)}
+	x.forwarder.control = control
+	body := strings.Repeat("photo", 20000)
+	response, _, err := x.do(x.request("POST", "/a", strings.NewReader(body)))
+	asserter.NoError(t, "send", err)
+	asserter.Equal(t, "status", response.StatusCode, 200)
+	asserter.Equal(t, "attempts", calls.Load(), int32(3))
+	asserter.True(t, "whole body", last.Load().(string) == body)
+}
+
+// straying is a dialect for which every answer belongs to another request.
+type straying struct{ Plain }
+
+// Read implements Dialect.
+func (straying) Read(*http.Response, string) Head { return Head{Stray: true} }
+
+func TestStrayAnswer(t *testing.T) {
+	var connections sync.Map
+	x := newRig(t, func(w http.ResponseWriter, r *http.Request) {
+		connections.Store(r.RemoteAddr, true)
+		_, _ = io.WriteString(w, "somebody else's")
+	})
+	x.forwarder.dialect = straying{}
+	for range 3 {
+		response, body, err := x.do(x.request("GET", "/a", nil))
+		asserter.NoError(t, "send", err)
+		asserter.Equal(t, "status", response.StatusCode, http.StatusBadGateway)
+		asserter.Equal(t, "nothing of it", strings.Contains(body, "somebody"), false)
+	}
+	used := 0
+	connections.Range(func(any, any) bool { used++; return true })
+	asserter.Equal(t, "connections, each used once", used, 3)
+}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -84,7 +84,7 @@
 // Parameters of Bounded.
 const (
 	// queuePart is the part of its spare time that work may be expected to wait.
-	queuePart = 0.6
+	queuePart = 0.45
 	// meanFactor is the mean service time of work with a long tail, in usual ones.
 	meanFactor = 1.3
 )
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -28,9 +28,9 @@
 // Parts of the bounds that are used. What is left covers instances that do not
 // know of each other, and requests that others count at another moment.
 const (
-	ratioPart  = 0.85
+	ratioPart  = 0.9
 	burstPart  = 0.25
-	refillPart = 0.5
+	refillPart = 0.6
 )
 
 // Terms is how a budget grows.
