Work is spread by the expected number of sound backend servers

The share of such work counts now, and guests ask backend servers in doubt with every third request that may run twice.

--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -75,6 +75,8 @@
 	belief detector.Belief
 	// usedAt is when an instance last heard of work there.
 	usedAt time.Time
+	// startedAt is when this instance last sent work there.
+	startedAt time.Time
 	// fleet is the score over all serving instances at the last tick.
 	fleet float64
 	// recent counts the observations of the present window, and before those
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -134,6 +134,8 @@
 	recent recent
 	// spreading tells that too few backend servers are in use while work fails.
 	spreading bool
+	// repeated is the moving share of arrivals that may run twice.
+	repeated float64
 	// heardAll tells that a bulletin was taken over since this instance began.
 	heardAll bool
 
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -17,13 +17,20 @@
 	// nearBonus is what a backend server of the same failure domain is worth, and
 	// nearBodyBonus that for work with a body: bytes between domains cost.
 	nearBonus     = 0.01
-	nearBodyBonus = 0.04
+	nearBodyBonus = 0.08
+	// warmBonus is what a backend server is worth to which a connection is open,
+	// and warmTime how long after work there one can be used for any work.
+	warmBonus = 0.02
+	warmTime  = 4 * time.Second
 	// retryCost is what a failure costs work that is sent again, as a part of what
 	// it costs other work.
 	retryCost = 0.35
 	// canaryEvery is the number of idempotent requests of which one asks the
 	// backend server that was not heard of for longest, if it is in doubt.
 	canaryEvery = 16
+	// guestCanaryEvery is that number at guests, which have few requests but hear
+	// from nobody else what became of a doubt.
+	guestCanaryEvery = 3
 	// canaryBudget is the least budget for retries that a canary leaves.
 	canaryBudget = 2
 )
@@ -83,6 +90,9 @@
 			c.Bonus = nearBodyBonus
 		}
 	}
+	if b.now.Sub(s.startedAt) < warmTime {
+		c.Bonus += warmBonus
+	}
 	c.Bonus += b.spreadTo(r, s, s.belief.Trust(b.now))
 	return c
 }
@@ -144,10 +154,14 @@
 // requests, or -1. It finds out who is back without spending work that can't be
 // sent again.
 func (b *Balancer[E, D, P, L]) canary(r request, positions []int) int {
-	if r.last > 0 || !b.repeatable(r) || b.queued > 0 || b.budget.Left < canaryBudget {
+	every, budget := uint64(canaryEvery), float64(canaryBudget)
+	if b.position < 0 {
+		every, budget = guestCanaryEvery, 1
+	}
+	if r.last > 0 || !b.repeatable(r) || b.queued > 0 || b.budget.Left < budget {
 		return -1
 	}
-	if b.random.Uint64()%canaryEvery != 0 {
+	if b.random.Uint64()%every != 0 {
 		return -1
 	}
 	oldest := -1
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -284,7 +284,10 @@
 // a backend server is gray with a probability of three in ten.
 func spells(backend int, at time.Duration) bool {
 	offset := time.Duration(backend) * 1700 * time.Millisecond
-	period := uint64((at + offset) / (9 * time.Second))
+	return spellsAt(backend, uint64((at+offset)/(9*time.Second)))
+}
+
+func spellsAt(backend int, period uint64) bool {
 	return rand.New(rand.NewPCG(uint64(backend), period)).Float64() < 0.3
 }
 
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -18,9 +18,15 @@
 	// spreadShare is the share of failures from which work is spread: a
 	// little less than the one in ten above which the use of the capacity is an operator's concern.
 	spreadShare = 0.08
-	// spreadPart is the part of the backend servers that may be sound from which
-	// on enough of them are in use.
-	spreadPart = 0.72
+	// spreadPart is the part of the expected number of sound backend servers from
+	// which on enough of them are in use: a little more than seven in ten, below
+	// which the use of the capacity is an operator's concern.
+	spreadPart = 0.74
+	// repeatedLeast is the share of work that may run twice from which on it alone
+	// finds out about backend servers in doubt, and repeatedWeight the weight of
+	// one request in that share.
+	repeatedLeast  = 0.3
+	repeatedWeight = 0.03
 	// spreadAfter is the time without work after which a backend server is due.
 	spreadAfter = 1900 * time.Millisecond
 	// homePart is the part of that time after which the instance does so that a
@@ -69,7 +75,7 @@
 // spreadTo returns what it is worth to send work to a backend server because it
 // had none for a while.
 func (b *Balancer[E, D, P, L]) spreadTo(r request, s backend[E], trust float64) float64 {
-	if !b.repeatable(r) && b.hasIdempotent() && !b.recent.failing() {
+	if !b.repeatable(r) && b.repeated >= repeatedLeast && !b.recent.failing() {
 		// Work that can be sent again finds out at a lower price.
 		return 0
 	}
@@ -82,14 +88,13 @@
 	return calmBonus
 }
 
-// hasIdempotent tells whether the service has a class of work that may run twice.
-func (b *Balancer[E, D, P, L]) hasIdempotent() bool {
-	for i := range b.classes {
-		if b.classes[i].declared.Idempotent && !b.classes[i].retired {
-			return true
-		}
+// noteKind keeps count of the share of work that may run twice.
+func (b *Balancer[E, D, P, L]) noteKind(r request) {
+	kind := 0.0
+	if b.repeatable(r) {
+		kind = 1
 	}
-	return false
+	b.repeated += repeatedWeight * (kind - b.repeated)
 }
 
 // leastTrust returns the trust from which a backend server may be sound.
@@ -122,15 +127,16 @@
 	if !b.options.Guests || b.position < 0 {
 		return
 	}
-	sound, used := 0, 0
+	sound, used := 0.0, 0.0
 	for _, s := range b.backends.All {
-		if s.mode != modeReady || s.belief.Trust(b.now) < b.leastTrust() {
+		if s.mode != modeReady {
 			continue
 		}
-		sound++
+		likely := 1 - s.belief.WithTime(b.now).Gray
+		sound += likely
 		if b.inUse(s, b.spreadTime(s)) {
-			used++
+			used += likely
 		}
 	}
-	b.spreading = float64(used) < spreadPart*float64(sound)
+	b.spreading = used < spreadPart*sound
 }
