--- a/operator/operator.go
+++ b/operator/operator.go
@@ -1,5 +1,5 @@
 // Package operator serves operators: health, status, dump and metrics of one
-// process, as JSON.
+// process.
 package operator
 
 import (
@@ -23,7 +23,7 @@
 type Source interface {
 	// Dump returns the state at one instant, and false during shutdown.
 	Dump() (descriptor.Dump, bool)
-	// WriteMetrics writes all metrics as JSON.
+	// WriteMetrics writes all metrics as text.
 	WriteMetrics(io.Writer)
 	// Settings returns the settings without secrets.
 	Settings() any
@@ -96,7 +96,7 @@
 	case DumpPath:
 		o.serveDump(w)
 	case MetricsPath:
-		w.Header().Set("Content-Type", "application/json")
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		o.source.WriteMetrics(w)
 	default:
 		http.NotFound(w, r)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,7 +2,10 @@
 package recorder
 
 import (
+	"fmt"
 	"io"
+	"sort"
+	"strings"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -45,7 +48,7 @@
 	for _, reason := range descriptor.Reasons() {
 		c := metrics.NewCounter()
 		r.ended = append(r.ended, c)
-		r.register("ended."+reason.String(), c)
+		r.register(endedPrefix+reason.String(), c)
 	}
 	return r
 }
@@ -79,5 +82,42 @@
 // Fault counts a failed attempt.
 func (r *Recorder) Fault() { r.faults.Inc(1) }
 
-// Write writes all metrics as JSON.
-func (r *Recorder) Write(w io.Writer) { metrics.WriteJSONOnce(r.registry, w) }
+// quantiles are those of the latency of served requests that are written.
+var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
+
+// Write writes all metrics as text in the usual exposition format: a name with an
+// underscore for each dot, a value, and a label for the reason or the quantile.
+func (r *Recorder) Write(w io.Writer) {
+	var lines []string
+	r.registry.Each(func(name string, metric any) { lines = append(lines, exposed(name, metric)...) })
+	sort.Strings(lines)
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
+	}
+}
+
+// exposed returns the lines of one metric.
+func exposed(name string, metric any) []string {
+	label := ""
+	if base, reason, ok := strings.Cut(name, endedPrefix); ok && base == "" {
+		name, label = "requests_ended", fmt.Sprintf("{reason=%q}", reason)
+	}
+	name = "monsoonswitch_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+	switch m := metric.(type) {
+	case metrics.Counter:
+		return []string{fmt.Sprintf("%s%s %d", name, label, m.Count())}
+	case metrics.Gauge:
+		return []string{fmt.Sprintf("%s %d", name, m.Value())}
+	case metrics.Timer:
+		t := m.Snapshot()
+		lines := []string{fmt.Sprintf("%s_seconds_count %d", name, t.Count())}
+		for i, v := range t.Percentiles(quantiles) {
+			lines = append(lines, fmt.Sprintf("%s_seconds{quantile=\"%g\"} %g", name, quantiles[i], v/float64(time.Second)))
+		}
+		return lines
+	}
+	return nil
+}
+
+// endedPrefix begins the names of the counts of ended requests by reason.
+const endedPrefix = "ended."
