--- a/commander/explain.go
+++ b/commander/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -53,6 +54,6 @@
 	if err != nil {
 		return eris.Wrapf(configurer.ErrInvalid, "%v", err)
 	}
-	defer f.Close()
-	return l.Read(name, f)
+	err = l.Read(name, f)
+	return errors.Join(err, eris.Wrap(f.Close(), name))
 }
--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -136,30 +136,30 @@
 }
 
 // text returns one line of a story.
-func (v line) text() string {
-	name := logger.Catalogue[v.Event].Text
+func (l line) text() string {
+	name := logger.Catalogue[l.Event].Text
 	var parts []string
 	add := func(format string, args ...any) { parts = append(parts, fmt.Sprintf(format, args...)) }
 	switch {
-	case v.Event == descriptor.NoteEnded:
-		add("%s, %s, after %d ms of a target of %d ms", v.Reason, v.Outcome, v.Millis, v.Target)
-		add("class %s at revision %d, list %d, confirmed %d ms before", v.Class, v.Revision, v.Listed, v.Age)
-	case !isRequest(v.Event):
-		add("%s", strings.TrimSpace(v.Subject+" "+v.Detail))
-	case v.Backend != "":
-		add("%s, attempt %d, trust %.2f, load %.2f", v.Backend, v.Attempt, v.Trust, v.Load)
+	case l.Event == descriptor.NoteEnded:
+		add("%s, %s, after %d ms of a target of %d ms", l.Reason, l.Outcome, l.Millis, l.Target)
+		add("class %s at revision %d, list %d, confirmed %d ms before", l.Class, l.Revision, l.Listed, l.Age)
+	case !isRequest(l.Event):
+		add("%s", strings.TrimSpace(l.Subject+" "+l.Detail))
+	case l.Backend != "":
+		add("%s, attempt %d, trust %.2f, load %.2f", l.Backend, l.Attempt, l.Trust, l.Load)
 	}
-	if v.Status != 0 {
-		add("status %d", v.Status)
+	if l.Status != 0 {
+		add("status %d", l.Status)
 	}
-	if v.Cause != "" {
-		add("%s", v.Cause)
+	if l.Cause != "" {
+		add("%s", l.Cause)
 	}
-	if isRequest(v.Event) && v.Event != descriptor.NoteEnded {
-		add("queued %d, in flight %d", v.Queued, v.InFlight)
+	if isRequest(l.Event) && l.Event != descriptor.NoteEnded {
+		add("queued %d, in flight %d", l.Queued, l.InFlight)
 	}
-	if v.Left != 0 {
-		add("%d ms left", v.Left)
+	if l.Left != 0 {
+		add("%d ms left", l.Left)
 	}
-	return fmt.Sprintf("%d %s: %s", v.Event, name, strings.Join(parts, "; "))
+	return fmt.Sprintf("%d %s: %s", l.Event, name, strings.Join(parts, "; "))
 }
--- a/platform_test.go
+++ b/platform_test.go
@@ -38,8 +38,9 @@
 func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	asserter.NoError(t, "listen", err)
-	defer l.Close()
-	return l.Addr().String()
+	address := l.Addr().String()
+	asserter.NoError(t, "close", l.Close())
+	return address
 }
 
 // routing is a configuration with one route for each service.
@@ -266,6 +267,11 @@
 		for i := range 90 {
 			f.ask(f.instances[i%3], "GET", "ledger.example", "/safe/a", "")
 		}
+		f.store.drop("servers/" + b.id)
+		time.Sleep(time.Second)
+		for i := range 30 {
+			f.ask(f.instances[i%3], "GET", "ledger.example", "/safe/a", "")
+		}
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		asserter.True(t, "nothing later", b.last.Before(since))
