--- a/decider/decider.go
+++ b/decider/decider.go
@@ -108,6 +108,8 @@
 	// settled tells that syncedAt is long enough ago to know the other members.
 	settled  bool
 	syncedAt time.Time
+	// memberAt is when a member was first heard of last.
+	memberAt time.Time
 	// dirty tells that the directory changed, and stamped that only its time did.
 	dirty, stamped bool
 	gossipAt       time.Time
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -255,6 +255,9 @@
 		d.keeper.SetFleet(d.index.Members())
 	}
 	for _, c := range changes {
+		if c.Before.ID == "" {
+			d.memberAt = d.now
+		}
 		d.noteMember(c)
 		for _, service := range d.reindex(c.After) {
 			d.assign(service)
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -175,13 +175,23 @@
 	return d.gossiper.Self(), d.quit.started
 }
 
-// settleTime is how long after it knows the configuration an instance tells no
-// callers which others to use: it would name only the few that it met so far.
-const settleTime = 500 * time.Millisecond
+// Times in which an instance that started tells no callers which others to use: it
+// would name only the few that it met so far.
+const (
+	// settleTime is how long no new member must have come.
+	settleTime = 400 * time.Millisecond
+	// settleLimit is the longest time after which it does.
+	settleLimit = 3 * time.Second
+)
 
 // settleMembers notes that the members are known well enough.
 func (d *Decider[E, D, P, L]) settleMembers() {
-	if d.synced && !d.settled && d.now.Sub(d.syncedAt) >= settleTime {
+	if !d.synced || d.settled {
+		return
+	}
+	since := d.now.Sub(d.syncedAt)
+	quiet := since >= settleTime && d.now.Sub(d.memberAt) >= settleTime
+	if quiet || since >= settleLimit {
 		d.settled = true
 		d.stamped = true
 	}
