--- /dev/null
+++ b/decider/routed_test.go
@@ -0,0 +1,213 @@
+package decider
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/detector"
+	"monsoonswitch/limiter"
+	"monsoonswitch/picker"
+)
+
+// routedFleet runs deciders under a routing in memory with fake time. Those that
+// are told to follow the store read it every 0.3 s.
+type routedFleet struct {
+	nodes   map[string]*Routed
+	order   []string
+	now     time.Time
+	linked  map[[2]string]bool
+	watches map[string]bool
+	// version is that of the routing in the store, revision that of its list.
+	version, revision uint64
+	// silent holds the nodes whose links carry nothing, without a reset.
+	silent map[string]bool
+	// away tells that the store is away.
+	away  bool
+	calls int
+	ticks int
+}
+
+func newRoutedFleet(n int) *routedFleet {
+	f := &routedFleet{
+		nodes: make(map[string]*Routed), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
+		linked: make(map[[2]string]bool), watches: make(map[string]bool), silent: make(map[string]bool), version: 1, revision: 1,
+	}
+	for i := range n {
+		f.add(fmt.Sprintf("entry-%d", i), []string{"worcester", "providence", "portsmouth"}[i%3])
+	}
+	f.run(4 * time.Second)
+	return f
+}
+
+func (f *routedFleet) add(id, domain string) {
+	self := descriptor.Member{ID: id, Incarnation: 1, Domain: domain, Public: id + ":80", Inner: id + ":81"}
+	f.nodes[id] = New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true}, f.now)
+	f.order = append(f.order, id)
+	if first := f.order[0]; first != id {
+		f.link(id, first)
+	}
+}
+
+func (f *routedFleet) link(from, to string) {
+	if f.linked[[2]string{from, to}] || f.linked[[2]string{to, from}] || f.nodes[to] == nil {
+		return
+	}
+	f.linked[[2]string{from, to}] = true
+	a, b := f.nodes[from].gossiper.Self(), f.nodes[to].gossiper.Self()
+	f.step(from, descriptor.LinkOpened{At: f.now, Peer: b})
+	f.step(to, descriptor.LinkOpened{At: f.now, Peer: a})
+}
+
+func (f *routedFleet) step(id string, e descriptor.Event) {
+	for _, a := range append([]descriptor.Action(nil), f.nodes[id].Step(e)...) {
+		switch a := a.(type) {
+		case descriptor.Connect:
+			for _, p := range a.Peers {
+				f.link(id, p.ID)
+			}
+		case descriptor.Send:
+			if f.nodes[a.To.ID] != nil && !f.silent[id] && !f.silent[a.To.ID] {
+				f.step(a.To.ID, descriptor.Received{At: f.now, From: id, Message: a.Message})
+			}
+		case descriptor.Watch:
+			f.watches[id] = a.Active
+		}
+	}
+}
+
+// routingOf returns the configuration of a version: one route more for each.
+func routingOf(version uint64) declarer.Routing {
+	r := declarer.Routing{Version: version}
+	for i := range version {
+		r.Routes = append(r.Routes, declarer.HostRoute{
+			Host: "a.example", Path: fmt.Sprintf("/%d/", i), Parts: []declarer.Part{{Service: "ledger", Weight: 1}},
+			Class: declarer.Class{Name: fmt.Sprintf("r%d", i), Target: time.Second},
+		})
+	}
+	return r
+}
+
+// read lets a node read the store.
+func (f *routedFleet) read(id string, version uint64) {
+	f.calls++
+	routing := routingOf(version)
+	f.step(id, descriptor.Learned{At: f.now, AsOf: f.now, Kind: descriptor.KindRouting, Complete: true, Documents: []descriptor.Document{
+		{Kind: descriptor.KindRouting, Name: "all", Revision: version, Routing: &routing},
+	}})
+	f.step(id, descriptor.Learned{At: f.now, AsOf: f.now, Kind: descriptor.KindBackends, Complete: true, Documents: []descriptor.Document{
+		{Kind: descriptor.KindBackends, Name: "ledger", Revision: f.revision, Backends: []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}}},
+	}})
+}
+
+func (f *routedFleet) run(span time.Duration) {
+	for end := f.now.Add(span); f.now.Before(end); {
+		f.now = f.now.Add(50 * time.Millisecond)
+		f.ticks++
+		for _, id := range f.order {
+			if f.watches[id] && !f.away && f.ticks%6 == 0 {
+				f.read(id, f.version)
+			}
+			f.step(id, descriptor.Ticked{At: f.now})
+		}
+	}
+}
+
+// following counts the nodes that read the store.
+func (f *routedFleet) following() int {
+	n := 0
+	for _, active := range f.watches {
+		if active {
+			n++
+		}
+	}
+	return n
+}
+
+// inForce returns the version that a node serves by.
+func (f *routedFleet) inForce(id string) uint64 {
+	if r := f.nodes[id].routes; r != nil {
+		return r.Routing().Version
+	}
+	return 0
+}
+
+func TestRoutedFleet(t *testing.T) {
+	t.Run("few follow the store, and the others stay current", func(t *testing.T) {
+		f := newRoutedFleet(24)
+		f.run(5 * time.Second)
+		asserter.AtMost(t, "following", f.following(), routedWatchers)
+		for _, id := range f.order {
+			age := f.now.Sub(f.nodes[id].relayer.Current(f.nodes[id].options.kinds()))
+			asserter.AtMost(t, "age at "+id, age, 1200*time.Millisecond)
+		}
+	})
+	t.Run("a version is in force everywhere within two seconds", func(t *testing.T) {
+		f := newRoutedFleet(24)
+		f.run(2 * time.Second)
+		f.version = 5
+		f.run(1900 * time.Millisecond)
+		for _, id := range f.order {
+			asserter.Equal(t, id, f.inForce(id), uint64(5))
+		}
+	})
+	t.Run("also at one whose links are silent", func(t *testing.T) {
+		f := newRoutedFleet(12)
+		f.run(2 * time.Second)
+		for _, id := range f.order[4:8] {
+			f.silent[id] = true
+		}
+		f.version = 6
+		f.run(1900 * time.Millisecond)
+		for _, id := range f.order {
+			asserter.Equal(t, id, f.inForce(id), uint64(6))
+		}
+		t.Run("which stops asking when they speak again", func(t *testing.T) {
+			clear(f.silent)
+			f.run(6 * time.Second)
+			asserter.AtMost(t, "following", f.following(), routedWatchers)
+		})
+	})
+	t.Run("an older version is never taken", func(t *testing.T) {
+		f := newRoutedFleet(6)
+		f.version = 9
+		f.run(2 * time.Second)
+		f.read(f.order[2], 4)
+		f.run(time.Second)
+		for _, id := range f.order {
+			asserter.Equal(t, id, f.inForce(id), uint64(9))
+		}
+	})
+	t.Run("one that starts while the store is away learns from the others", func(t *testing.T) {
+		f := newRoutedFleet(6)
+		f.run(2 * time.Second)
+		f.away = true
+		f.add("entry-new", "worcester")
+		f.run(3 * time.Second)
+		asserter.Equal(t, "version", f.inForce("entry-new"), uint64(1))
+		asserter.True(t, "ready", f.nodes["entry-new"].published.Ready)
+	})
+	t.Run("callers are named two instances of each domain, by all alike", func(t *testing.T) {
+		f := newRoutedFleet(12)
+		f.run(2 * time.Second)
+		want := f.nodes[f.order[0]].published.Callers
+		asserter.Equal(t, "named", len(want), 6)
+		for _, id := range f.order {
+			d := f.nodes[id].published
+			asserter.True(t, "settled", d.Settled)
+			asserter.Equal(t, "near", len(d.CallersNear("providence")), 2)
+			for i, m := range d.Callers {
+				asserter.Equal(t, id, m.ID, want[i].ID)
+			}
+		}
+	})
+	t.Run("one that just started names nobody", func(t *testing.T) {
+		f := newRoutedFleet(6)
+		f.add("entry-new", "worcester")
+		f.read("entry-new", f.version)
+		asserter.Equal(t, "settled", f.nodes["entry-new"].published.Settled, false)
+	})
+}
