--- a/decider/tick.go
+++ b/decider/tick.go
@@ -54,7 +54,7 @@
 	}
 	if d.options.Routing {
 		// Pulses tell of changes, and whoever lacks them asks.
-		d.spreader.Fresh(nil)
+		d.spreader.DropFresh()
 		return
 	}
 	for _, a := range d.spreader.Fresh(d.gossiper.Links()) {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -104,14 +104,29 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 	}
-	if s.body != nil {
+	switch {
+	case s.body != nil:
 		r.Body = &attemptBody{callerBody: s.body, attempt: t}
-	} else {
+	case !s.class.Idempotent:
+		r.ContentLength = 0
+		r.Body = oneWay{}
+	default:
 		r.ContentLength = 0
 	}
 	return r.WithContext(httptrace.WithClientTrace(t.ctx, &httptrace.ClientTrace{GotConn: t.gotConn}))
 }
 
+// oneWay is an empty body that can't be read again. It keeps net/http from sending
+// a request a second time by itself whose method promises that it may: what a class
+// of work says goes before its method.
+type oneWay struct{}
+
+// Read implements io.Reader.
+func (oneWay) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (oneWay) Close() error { return nil }
+
 // target returns the URL of the request, whose path and query are those that the
 // caller sent, byte for byte.
 func (t *attempt) target() *url.URL {
--- a/forwarder/routed_test.go
+++ b/forwarder/routed_test.go
@@ -132,3 +132,24 @@
 	connections.Range(func(any, any) bool { used++; return true })
 	asserter.Equal(t, "connections, each used once", used, 3)
 }
+
+// TestOnceByGet breaks kept connections under work that may not run twice although
+// its method is GET: it reaches the backend server once.
+func TestOnceByGet(t *testing.T) {
+	var seen sync.Map
+	x := newRig(t, func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := seen.LoadOrStore(r.URL.Path, new(atomic.Int32))
+		n.(*atomic.Int32).Add(1)
+		if strings.HasPrefix(r.URL.Path, "/a/break") {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	x.forwarder.SetDirectory(routes(time.Now(), "/a/"))
+	for i := range 20 {
+		asserter.Equal(t, "status", x.ask("/a/fine"), http.StatusOK)
+		path := "/a/break" + strings.Repeat("x", i)
+		asserter.Equal(t, "status of the broken one", x.ask(path), http.StatusBadGateway)
+		n, _ := seen.Load(path)
+		asserter.Equal(t, "runs", n.(*atomic.Int32).Load(), int32(1))
+	}
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -94,6 +94,10 @@
 	return name{d.Kind, d.Name}.hash()*31 + d.Revision*0x9e3779b97f4a7c15
 }
 
+// DropFresh forgets that documents were taken in, where nobody is to be told of
+// single ones.
+func (s *Spreader) DropFresh() { s.fresh = container.NewTable[name, string]() }
+
 // HasFresh tells whether documents were taken in since the last call of Fresh.
 func (s *Spreader) HasFresh() bool { return s.fresh.Len() > 0 }
 
@@ -115,7 +119,7 @@
 			result = append(result, Announcement{To: id, References: descriptor.References{List: list}})
 		}
 	}
-	s.fresh = container.NewTable[name, string]()
+	s.DropFresh()
 	return result
 }
 
--- a/storer/client.go
+++ b/storer/client.go
@@ -179,10 +179,10 @@
 	if err != nil {
 		return eris.Wrapf(ErrUnavailable, "%s: %v", path, err)
 	}
-	defer closeBody(response)
+	defer CloseBody(response)
 	switch response.StatusCode {
 	case http.StatusOK:
-		return decodeBody(response, result)
+		return DecodeBody(response, result)
 	case http.StatusNotFound:
 		return eris.Wrap(ErrNotFound, path)
 	}
@@ -213,7 +213,7 @@
 	if err != nil {
 		return Item{}, writeError(key, err)
 	}
-	defer closeBody(response)
+	defer CloseBody(response)
 	return readWrite(key, response)
 }
 
@@ -228,12 +228,12 @@
 	var item Item
 	switch response.StatusCode {
 	case http.StatusOK:
-		if err := decodeBody(response, &item); err != nil {
+		if err := DecodeBody(response, &item); err != nil {
 			return item, eris.Wrapf(ErrUnknown, "%s: %v", key, err)
 		}
 		return item, nil
 	case http.StatusConflict:
-		if err := decodeBody(response, &item); err != nil {
+		if err := DecodeBody(response, &item); err != nil {
 			return item, err
 		}
 		return item, eris.Wrap(ErrConflict, key)
@@ -245,7 +245,8 @@
 	return item, eris.Wrapf(ErrUnknown, "%s: status %d", key, response.StatusCode)
 }
 
-func decodeBody(response *http.Response, result any) error {
+// DecodeBody reads the JSON body of an answer of the platform.
+func DecodeBody(response *http.Response, result any) error {
 	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(result)
 	if err != nil {
 		return eris.Wrapf(ErrGarbage, "%v", err)
@@ -253,7 +254,9 @@
 	return nil
 }
 
-func closeBody(response *http.Response) {
+// CloseBody reads an answer of the platform to its end, so that its connection can
+// be used again.
+func CloseBody(response *http.Response) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswer))
 	_ = response.Body.Close()
 }
