--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -15,12 +15,13 @@
 	recentTime = time.Second
 	// recentLeast is the weight of outcomes from which they say anything.
 	recentLeast = 8
-	// spreadShare is the share of failures from which work is spread: a
-	// little less than the one in ten above which the use of the capacity is an operator's concern.
+	// spreadShare is the share of failures from which those in deeper doubt get
+	// work too: a little less than one in ten, above which operators expect that
+	// most of the capacity is in use.
 	spreadShare = 0.08
 	// spreadPart is the part of the expected number of sound backend servers from
-	// which on enough of them are in use: a little more than seven in ten, below
-	// which the use of the capacity is an operator's concern.
+	// which on enough of them are in use: a little more than the seven in ten that
+	// operators expect.
 	spreadPart = 0.74
 	// repeatedLeast is the share of work that may run twice from which on it alone
 	// finds out about backend servers in doubt, and repeatedWeight the weight of
