The test of refused work waits for retries to come

The refusal was true: an instance that starts has no retries, so that a fleet started at once keeps their bounds, and the test asked at once. It now waits for retries, with wide bounds, and also counts that each request ran exactly once. Ruled out: a refusal of work that ran.

--- a/platform_test.go
+++ b/platform_test.go
@@ -110,7 +110,7 @@
 grace = 6
 [retries]
 ratio = 0.2
-extra = 50
+extra = 1000
 window = 10
 `, p.name, p.front, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address)
 	p.settings = filepath.Join(f.t.TempDir(), p.name+".ini")
@@ -240,11 +240,16 @@
 		return total, most
 	}
 	t.Run("a refusal that says not run is true, and other work goes elsewhere", func(t *testing.T) {
+		// An instance that starts has no retries; these come with time.
+		time.Sleep(2 * time.Second)
+		before, _ := runs()
 		f.backends[0].set(func(b *platformBackend) { b.shed = true })
 		for i := range 40 {
 			status, _ := f.ask(f.instances[i%3], "POST", "ledger.example", "/once/a", "work")
 			asserter.Equal(t, "status", status, 200)
 		}
+		after, _ := runs()
+		asserter.Equal(t, "runs", after-before, 40)
 		f.backends[0].set(func(b *platformBackend) { b.shed = false })
 	})
 	t.Run("a gray one gets little work, and none runs twice", func(t *testing.T) {
