--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -132,7 +132,8 @@
 	toldAt time.Time
 	// recent are the outcomes of the last second or so at all instances.
 	recent recent
-	// spreading tells that too few backend servers are in use while work fails.
+	// spreading tells that too few of the backend servers that may be sound are in
+	// use.
 	spreading bool
 	// repeated is the moving share of arrivals that may run twice.
 	repeated float64
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -60,7 +60,7 @@
 // mayRetry tells whether a request may be sent to another backend server.
 // Non-idempotent work needs proof that it did not run.
 func (b *Balancer[E, D, P, L]) mayRetry(r request, e descriptor.Failed, ran bool) bool {
-	if int(r.last) >= retrier.MaxTries || int(r.last)-r.unrun >= b.attemptLimit(r) || b.backends.Len() <= int(r.last) {
+	if b.exhausted(r) || b.backends.Len() <= int(r.last) {
 		return false
 	}
 	if !r.replayable && !e.Untouched {
@@ -75,6 +75,11 @@
 	return b.spend()
 }
 
+// exhausted tells whether a request was sent to as many backend servers as it may.
+func (b *Balancer[E, D, P, L]) exhausted(r request) bool {
+	return int(r.last) >= retrier.MaxTries || int(r.last)-r.unrun >= b.attemptLimit(r)
+}
+
 // attemptLimit returns how many backend servers a request may be sent to.
 func (b *Balancer[E, D, P, L]) attemptLimit(r request) int {
 	if n := b.classes[r.class].declared.Attempts; n > 0 {
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -81,11 +81,15 @@
 
 // dropLost gives up the backend servers that did not come back.
 func (b *Balancer[E, D, P, L]) dropLost() {
-	for _, id := range b.backendIDs() {
-		if s, _ := b.backends.Get(id); !s.lostUntil.IsZero() && !b.now.Before(s.lostUntil) {
-			b.delist(id)
+	var gone []string
+	for id, s := range b.backends.All {
+		if !s.lostUntil.IsZero() && !b.now.Before(s.lostUntil) {
+			gone = append(gone, id)
 		}
 	}
+	for _, id := range gone {
+		b.delist(id)
+	}
 }
 
 func (b *Balancer[E, D, P, L]) delist(id string) {
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"monsoonswitch/descriptor"
-	"monsoonswitch/retrier"
 )
 
 // Times of periodic work.
@@ -215,7 +214,7 @@
 	if !declared.Idempotent || declared.Long || !r.replayable || r.delivered != 0 {
 		return false
 	}
-	if r.count != 1 || int(r.last)-r.unrun >= b.attemptLimit(r) || int(r.last) >= retrier.MaxTries || r.attempts[0].clock.IsZero() {
+	if r.count != 1 || b.exhausted(r) || r.attempts[0].clock.IsZero() {
 		return false
 	}
 	late := max(b.references[r.class].Quantile(hedgeQuantile, declared.Target), declared.Target/10)
