--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -109,7 +109,8 @@
 		for k := range r.count {
 			b.weighOpen(r, r.attempts[k])
 			if b.options.Guests && b.isLate(r, r.attempts[k]) {
-				b.requests.SetAt(i, r.WithLate(k))
+				r = r.WithLate(k)
+				b.requests.SetAt(i, r)
 				b.holdLate(r.attempts[k].backend)
 			}
 		}
--- a/storer/client.go
+++ b/storer/client.go
@@ -169,24 +169,31 @@
 }
 
 func (c *remote) read(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) error {
+	return Read(ctx, c.service, c.base+path+"?"+query.Encode(), timeout, result)
+}
+
+// Read calls for something of the platform and decodes the answer.
+func Read(ctx context.Context, service httpc.Service, address string, timeout time.Duration, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path+"?"+query.Encode(), nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return eris.Wrap(err, "build call")
 	}
-	response, err := c.service.DoRequest(r)
+	response, err := service.DoRequest(r)
 	if err != nil {
-		return eris.Wrapf(ErrUnavailable, "%s: %v", path, err)
+		return eris.Wrapf(ErrUnavailable, "%v", err)
 	}
 	defer CloseBody(response)
 	switch response.StatusCode {
 	case http.StatusOK:
 		return DecodeBody(response, result)
 	case http.StatusNotFound:
-		return eris.Wrap(ErrNotFound, path)
+		return eris.Wrap(ErrNotFound, r.URL.Path)
+	case http.StatusGone:
+		return eris.Wrap(ErrCompacted, r.URL.Path)
 	}
-	return eris.Wrapf(ErrUnavailable, "%s: status %d", path, response.StatusCode)
+	return eris.Wrapf(ErrUnavailable, "%s: status %d", r.URL.Path, response.StatusCode)
 }
 
 // Put writes a value if the key has the expected revision; 0 means that there is
