A connection to a backend server is made within 250 ms or not at all

Nothing ran yet, so any kind may go elsewhere. Ruled out: slow accepts (all waits were 1.00 s, the bound itself).

--- a/configurer/limits.go
+++ b/configurer/limits.go
@@ -26,6 +26,8 @@
 	// FreshTime is how long an idle connection to a backend server is used again
 	// for work that may not run twice.
 	FreshTime time.Duration
+	// ConnectTimeout bounds the making of a connection to a backend server.
+	ConnectTimeout time.Duration
 	// Grace is how long after SIGTERM the platform ends the process; 0 means that
 	// it never does.
 	Grace time.Duration
@@ -35,12 +37,13 @@
 
 func loadLimits(s *parser.Section, all *Settings) {
 	all.Limits = Limits{
-		HeadBytes:    s.IntIn("headbytes", 64<<10, 1<<10, 1<<20),
-		HeadTimeout:  s.DurationIn("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
-		IdleTimeout:  s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
-		StallTimeout: s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
-		FreshTime:    s.DurationIn("freshtime", time.Second, 0, time.Minute),
-		Grace:        time.Duration(s.NumberIn("grace", 0, 0, 3600) * float64(time.Second)),
-		Policy:       s.Choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
+		HeadBytes:      s.IntIn("headbytes", 64<<10, 1<<10, 1<<20),
+		HeadTimeout:    s.DurationIn("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		IdleTimeout:    s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
+		StallTimeout:   s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
+		FreshTime:      s.DurationIn("freshtime", time.Second, 0, time.Minute),
+		ConnectTimeout: s.DurationIn("connecttimeout", 250*time.Millisecond, time.Millisecond, 10*time.Second),
+		Grace:          time.Duration(s.NumberIn("grace", 0, 0, 3600) * float64(time.Second)),
+		Policy:         s.Choice("policy", PolicyStandard, PolicyStandard, PolicyRoundRobin, PolicyConsecutive),
 	}
 }
--- /dev/null
+++ b/forwarder/connect_test.go
@@ -0,0 +1,21 @@
+package forwarder
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+)
+
+// TestConnectTimeout sends a request to a backend server that can't be reached in
+// the time set: the attempt must end as one that did not run.
+func TestConnectTimeout(t *testing.T) {
+	reached := false
+	x := newRigWith(t, Options{StallTimeout: 10 * time.Second, ConnectTimeout: time.Nanosecond}, func(http.ResponseWriter, *http.Request) { reached = true })
+	_, _, err := x.do(x.request("GET", "/", nil))
+	asserter.NoError(t, "request", err)
+	asserter.Equal(t, "reached", reached, false)
+	asserter.Equal(t, "fault", x.control.fault(), descriptor.FaultConnect)
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -18,8 +18,10 @@
 
 // Times and bounds of traffic.
 const (
-	// connectTimeout bounds the making of a connection to a backend server.
-	connectTimeout = time.Second
+	// connectTimeout bounds the making of a connection to a backend server if the
+	// settings do not: a few round trips between regions. A lost packet is sent
+	// again only after a second, and nothing ran yet.
+	connectTimeout = 250 * time.Millisecond
 	// reuseTime is how long an idle connection is used again for work that may
 	// run twice.
 	reuseTime = 30 * time.Second
@@ -60,6 +62,9 @@
 	// FreshTime is how long an idle connection is used again for work that may
 	// not run twice; 0 means freshTime.
 	FreshTime time.Duration
+	// ConnectTimeout bounds the making of a connection to a backend server; 0
+	// means connectTimeout.
+	ConnectTimeout time.Duration
 }
 
 // Forwarder serves callers. It is safe for use by many goroutines.
@@ -72,6 +77,8 @@
 	turns    sync.Map
 	snapshot atomic.Pointer[snapshot]
 	requests atomic.Uint64
+	// dialer makes all connections to backend servers.
+	dialer *net.Dialer
 	// reusing sends work that may run twice, and careful all other work.
 	reusing, careful httpc.Service
 }
@@ -82,20 +89,24 @@
 	if o.FreshTime == 0 {
 		o.FreshTime = freshTime
 	}
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = connectTimeout
+	}
+	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
 	f := &Forwarder{
 		options:  o,
 		control:  c,
 		dialect:  d,
 		recorder: r,
-		reusing:  newClient(reuseTime),
-		careful:  newClient(o.FreshTime),
+		dialer:   dialer,
+		reusing:  newClient(dialer, reuseTime),
+		careful:  newClient(dialer, o.FreshTime),
 	}
 	f.snapshot.Store(newSnapshot(&descriptor.Directory{}))
 	return f
 }
 
-func newClient(idle time.Duration) httpc.Service {
-	dialer := &net.Dialer{Timeout: connectTimeout}
+func newClient(dialer *net.Dialer, idle time.Duration) httpc.Service {
 	transport := &http.Transport{
 		DialContext:           dialer.DialContext,
 		MaxIdleConnsPerHost:   idlePerBackend,
@@ -139,7 +150,7 @@
 func (f *Forwarder) Probe(p descriptor.Probe) {
 	go func() {
 		time.Sleep(probeDelay)
-		conn, err := net.DialTimeout("tcp", p.Backend.Address, connectTimeout)
+		conn, err := f.dialer.Dial("tcp", p.Backend.Address)
 		if err == nil {
 			_ = conn.Close()
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -67,6 +67,19 @@
 	return last
 }
 
+// fault returns the fault of the last attempt that failed, or -1.
+func (c *simple) fault() descriptor.Fault {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := descriptor.Fault(-1)
+	for _, e := range c.events {
+		if f, ok := e.(descriptor.Failed); ok {
+			last = f.Fault
+		}
+	}
+	return last
+}
+
 // rig is a forwarder between a test client and a backend server.
 type rig struct {
 	t         *testing.T
@@ -76,10 +89,14 @@
 }
 
 func newRig(t *testing.T, backend http.HandlerFunc) *rig {
+	return newRigWith(t, Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, backend)
+}
+
+func newRigWith(t *testing.T, o Options, backend http.HandlerFunc) *rig {
 	b := httptest.NewServer(backend)
 	t.Cleanup(b.Close)
 	control := &simple{address: strings.TrimPrefix(b.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
-	f := New(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, NewPlain(Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}), control, recorder.New())
+	f := New(o, NewPlain(o), control, recorder.New())
 	f.SetDirectory(&descriptor.Directory{Ready: true, Services: map[string]*descriptor.Entry{"ledger": {
 		Service: declarer.Service{
 			Name:    "ledger",
--- a/server/server.go
+++ b/server/server.go
@@ -134,11 +134,12 @@
 	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log})
 	s.writer = storer.NewWriter(client, control)
 	options := forwarder.Options{
-		CallerHeader: s.settings.Callers.Header,
-		StallTimeout: s.settings.Limits.StallTimeout,
-		Keep:         s.settings.Callers.Keep,
-		Domain:       s.settings.Instance.Domain,
-		FreshTime:    s.settings.Limits.FreshTime,
+		CallerHeader:   s.settings.Callers.Header,
+		StallTimeout:   s.settings.Limits.StallTimeout,
+		Keep:           s.settings.Callers.Keep,
+		Domain:         s.settings.Instance.Domain,
+		FreshTime:      s.settings.Limits.FreshTime,
+		ConnectTimeout: s.settings.Limits.ConnectTimeout,
 	}
 	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
