--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -12,11 +12,15 @@
 // are told at once.
 const outcomesEvery = 300 * time.Millisecond
 
-// noteOutcome remembers how a request ended for the other instances.
+// noteOutcome remembers how a request ended for the other instances, and tells them
+// at once of a failure: until they know, they send work to the same place.
 func (b *Balancer[E, D, P, L]) noteOutcome(id string, failed bool) {
 	o, _ := b.untold.Get(id)
 	o.Backend = id
 	b.untold.Put(id, o.WithOutcome(failed))
+	if failed {
+		b.tellOutcomes()
+	}
 }
 
 // noteLate remembers for the other instances that a request runs far too long.
@@ -145,4 +149,7 @@
 		}
 		b.place(p, s)
 	}
+	if m.Relay {
+		b.tellOutcomes()
+	}
 }
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -77,6 +77,9 @@
 	replayLength = 60 * time.Second
 	// quickFailure is how soon a gray backend server fails work.
 	quickFailure = time.Millisecond
+	// busyTick and idleTick are the times between ticks with and without requests.
+	busyTick = 10 * time.Millisecond
+	idleTick = 100 * time.Millisecond
 	// sharing is the number of instances.
 	sharing = 4
 )
@@ -164,7 +167,11 @@
 func (f *field[P]) tick(i int) {
 	f.instances[i].Tick(f.time())
 	f.collect(i)
-	f.at(f.now+10*time.Millisecond, func() { f.tick(i) })
+	wait := idleTick
+	if f.instances[i].Busy() {
+		wait = busyTick
+	}
+	f.at(f.now+wait, func() { f.tick(i) })
 }
 
 // arrivals schedules the requests.
@@ -372,6 +379,26 @@
 // share returns a part of the requests asked.
 func (t tally) share(n int) float64 { return float64(n) / float64(t.asked) }
 
+// TestOutcomesAtOnce lets work fail at one of two instances: the other must be told
+// with the failure, not at the next tick.
+func TestOutcomesAtOnce(t *testing.T) {
+	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}
+	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
+	b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: "entry-0", Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
+	b.List(epoch, backendList(3, 3), time.Time{})
+	b.Serve(epoch, members)
+	b.Arrive(descriptor.Arrived{At: epoch, Request: 1, Class: "once", Replayable: true, Deadline: epoch.Add(time.Second)})
+	b.Answered(descriptor.Answered{At: epoch.Add(quickFailure), Request: 1, Attempt: 1, Status: 500})
+	actions, _ := b.Flush(nil, nil)
+	var got []string
+	for _, a := range actions {
+		if s, ok := a.(descriptor.Send); ok {
+			got = append(got, s.To.ID)
+		}
+	}
+	asserter.Equal(t, "told", got, []string{"entry-1"})
+}
+
 func TestGraySpells(t *testing.T) {
 	l := load{rate: steady(72), gray: spells, sheds: never, backends: 21, slots: 3}
 	got := replay[picker.Trusted](l)
