--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -269,6 +269,13 @@
 		}
 		asserter.AtMost(t, "attempts", attempts, 215)
 	})
+	t.Run("slow work of which little is known is hedged while it can meet its target", func(t *testing.T) {
+		x := newBench(t, 1, 6, 3)
+		visit, _ := x.b.Service().Class("visit")
+		_, p := x.arrive("visit", nil)
+		x.run(visit.Target * 6 / 10)
+		asserter.True(t, "hedged", x.dispatched(p.Request) != nil)
+	})
 	t.Run("overdue work is hedged and the slower answer dropped", func(t *testing.T) {
 		x := newBench(t, 1, 6, 3)
 		x.warm()
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -14,6 +14,9 @@
 	// hedgeQuantile is the share of answers after which open work is overdue
 	// enough for a second attempt.
 	hedgeQuantile = 0.97
+	// hedgePart is the part of the target after which it is hedged at the latest, if
+	// usual work takes less than half of that.
+	hedgePart = 0.5
 	// giveUpTargets is the number of targets after which short work is given up.
 	giveUpTargets = 20
 	// giveUpLeast is the least time after which short work is given up.
@@ -218,8 +221,17 @@
 	if r.count != 1 || b.exhausted(r) || r.attempts[0].clock.IsZero() {
 		return false
 	}
-	late := max(b.references[r.class].Quantile(hedgeQuantile, declared.Target), declared.Target/10)
-	return b.now.Sub(r.attempts[0].clock) > late
+	return b.now.Sub(r.attempts[0].clock) > b.hedgeAfter(r.class)
+}
+
+// hedgeAfter returns how long an attempt of a class runs before it is hedged: while
+// a second one can still meet the target, if it takes the usual time.
+func (b *Balancer[E, D, P, L]) hedgeAfter(c int) time.Duration {
+	target := b.classes[c].declared.Target
+	typical := b.references[c].Quantile(0.5, target/4)
+	usual := b.references[c].Quantile(hedgeQuantile, target)
+	latest := max(time.Duration(hedgePart*float64(target)), 2*typical)
+	return max(min(usual, latest), target/10)
 }
 
 // giveUp ends running requests that nobody waits for any more.
