Links are told of in order; who is accused answers its accusers

The linker told the control goroutine of the end of an older link after the begin of a newer one, so that both sides forgot a link that was open and sent no heartbeats over it. Now changes of links are told under one lock, a link is also known from what comes over it, and an instance sends its heartbeats to whoever suspected it, also if the two know different members. Found from logs while explaining a failed request.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -25,6 +25,7 @@
 		fingerprint: e.Fingerprint,
 		replayable:  e.Replayable,
 		body:        e.Body,
+		size:        e.Size,
 		deadline:    e.Deadline,
 		arrived:     e.At,
 	}
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -15,9 +15,11 @@
 	// a backend server with that trust.
 	holdPart = 0.5
 	// nearBonus is what a backend server of the same failure domain is worth, and
-	// nearBodyBonus that for work with a body: bytes between domains cost.
-	nearBonus     = 0.01
-	nearBodyBonus = 0.08
+	// nearByteBonus that for each byte of a body, up to nearMost: bytes between
+	// domains cost, and an upload of 60 kB as much as a fifth of what it is worth.
+	nearBonus     = 0.015
+	nearByteBonus = 0.2 / 60e3
+	nearMost      = 0.2
 	// warmBonus is what a backend server is worth to which a connection is open,
 	// and warmTime how long after work there one can be used for any work.
 	warmBonus = 0.02
@@ -85,10 +87,7 @@
 		Wait:     b.waitPart(r, s),
 	}
 	if s.listed.Domain == b.options.Domain {
-		c.Bonus = nearBonus
-		if r.body {
-			c.Bonus = nearBodyBonus
-		}
+		c.Bonus = r.nearBonus()
 	}
 	if b.now.Sub(s.startedAt) < warmTime {
 		c.Bonus += warmBonus
@@ -97,6 +96,15 @@
 	return c
 }
 
+// nearBonus returns what a backend server of the same failure domain is worth to r.
+// A body of unknown size counts as a large one.
+func (r request) nearBonus() float64 {
+	if r.size < 0 {
+		return nearMost
+	}
+	return min(nearMost, nearBonus+nearByteBonus*float64(r.size))
+}
+
 // trustFor returns the probability that r is served if it goes to a backend server
 // first. A failure of work that may be sent again costs little but a retry.
 func (b *Balancer[E, D, P, L]) trustFor(r request, s backend[E]) float64 {
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -29,11 +29,12 @@
 	id    descriptor.RequestID
 	class int
 	label string
-	// caller, fingerprint, replayable and deadline are as in Arrived.
+	// caller, fingerprint, replayable, size and deadline are as in Arrived.
 	caller      string
 	fingerprint uint64
 	replayable  bool
 	body        bool
+	size        int64
 	deadline    time.Time
 	arrived     time.Time
 	// expires is when the request is refused if it is still queued.
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -426,6 +426,33 @@
 	asserter.Equal(t, "sent", got, map[string]int{"b1": 3})
 }
 
+// TestNear has a backend server in doubt in the own failure domain and a sound one
+// elsewhere: only a large body is worth the risk.
+func TestNear(t *testing.T) {
+	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
+	for _, c := range []struct {
+		name string
+		size int64
+		want string
+	}{{"none", 0, "far"}, {"small", 1200, "far"}, {"large", 60000, "near"}, {"unknown", -1, "near"}} {
+		t.Run(c.name, func(t *testing.T) {
+			b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: "entry-0", Domain: "near", Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
+			b.List(epoch, []descriptor.Backend{{ID: "near", Domain: "near", Slots: 3}, {ID: "far", Domain: "far", Slots: 3}}, time.Time{})
+			b.Serve(epoch, []descriptor.Member{{ID: "entry-0"}})
+			b.HearBulletin(epoch, descriptor.Bulletin{List: []descriptor.Doubt{{Backend: "near", Gray: 0.12}, {Backend: "far", Gray: 0}}})
+			b.Arrive(descriptor.Arrived{At: epoch, Request: 1, Class: "once", Body: c.size != 0, Size: c.size, Replayable: true, Deadline: epoch.Add(time.Second)})
+			actions, _ := b.Flush(nil, nil)
+			got := ""
+			for _, a := range actions {
+				if d, ok := a.(descriptor.Dispatch); ok {
+					got = d.Backend.ID
+				}
+			}
+			asserter.Equal(t, "sent to", got, c.want)
+		})
+	}
+}
+
 // TestWave swings the load of a service, whose sound backend servers can do all of
 // it at each moment.
 func TestWave(t *testing.T) {
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -24,6 +24,8 @@
 	Replayable bool
 	// Body tells that the request has a body.
 	Body bool
+	// Size is the number of bytes of the body, or negative if it is not known.
+	Size int64 `json:",omitempty"`
 	// Deadline is when the caller stops waiting; zero means none.
 	Deadline time.Time
 	// Label is the caller's own identifier of the request, for logs.
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -174,6 +174,7 @@
 		Fingerprint: s.fingerprint(),
 		Replayable:  !hasBody || s.r.ContentLength > 0 && s.r.ContentLength <= maxKept,
 		Body:        hasBody,
+		Size:        s.r.ContentLength,
 		Deadline:    s.deadline,
 		Label:       s.label,
 	}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -20,6 +20,8 @@
 	silenceLimit = 3 * time.Second
 	// refuteTime is how long an accused instance has to refute.
 	refuteTime = 3 * time.Second
+	// accuserTime is how long one that suspected this instance is taken to watch it.
+	accuserTime = 5 * time.Minute
 	// forgetTime is how long the record of a dead instance is kept.
 	forgetTime = 10 * time.Minute
 	// accusersNeeded is the number of instances that must agree.
@@ -102,8 +104,12 @@
 	ring []spot
 	// wanted holds the IDs of the instances that this one watches.
 	wanted []string
-	// watchers holds the instances that watch this one.
+	// watchers holds the instances that watch this one, if they know the same
+	// members.
 	watchers map[string]bool
+	// accusers holds when instances last suspected this one: they watch it, whatever
+	// members they know.
+	accusers map[string]time.Time
 	// wantedAt is when each was first wanted without being heard.
 	wantedAt *container.Table[string, time.Time]
 	// ticked is when the last tick was.
@@ -129,6 +135,7 @@
 		links:    container.NewTable[string, link](),
 		wantedAt: container.NewTable[string, time.Time](),
 		pending:  container.NewTable[string, string](),
+		accusers: make(map[string]time.Time),
 	}
 	g.store(self, now)
 	return g
@@ -225,9 +232,10 @@
 	g.wantedAt.Put(e.Peer, e.At)
 }
 
-// Heard takes in that an instance sent anything.
+// Heard takes in that an instance sent anything. The end of an older link may be
+// told after the begin of this one, so a link is also known from what comes over it.
 func (g *Gossiper) Heard(now time.Time, from string) {
-	if l, ok := g.links.Get(from); ok {
+	if l, ok := g.links.Get(from); ok || g.members.Has(from) {
 		g.links.Put(from, l.WithHeard(now))
 	}
 }
@@ -347,6 +355,9 @@
 	if m.Incarnation < g.self.Incarnation {
 		return
 	}
+	for _, id := range m.Accusers {
+		g.accusers[id] = now
+	}
 	if m.Version > g.self.Version || m.Version == g.self.Version && m.State != g.self.State {
 		g.self = g.self.WithVersion(m.Version)
 		g.restate(now, g.self)
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -18,6 +18,8 @@
 	order []string
 	// cut holds the directions in which nothing gets through.
 	cut map[[2]string]bool
+	// hidden holds the members of which an instance is told nothing.
+	hidden map[string][]string
 	// links holds the pairs that are linked, dialer first.
 	links map[[2]string]bool
 }
@@ -83,6 +85,9 @@
 			if g := x.nodes[id]; g != nil {
 				g.Tick(x.now, container.Sums{})
 				x.carry(id, g)
+				for _, peer := range g.wanted {
+					x.link(id, peer)
+				}
 			}
 		}
 	}
@@ -111,12 +116,38 @@
 	to.Heard(x.now, from)
 	switch m := a.Message.(type) {
 	case descriptor.Members:
-		to.HearMembers(x.now, from, m)
+		to.HearMembers(x.now, from, x.visible(a.To.ID, m))
 	case descriptor.Digest:
 		to.HearDigest(from, m.Members)
 	}
 }
 
+// visible returns m without what is hidden from an instance.
+func (x *network) visible(to string, m descriptor.Members) descriptor.Members {
+	var records []descriptor.Member
+	for _, r := range m.Records {
+		if !contains(x.hidden[to], r.ID) {
+			records = append(records, r)
+		}
+	}
+	m.Records = records
+	return m
+}
+
+// suspects counts how often a member is suspected anew within a time.
+func (x *network) suspects(id string, d time.Duration) int {
+	n, before := 0, 0
+	for range d / (200 * time.Millisecond) {
+		x.run(200 * time.Millisecond)
+		now := x.states(id)[descriptor.Suspect]
+		if now > before {
+			n++
+		}
+		before = now
+	}
+	return n
+}
+
 // states counts how the nodes see one member.
 func (x *network) states(id string) map[descriptor.Liveness]int {
 	result := make(map[descriptor.Liveness]int)
@@ -193,6 +224,24 @@
 			asserter.Equal(t, "incarnation at "+id, m.Incarnation, int64(2))
 		}
 	})
+	t.Run("an instance that does not know all is not suspected for long", func(t *testing.T) {
+		x := newNetwork(t, 24)
+		x.kill("n03")
+		x.hidden = map[string][]string{"n03": {"n01", "n05", "n10", "n11", "n17", "n20"}}
+		x.add("n03", 2)
+		x.link("n03", "n00")
+		x.run(20 * time.Second)
+		asserter.Equal(t, "suspected anew", x.suspects("n03", 20*time.Second), 0)
+	})
+	t.Run("a link that is known from what comes over it stays in use", func(t *testing.T) {
+		x := newNetwork(t, 12)
+		g := x.nodes["n04"]
+		peer := g.wanted[0]
+		g.LinkClosed(descriptor.LinkClosed{At: x.now, Peer: peer})
+		x.run(5 * time.Second)
+		asserter.True(t, "linked", g.Linked(peer))
+		asserter.Equal(t, "suspected anew", x.suspects(peer, 10*time.Second), 0)
+	})
 	t.Run("a goodbye is known at once", func(t *testing.T) {
 		x := newNetwork(t, 12)
 		x.nodes["n04"].Leave(x.now, "n01")
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -41,6 +41,11 @@
 		}
 	}
 	g.ticked = now
+	for id, at := range g.accusers {
+		if now.Sub(at) >= accuserTime {
+			delete(g.accusers, id)
+		}
+	}
 }
 
 // choose picks the instances to watch: those at distances 1, 2, 4, ... on the
@@ -98,7 +103,7 @@
 	every := DigestInterval(g.links.Len())
 	for i := range g.links.Len() {
 		id, l := g.links.At(i)
-		if now.Sub(l.beaten) < g.beatEvery(id) {
+		if now.Sub(l.beaten) < g.beatEvery(id, now) {
 			continue
 		}
 		g.sequence++
@@ -115,9 +120,9 @@
 // beatEvery returns the time between heartbeats on a link: often to those that
 // watch this instance, less often to those that may come to, and hardly ever on
 // links that carry something else.
-func (g *Gossiper) beatEvery(id string) time.Duration {
+func (g *Gossiper) beatEvery(id string, now time.Time) time.Duration {
 	switch {
-	case g.watchers[id] || len(g.watchers) == 0:
+	case g.watchers[id] || len(g.watchers) == 0 || now.Sub(g.accusers[id]) < accuserTime:
 		return heartbeatEvery
 	case contains(g.wanted, id):
 		return 2 * heartbeatEvery
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -65,7 +65,10 @@
 	cancel  context.CancelFunc
 	client  *http.Client
 
-	mu sync.Mutex
+	// telling is held while links change and the control goroutine is told, so that
+	// it hears of changes in their order. mu is taken after it.
+	telling sync.Mutex
+	mu      sync.Mutex
 	// links holds the open links by the ID of the peer, newest last.
 	links map[string][]*link
 	// wanted holds the instances to keep links to.
@@ -262,6 +265,7 @@
 
 // add registers a link and tells the control goroutine of the first one.
 func (l *Linker) add(k *link) {
+	l.telling.Lock()
 	l.mu.Lock()
 	list := l.links[k.peer.ID]
 	l.links[k.peer.ID] = append(list, k)
@@ -271,6 +275,7 @@
 	if len(list) == 0 {
 		l.poster.Post(descriptor.LinkOpened{At: time.Now(), Peer: k.peer})
 	}
+	l.telling.Unlock()
 	for _, m := range pending {
 		k.send(m)
 	}
@@ -278,6 +283,8 @@
 
 // remove takes a link out and tells the control goroutine of the last one.
 func (l *Linker) remove(k *link) {
+	l.telling.Lock()
+	defer l.telling.Unlock()
 	l.mu.Lock()
 	var kept []*link
 	for _, other := range l.links[k.peer.ID] {
