Work is spread whatever comes next again, and more while much fails

Requests that end without an answer count in that share, each of them, at all instances (TestBrokenTogether, failed before).

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -76,6 +76,7 @@
 // admit starts a request or queues it.
 func (b *Balancer[E, D, P, L]) admit(r request) {
 	b.trace(r, descriptor.NoteAdmitted, 0, "", "", 0)
+	b.noteKind(r)
 	if (b.queued == 0 || b.options.Guests && b.ahead(r.class) == 0) && b.mayStart(r.class) && b.start(r) {
 		return
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -130,11 +130,16 @@
 	// untold holds the outcomes that the other instances were not told yet.
 	untold *container.Table[string, descriptor.BackendOutcomes]
 	toldAt time.Time
+	// unserved counts the requests that ended without an answer and that the other
+	// instances were not told of yet.
+	unserved int
 	// recent are the outcomes at all instances.
 	recent window
 	// spreading tells that too few of the backend servers that may be sound are in
 	// use.
 	spreading bool
+	// repeated is the moving share of arrivals that may run twice.
+	repeated float64
 	// crowded tells that most slots of the backend servers in use are taken.
 	crowded bool
 	// spreadFrom is the trust from which one gets work that is spread.
@@ -270,6 +275,9 @@
 	if r.queued {
 		b.queued--
 	}
+	if b.options.Guests && unserved(reason) {
+		b.noteUnserved()
+	}
 	b.ended = append(b.ended, Ended{
 		Request: r.id,
 		Label:   r.label,
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -30,6 +30,23 @@
 	}
 }
 
+// unserved tells whether a request that ended for a reason was to be served.
+func unserved(reason descriptor.Reason) bool {
+	switch reason {
+	case descriptor.Served, descriptor.Abandoned, descriptor.Poisoned:
+		return false
+	}
+	return true
+}
+
+// noteUnserved counts a request that ended without an answer: connections that
+// break together count once against their backend server, but each request does
+// in the share that fails.
+func (b *Balancer[E, D, P, L]) noteUnserved() {
+	b.recent = b.recent.WithOutcome(b.now, true)
+	b.unserved++
+}
+
 // noteLate remembers for the other instances that a request runs far too long.
 func (b *Balancer[E, D, P, L]) noteLate(id string) {
 	o, _ := b.untold.Get(id)
@@ -40,12 +57,12 @@
 
 // tellOutcomes tells the instances that share the slots how work ended here.
 func (b *Balancer[E, D, P, L]) tellOutcomes() {
-	if b.untold.Len() == 0 {
+	if b.untold.Len() == 0 && b.unserved == 0 {
 		return
 	}
 	var list []descriptor.BackendOutcomes
 	wait := outcomesEvery
-	if b.crowded {
+	if b.crowded || b.unserved > 0 {
 		wait = crowdedEvery
 	}
 	urgent := b.now.Sub(b.toldAt) >= wait
@@ -60,7 +77,8 @@
 	for _, o := range list {
 		b.untold.Delete(o.Backend)
 	}
-	m := descriptor.Outcomes{Service: b.service.Name, List: list}
+	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unserved}
+	b.unserved = 0
 	if b.position >= 0 {
 		b.tell(m)
 		return
@@ -178,6 +196,12 @@
 // HearOutcomes takes in how work ended at other instances.
 func (b *Balancer[E, D, P, L]) HearOutcomes(now time.Time, m descriptor.Outcomes) {
 	b.advance(now)
+	for range min(m.Unserved, maxOutcomes) {
+		b.recent = b.recent.WithOutcome(now, true)
+	}
+	if m.Relay {
+		b.unserved += max(0, m.Unserved)
+	}
 	for _, o := range m.List {
 		p := b.backends.Position(o.Backend)
 		if p < 0 {
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -52,7 +52,7 @@
 	at := func(i int) picker.Candidate { return b.openCandidate(r, positions[i]) }
 	best := positions[b.picker.Pick(len(positions), at, b.turn, b.random)]
 	_, s := b.backends.At(best)
-	if trust := s.belief.Trust(b.now); trust < soundTrust && b.spreadTo(s) == 0 && b.waits(r) {
+	if trust := s.belief.Trust(b.now); trust < soundTrust && b.spreadTo(r, s) == 0 && b.waits(r) {
 		return -1
 	}
 	return best
@@ -92,7 +92,7 @@
 	if b.now.Sub(s.startedAt) < warmTime {
 		c.Bonus += warmBonus
 	}
-	c.Bonus += b.spreadTo(s)
+	c.Bonus += b.spreadTo(r, s)
 	return c
 }
 
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -81,6 +81,9 @@
 	List    []BackendOutcomes
 	// Relay asks the receiver to tell the other instances that share the slots.
 	Relay bool `cbor:",omitempty"`
+	// Unserved counts the requests that ended at the sender without an answer since
+	// its last message.
+	Unserved int `cbor:",omitempty"`
 }
 
 // BackendOutcomes counts how requests at one backend server ended since the last
