--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -395,12 +395,8 @@
 // TestOutcomesAtOnce lets work fail at one of two instances: the other must be told
 // with the failure, not at the next tick.
 func TestOutcomesAtOnce(t *testing.T) {
-	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}
-	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
-	b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: "entry-0", Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
-	b.List(epoch, backendList(3, 3), time.Time{})
-	b.Serve(epoch, members)
-	b.Arrive(descriptor.Arrived{At: epoch, Request: 1, Class: "once", Replayable: true, Deadline: epoch.Add(time.Second)})
+	b := newInstance(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}, backendList(3, 3))
+	b.Arrive(once(1, epoch))
 	b.Answered(descriptor.Answered{At: epoch.Add(quickFailure), Request: 1, Attempt: 1, Status: 500})
 	actions, _ := b.Flush(nil, nil)
 	var got []string
@@ -412,24 +408,53 @@
 	asserter.Equal(t, "told", got, []string{"entry-1"})
 }
 
+// instance is a balancer as it runs under a routing.
+type instance = Balancer[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded]
+
+// newInstance returns the first of some members, with backend servers and one class
+// of work that may not run twice.
+func newInstance(o Options, members []descriptor.Member, list []descriptor.Backend) *instance {
+	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
+	o.Guests = true
+	o.NextWrite = func() descriptor.WriteID { return 1 }
+	b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, o)
+	b.List(epoch, list, time.Time{})
+	b.Serve(epoch, members)
+	return b
+}
+
+// once returns the arrival of a request that may not run twice.
+func once(id descriptor.RequestID, at time.Time) descriptor.Arrived {
+	return descriptor.Arrived{At: at, Request: id, Class: "once", Replayable: true, Deadline: epoch.Add(time.Second)}
+}
+
+// sentTo lists the backend servers that b sends work to since the last call.
+func sentTo(b *instance) []string {
+	var result []string
+	actions, _ := b.Flush(nil, nil)
+	for _, a := range actions {
+		if d, ok := a.(descriptor.Dispatch); ok {
+			result = append(result, d.Backend.ID)
+		}
+	}
+	return result
+}
+
 // TestBrokenTogether breaks the connections of several requests at one backend server
 // at the same moment: it is one failure of that server, but a notable share of the
 // requests, here and at the instances that are told.
 func TestBrokenTogether(t *testing.T) {
 	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}
-	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
-	var instances []*Balancer[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded]
+	var instances []*instance
 	for _, m := range members {
-		b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: m.ID, Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
-		b.List(epoch, backendList(1, 30), time.Time{})
-		b.Serve(epoch, members)
+		b := newInstance(Options{Self: m.ID}, members, backendList(1, 30))
 		for range 4 {
 			b.HearOutcomes(epoch, descriptor.Outcomes{Service: "billing", List: []descriptor.BackendOutcomes{{Backend: "b0", Before: 8}}})
 		}
 		instances = append(instances, b)
 	}
 	for id := range descriptor.RequestID(6) {
-		instances[0].Arrive(descriptor.Arrived{At: epoch, Request: id + 1, Class: "once", Replayable: true, Deadline: epoch.Add(time.Second)})
+		instances[0].Arrive(once(id+1, epoch))
 	}
 	for id := range descriptor.RequestID(6) {
 		instances[0].Failed(descriptor.Failed{At: epoch.Add(quickFailure), Request: id + 1, Attempt: 1, Fault: descriptor.FaultBroken})
@@ -451,50 +476,32 @@
 // TestLoadTold tells an instance that others fill one of two backend servers: its
 // own work must go to the other one, although it sent none to either.
 func TestLoadTold(t *testing.T) {
-	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}
-	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
-	b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: "entry-0", Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
-	b.List(epoch, backendList(2, 3), time.Time{})
-	b.Serve(epoch, members)
+	b := newInstance(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}, backendList(2, 3))
 	b.HearOutcomes(epoch, descriptor.Outcomes{Service: "billing", List: []descriptor.BackendOutcomes{
 		{Backend: "b0", Before: 1, Reported: true, Work: 5}, {Backend: "b1", Before: 1, Reported: true},
 	}})
-	got := make(map[string]int)
 	for id := range descriptor.RequestID(3) {
-		b.Arrive(descriptor.Arrived{At: epoch.Add(time.Millisecond), Request: id + 1, Class: "once", Replayable: true, Deadline: epoch.Add(time.Second)})
-		actions, _ := b.Flush(nil, nil)
-		for _, a := range actions {
-			if d, ok := a.(descriptor.Dispatch); ok {
-				got[d.Backend.ID]++
-			}
-		}
+		b.Arrive(once(id+1, epoch.Add(time.Millisecond)))
 	}
-	asserter.Equal(t, "sent", got, map[string]int{"b1": 3})
+	asserter.Equal(t, "sent to", sentTo(b), []string{"b1", "b1", "b1"})
 }
 
 // TestNear has a backend server in doubt in the own failure domain and a sound one
 // elsewhere: only a large body is worth the risk.
 func TestNear(t *testing.T) {
-	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{{Name: "once", Target: replayTarget, Attempts: 1}}}
+	list := []descriptor.Backend{{ID: "near", Domain: "near", Slots: 3}, {ID: "far", Domain: "far", Slots: 3}}
 	for _, c := range []struct {
 		name string
 		size int64
 		want string
 	}{{"none", 0, "far"}, {"small", 1200, "far"}, {"large", 60000, "near"}, {"unknown", -1, "near"}} {
 		t.Run(c.name, func(t *testing.T) {
-			b := New[detector.Evidence, detector.Sequential, picker.Trusted, limiter.Bounded](service, Options{Self: "entry-0", Domain: "near", Guests: true, NextWrite: func() descriptor.WriteID { return 1 }})
-			b.List(epoch, []descriptor.Backend{{ID: "near", Domain: "near", Slots: 3}, {ID: "far", Domain: "far", Slots: 3}}, time.Time{})
-			b.Serve(epoch, []descriptor.Member{{ID: "entry-0"}})
+			b := newInstance(Options{Self: "entry-0", Domain: "near"}, []descriptor.Member{{ID: "entry-0"}}, list)
 			b.HearBulletin(epoch, descriptor.Bulletin{List: []descriptor.Doubt{{Backend: "near", Gray: 0.12}, {Backend: "far", Gray: 0}}})
-			b.Arrive(descriptor.Arrived{At: epoch, Request: 1, Class: "once", Body: c.size != 0, Size: c.size, Replayable: true, Deadline: epoch.Add(time.Second)})
-			actions, _ := b.Flush(nil, nil)
-			got := ""
-			for _, a := range actions {
-				if d, ok := a.(descriptor.Dispatch); ok {
-					got = d.Backend.ID
-				}
-			}
-			asserter.Equal(t, "sent to", got, c.want)
+			r := once(1, epoch)
+			r.Body, r.Size = c.size != 0, c.size
+			b.Arrive(r)
+			asserter.Equal(t, "sent to", sentTo(b), []string{c.want})
 		})
 	}
 }
--- a/estimator/text.go
+++ b/estimator/text.go
@@ -83,7 +83,7 @@
 | pulses: two origins, 3.3 a second, a tree with eight branches, 60 bytes | 7 in, 7 out a second on average, 53 out within the tree | the same; depth 5 instead of 2 | holds: 0.8 KB/s, 3 KB/s within the tree |
 | calls to the store by the two followers | 10 a second | the same, and two ranges for each start: 0.3 a second | holds |
 | calls of those without pulses | none in calm | 5 a second for each cut off instance | holds up to 400 at once |
-| outcomes between the instances named | 6 x 5 x 3 services x 3 a second | every instance named serves every service: 2,700 services | **over**: hosts must be divided among groups of instances, as serving sets do without a routing |
+| outcomes between the instances named | 6 x 5 x 3 services x 3 a second, 10 while most slots are in use, and one for each failure | every instance named serves every service: 2,700 services | **over**: hosts must be divided among groups of instances, as serving sets do without a routing |
 | bulletins | 3 a second down the tree | 2,700 a second | **over** for the same reason |
 | the routing as one document | 2 KB | 22,000 routes, about 3 MB | **over** a value of 1 MB; it must come in parts |
 | lists as one document for each service | 2 KB | 22 backend servers each, changes of one service only | holds |
