--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -25,7 +25,7 @@
 	// operators expect. One that failed by itself does not count for failedTime.
 	// gravePart is that part from graveShare on: those in use may be the ones in
 	// trouble.
-	spreadPart = 0.8
+	spreadPart = 0.74
 	gravePart  = 1
 	failedTime = 2 * time.Second
 	// repeatedLeast is the share of work that may run twice from which on it alone
@@ -36,7 +36,7 @@
 	// spreadAfter is the time without work after which a backend server is due: so
 	// much less than two seconds that an instance with little work still comes to it
 	// in time.
-	spreadAfter = 1600 * time.Millisecond
+	spreadAfter = 1800 * time.Millisecond
 	// homePart is the part of that time after which the instance does so that a
 	// backend server belongs to; the others come in if it does not.
 	homePart = 0.8
