--- a/balancer/place.go
+++ b/balancer/place.go
@@ -17,7 +17,7 @@
 	// nearBonus is what a backend server of the same failure domain is worth, and
 	// nearByteBonus that for each byte of a body, up to nearMost: bytes between
 	// domains cost, and an upload of 60 kB as much as a fifth of what it is worth.
-	nearBonus     = 0.015
+	nearBonus     = 0.03
 	nearByteBonus = 0.2 / 60e3
 	nearMost      = 0.2
 	// warmBonus is what a backend server is worth to which a connection is open,
