--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -329,45 +329,55 @@
 	failMost    = 0.5
 )
 
-// watchFloor counts the windows in which too few backend servers had work. One
-// that failed by itself is not sound for the length of a window, and one with
-// trouble from outside until harmTime after it.
+// watchFloor counts the windows in which too few backend servers had work.
 func (f *field[P]) watchFloor() {
-	for len(f.ends) > 0 && f.ends[0].at < f.now-floorWindow {
-		f.ends = f.ends[1:]
+	well, busy := f.used(func(i int) bool { return !f.load.gray(i, f.now) && !f.load.gray(i, f.now-floorWindow) })
+	if float64(busy) < floorShare*float64(well) {
+		f.tally.idle++
 	}
-	failed, sound, used, well, busy := 0, 0, 0, 0, 0
-	for _, e := range f.ends {
-		if !e.served {
-			failed++
-		}
+	sound, used := f.used(f.sound)
+	share := f.failedShare()
+	if share > failLeast && share < failMost && float64(used) < floorShare*float64(sound) {
+		f.tally.short++
 	}
+	f.at(f.now+floorStep, f.watchFloor)
+}
+
+// used counts the backend servers of a kind, and those of them that had work.
+func (f *field[P]) used(kind func(int) bool) (all, used int) {
 	for i := range f.sent {
-		if f.load.loses != nil && f.load.loses(i, f.now) > 0 {
-			f.harmed[i] = f.now
-		}
-		if inUse := f.now-f.sent[i] < floorWindow; !f.load.gray(i, f.now) && !f.load.gray(i, f.now-floorWindow) {
-			well++
-			if inUse {
-				busy++
-			}
-		}
-		if f.now-f.wrong[i] < floorWindow || f.now-f.harmed[i] < harmTime {
+		if !kind(i) {
 			continue
 		}
-		sound++
+		all++
 		if f.now-f.sent[i] < floorWindow {
 			used++
 		}
 	}
-	if float64(busy) < floorShare*float64(well) {
-		f.tally.idle++
+	return all, used
+}
+
+// sound tells whether a backend server counts: not for the length of a window after
+// it failed by itself, and not until harmTime after trouble from outside.
+func (f *field[P]) sound(i int) bool {
+	if f.load.loses != nil && f.load.loses(i, f.now) > 0 {
+		f.harmed[i] = f.now
 	}
-	share := float64(failed) / float64(max(1, len(f.ends)))
-	if share > failLeast && share < failMost && float64(used) < floorShare*float64(sound) {
-		f.tally.short++
+	return f.now-f.wrong[i] >= floorWindow && f.now-f.harmed[i] >= harmTime
+}
+
+// failedShare returns the share of the requests of a window that were not served.
+func (f *field[P]) failedShare() float64 {
+	for len(f.ends) > 0 && f.ends[0].at < f.now-floorWindow {
+		f.ends = f.ends[1:]
 	}
-	f.at(f.now+floorStep, f.watchFloor)
+	failed := 0
+	for _, e := range f.ends {
+		if !e.served {
+			failed++
+		}
+	}
+	return float64(failed) / float64(max(1, len(f.ends)))
 }
 
 // spells returns gray spells: in each period of nine seconds, at times of its own,
