--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -10,16 +10,6 @@
 // of those that may be sound get a request now and then, whatever happens next:
 // when much work fails at once, too few may be in use otherwise.
 const (
-	// alarmLimit is the share of failures above which operators expect that most of
-	// the capacity is in use. Work is spread more from alarmShare, so that there is
-	// time, and from alarmMargin failures below the limit where requests are few.
-	alarmLimit  = 0.1
-	alarmShare  = 0.06
-	alarmMargin = 2
-	// graveShare is the share of failures from which backend servers in any doubt
-	// count too. It is above what their own failures add, so that these alone can't
-	// keep work spread.
-	graveShare = 0.12
 	// spreadPart is the part of the expected number of sound backend servers from
 	// which on enough of them are in use: a little more than the seven in ten that
 	// operators expect. One that failed by itself does not count for failedTime.
--- a/balancer/window.go
+++ b/balancer/window.go
@@ -8,6 +8,16 @@
 	// parts: together the two seconds over which operators look at a service.
 	windowStep  = 200 * time.Millisecond
 	windowSteps = 10
+	// alarmLimit is the share of failures above which operators expect that most of
+	// the capacity is in use. Work is spread more from alarmShare, so that there is
+	// time, and from alarmMargin failures below the limit where requests are few.
+	alarmLimit  = 0.1
+	alarmShare  = 0.06
+	alarmMargin = 2
+	// graveShare is the share of failures from which backend servers in any doubt
+	// count too. It is above what their own failures add, so that these alone can't
+	// keep work spread.
+	graveShare = 0.12
 )
 
 // window counts the outcomes of the last two seconds.
