--- a/platform_test.go
+++ b/platform_test.go
@@ -385,3 +385,30 @@
 		return body != "" && !strings.Contains(body, leaving.front)
 	})
 }
+
+// TestPlatformHangup guards against SIGHUP, by which the platform says that the settings
+// file changed, ending the process and the requests in flight.
+func TestPlatformHangup(t *testing.T) {
+	f := newPlatformFleet(t, 2, 2)
+	for _, b := range f.backends {
+		b.set(func(b *platformBackend) { b.serviceTime = 500 * time.Millisecond })
+	}
+	hangUp := func(t *testing.T) {
+		t.Helper()
+		status := make(chan int, 1)
+		go func() {
+			s, _ := f.do(f.instances[0], "POST", "ledger.example", "/once/a", "work", 5000)
+			status <- s
+		}()
+		time.Sleep(100 * time.Millisecond)
+		asserter.NoError(t, "signal", f.instances[0].cmd.Process.Signal(syscall.SIGHUP))
+		asserter.Equal(t, "status of the request in flight", <-status, 200)
+		ready, _ := f.get(f.instances[0], "/readiness")
+		asserter.Equal(t, "status of the readiness check", ready, 200)
+	}
+	t.Run("with unchanged settings", hangUp)
+	t.Run("with settings that are not valid", func(t *testing.T) {
+		asserter.NoError(t, "write", os.WriteFile(f.instances[0].settings, []byte("[instance]\nname = ?\n"), 0o600))
+		hangUp(t)
+	})
+}
