--- a/controller/controller.go
+++ b/controller/controller.go
@@ -4,6 +4,7 @@
 package controller
 
 import (
+	"sync/atomic"
 	"time"
 
 	"monsoonswitch/descriptor"
@@ -58,6 +59,31 @@
 	inputs chan input
 	stop   chan struct{}
 	done   chan struct{}
+	// events counts the handled events, and maxLag is the largest age of one when it
+	// was handled, in nanoseconds, since the last call of TakeLoad.
+	events atomic.Uint64
+	maxLag atomic.Int64
+}
+
+// Load describes the load of the control goroutine in a period.
+type Load struct {
+	// Events is the number of handled events.
+	Events uint64
+	// MaxLag is the largest age of an event when it was handled.
+	MaxLag time.Duration
+}
+
+// TakeLoad returns the load since the last call.
+func (c *Controller) TakeLoad() Load {
+	return Load{Events: c.events.Swap(0), MaxLag: time.Duration(c.maxLag.Swap(0))}
+}
+
+// recordLag counts an event that occurred at the given time and is handled now.
+func (c *Controller) recordLag(at, now time.Time) {
+	c.events.Add(1)
+	if lag := int64(now.Sub(at)); lag > c.maxLag.Load() {
+		c.maxLag.Store(lag)
+	}
 }
 
 // New starts the control goroutine.
@@ -135,6 +161,9 @@
 	for {
 		select {
 		case in := <-c.inputs:
+			if in.event != nil {
+				c.recordLag(in.event.When(), time.Now())
+			}
 			l.handle(in)
 		case now := <-timer.C:
 			l.step(descriptor.Ticked{At: now})
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -34,8 +34,44 @@
 	TypeFreshness
 	TypeOutcomes
 	TypeSuspicionList
+	messageTypeCount
 )
 
+// MessageTypeCount is one more than the largest message type.
+const MessageTypeCount = int(messageTypeCount)
+
+var messageTypeNames = [MessageTypeCount]string{
+	TypeHello:         "hello",
+	TypeHeartbeat:     "heartbeat",
+	TypeMembers:       "members",
+	TypeDigest:        "digest",
+	TypeReferences:    "references",
+	TypeDocuments:     "documents",
+	TypeEvidence:      "evidence",
+	TypeClaim:         "claim",
+	TypeVerdict:       "verdict",
+	TypeKeySettlement: "keysettlement",
+	TypeCrashReport:   "crashreport",
+	TypeTally:         "tally",
+	TypeTallyReceipt:  "tallyreceipt",
+	TypeRefresh:       "refresh",
+	TypeSlotDemand:    "slotdemand",
+	TypeSlotLease:     "slotlease",
+	TypeDrain:         "drain",
+	TypeKeyHandover:   "keyhandover",
+	TypeFreshness:     "freshness",
+	TypeOutcomes:      "outcomes",
+	TypeSuspicionList: "suspicionlist",
+}
+
+// String returns the name used in logs and metrics.
+func (t MessageType) String() string {
+	if t <= 0 || t >= messageTypeCount {
+		return "unknown"
+	}
+	return messageTypeNames[t]
+}
+
 // Hello is the first message on a link in each direction.
 type Hello struct {
 	// Protocol is the version of the protocol between instances.
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -7,6 +7,7 @@
 	NoteLeaving          = 1003
 	NoteStopped          = 1004
 	NoteSignal           = 1005
+	NoteLoad             = 1006
 	NoteRevision         = 2001
 	NoteStoreUnreachable = 2002
 	NoteStoreReachable   = 2003
--- a/linker/link.go
+++ b/linker/link.go
@@ -216,7 +216,7 @@
 	if err := conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return eris.Wrap(err, "write to link")
 	}
-	l.countSent(len(data))
+	l.countSent(m.Type(), len(data))
 	return nil
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -97,6 +97,16 @@
 	// Dropped counts the messages that were dropped because a queue was full or a link
 	// could not be opened. It omits those still queued on a link that closed.
 	Dropped uint64
+	// Sent holds the sent messages by type.
+	Sent [descriptor.MessageTypeCount]Count
+}
+
+// Count is a number of messages and their bytes.
+type Count struct{ Messages, Bytes uint64 }
+
+// Since returns the difference between t and an earlier value.
+func (c Count) Since(before Count) Count {
+	return Count{Messages: c.Messages - before.Messages, Bytes: c.Bytes - before.Bytes}
 }
 
 // New returns a linker that opens and closes links in the background.
@@ -317,11 +327,13 @@
 	}
 }
 
-func (l *Linker) countSent(bytes int) {
+func (l *Linker) countSent(t descriptor.MessageType, bytes int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.traffic.SentBytes += uint64(bytes)
 	l.traffic.SentMessages++
+	l.traffic.Sent[t].Messages++
+	l.traffic.Sent[t].Bytes += uint64(bytes)
 }
 
 func (l *Linker) countReceived(bytes int) {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -27,6 +27,7 @@
 	descriptor.NoteLeaving:          {logrus.InfoLevel, "instance shutting down"},
 	descriptor.NoteStopped:          {logrus.InfoLevel, "instance stopped"},
 	descriptor.NoteSignal:           {logrus.InfoLevel, "signal received"},
+	descriptor.NoteLoad:             {logrus.InfoLevel, "instance load"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
--- a/server/server.go
+++ b/server/server.go
@@ -46,6 +46,10 @@
 	questions []*listener.Listener
 	inner     *listener.Listener
 	operators *listener.Listener
+	load      *loadReporter
+	// controlLag is the largest age of an event when it was handled in the last
+	// loadInterval, in nanoseconds.
+	controlLag atomic.Int64
 	// exitAllowed is closed, and isExitAllowed set, by the action ShutdownComplete.
 	exitAllowed   chan struct{}
 	isExitAllowed atomic.Bool
@@ -73,6 +77,7 @@
 	}
 	s.start(now)
 	gates.open(s)
+	s.load = newLoadReporter(s)
 	s.log.Event(descriptor.NoteStarted, "", s.self.ID, "callers "+s.self.Public+" inner "+s.self.Inner+" operators "+s.Operators())
 	return s, nil
 }
@@ -152,6 +157,10 @@
 	s.recorder.AddGauge("links.receivedbytes", func() int64 { return int64(s.linker.Traffic().ReceivedBytes) })
 	s.recorder.AddGauge("links.sentmessages", func() int64 { return int64(s.linker.Traffic().SentMessages) })
 	s.recorder.AddGauge("links.dropped", func() int64 { return int64(s.linker.Traffic().Dropped) })
+	s.recorder.AddGauge("control.lagnanos", s.controlLag.Load)
+	for t := descriptor.TypeHello; int(t) < descriptor.MessageTypeCount; t++ {
+		s.recorder.AddGauge("links.sentbytes."+t.String(), func() int64 { return int64(s.linker.Traffic().Sent[t].Bytes) })
+	}
 }
 
 // usesRouting reports whether the services are declared by a routing of the platform's
@@ -276,6 +285,7 @@
 
 // Close stops the instance immediately.
 func (s *Server) Close() {
+	s.load.close()
 	s.follower.SetActive(false)
 	s.writer.Close()
 	s.linker.Close()
