--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -38,7 +38,7 @@
 	Latency time.Duration
 }
 
-// Options are the fixed settings of a balancer.
+// Options are the settings of a balancer. Only Retries changes while it runs.
 type Options struct {
 	// Self is the ID of this instance.
 	Self string
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -6,6 +6,7 @@
 
 	"monsoonswitch/allocator"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/retrier"
 )
 
 // SetBackends applies a list of backend servers. Those no longer listed finish their
@@ -147,6 +148,12 @@
 	b.startQueued()
 }
 
+// SetRetries sets the bounds on the retries of all instances together.
+func (b *Balancer[E, D, P, L]) SetRetries(bounds retrier.Bounds) {
+	b.options.Retries = bounds
+	b.terms = b.options.terms(len(b.owners), b.position)
+}
+
 // shareRetention is how long a former owner keeps its share. The other instances may
 // need that long to learn of the change.
 const shareRetention = 2 * time.Second
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -18,7 +18,7 @@
 type serveCommand struct{ settings string }
 
 func (c *serveCommand) register(app *kingpin.Application) *kingpin.CmdClause {
-	clause := app.Command("serve", "Run an instance until SIGTERM; it then completes the requests in flight.")
+	clause := app.Command("serve", "Run an instance until SIGTERM; it then completes the requests in flight. SIGHUP reloads the settings.")
 	clause.Flag("settings", "Settings file in INI format.").Short('s').Required().StringVar(&c.settings)
 	return clause
 }
@@ -39,9 +39,26 @@
 	if err != nil {
 		return err
 	}
-	<-stop.ShutdownRequested()
+	c.waitForShutdown(stop, s, l)
 	l.Event(descriptor.NoteSignal, "", settings.Instance.Name, stop.Reason())
 	s.Shutdown()
 	stop.Finish()
 	return nil
 }
+
+// waitForShutdown reloads the settings on request until a shutdown is requested.
+func (c *serveCommand) waitForShutdown(stop *stopper.Stopper, s *server.Server, l *logger.Logger) {
+	for {
+		select {
+		case <-stop.ReloadRequested():
+			settings, err := configurer.Load(c.settings)
+			if err != nil {
+				l.Event(descriptor.NoteReloadFailed, "", c.settings, err.Error())
+				continue
+			}
+			s.Reload(settings)
+		case <-stop.ShutdownRequested():
+			return
+		}
+	}
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -38,7 +38,7 @@
 	maxNotes = 64
 )
 
-// Options are the settings of a decider that do not change.
+// Options are the settings of a decider. Only Retries and Grace change while it runs.
 type Options struct {
 	// Self is the first member record of this instance.
 	Self descriptor.Member
@@ -222,11 +222,22 @@
 		d.handleWritten(e)
 	case descriptor.ShutdownRequested:
 		d.startLeaving()
+	case descriptor.SettingsChanged:
+		d.applySettings(e)
 	}
 	d.applyMemberChanges()
 	return d.actions
 }
 
+// applySettings puts changed settings in force.
+func (d *Decider[E, D, P, L]) applySettings(e descriptor.SettingsChanged) {
+	d.options.Grace = e.Grace
+	d.options.Retries = retrier.Bounds{Ratio: e.RetryRatio, Extra: e.RetryExtra, Window: e.RetryWindow}
+	for _, s := range d.served.All {
+		s.SetRetries(d.options.Retries)
+	}
+}
+
 func (d *Decider[E, D, P, L]) emit(a descriptor.Action) {
 	d.recordNote(a)
 	d.actions = append(d.actions, a)
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -214,3 +214,15 @@
 		asserter.Equal(t, "members known", f.instances["entry-new"].published.MembersKnown, false)
 	})
 }
+
+// TestChangedGrace guards against a shutdown that goes by the grace time of the start after
+// the settings were reloaded.
+func TestChangedGrace(t *testing.T) {
+	f := newRoutedFleet(1)
+	id := f.order[0]
+	f.step(id, descriptor.SettingsChanged{At: f.now, Grace: 2 * time.Second})
+	f.step(id, descriptor.Arrived{At: f.now, Request: 1, Service: "ledger", Class: "r0", Deadline: f.now.Add(time.Minute)})
+	f.step(id, descriptor.ShutdownRequested{At: f.now})
+	f.run(2 * time.Second)
+	asserter.True(t, "shutdown complete within the grace time", f.instances[id].shutdown.done)
+}
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -141,6 +141,19 @@
 	Tallies []Tally
 }
 
+// SettingsChanged reports the settings of the decisions that can change while an instance
+// runs.
+type SettingsChanged struct {
+	At time.Time
+	// Grace is the time from the shutdown request until the platform kills the process; 0
+	// means that it never does.
+	Grace time.Duration
+	// RetryRatio, RetryExtra and RetryWindow bound the retries of all instances
+	// together; see retrier.Bounds.
+	RetryRatio, RetryExtra float64
+	RetryWindow            time.Duration
+}
+
 // ShutdownRequested reports that a shutdown of the instance was requested.
 type ShutdownRequested struct{ At time.Time }
 
@@ -173,6 +186,9 @@
 // When implements Event.
 func (e Arrived) When() time.Time { return e.At }
 
+// When implements Event.
+func (e SettingsChanged) When() time.Time { return e.At }
+
 // When implements Event.
 func (e Sent) When() time.Time { return e.At }
 
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -8,6 +8,8 @@
 	NoteStopped          = 1004
 	NoteSignal           = 1005
 	NoteLoad             = 1006
+	NoteReloaded         = 1007
+	NoteReloadFailed     = 1008
 	NoteRevision         = 2001
 	NoteStoreUnreachable = 2002
 	NoteStoreReachable   = 2003
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -56,7 +56,8 @@
 	Self func() descriptor.Member
 	// Key is the shared secret by which instances prove their membership.
 	Key string
-	// Seeds are the inner addresses of instances to join the fleet through.
+	// Seeds are the first inner addresses of instances to join the fleet through; see
+	// SetSeeds.
 	Seeds []string
 	// Reject is called with the cause for each link that was refused, could not be opened
 	// in the background, or was closed because of a malformed frame. Failed dials by Send
@@ -84,6 +85,8 @@
 	dialed map[string]time.Time
 	// queued holds the messages for instances that are being dialed, by ID.
 	queued map[string][]descriptor.Message
+	// seeds are the inner addresses of instances to join the fleet through.
+	seeds []string
 	// lastSeedDial is when a seed was last chosen to be dialed, including one that was not
 	// dialed because it is this instance or already linked.
 	lastSeedDial time.Time
@@ -122,6 +125,7 @@
 		wanted:  make(map[string]descriptor.Member),
 		dialed:  make(map[string]time.Time),
 		queued:  make(map[string][]descriptor.Message),
+		seeds:   o.Seeds,
 	}
 	go func() {
 		ticker := time.NewTicker(maintainInterval)
@@ -167,6 +171,13 @@
 	}
 }
 
+// SetSeeds replaces the inner addresses of instances to join the fleet through.
+func (l *Linker) SetSeeds(seeds []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seeds = seeds
+}
+
 // maxQueued bounds the messages that are queued while a link is opened.
 const maxQueued = 256
 
@@ -248,11 +259,11 @@
 	if len(l.links) == 0 {
 		wait = redialDelay / 2
 	}
-	if len(l.options.Seeds) == 0 || now.Sub(l.lastSeedDial) < wait {
+	if len(l.seeds) == 0 || now.Sub(l.lastSeedDial) < wait {
 		return "", false
 	}
 	l.lastSeedDial = now
-	seed := l.options.Seeds[rand.IntN(len(l.options.Seeds))]
+	seed := l.seeds[rand.IntN(len(l.seeds))]
 	return seed, seed != l.options.Self().Inner && !l.linkedTo(seed)
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -28,6 +28,8 @@
 	descriptor.NoteStopped:          {logrus.InfoLevel, "instance stopped"},
 	descriptor.NoteSignal:           {logrus.InfoLevel, "signal received"},
 	descriptor.NoteLoad:             {logrus.InfoLevel, "instance load"},
+	descriptor.NoteReloaded:         {logrus.InfoLevel, "settings reloaded"},
+	descriptor.NoteReloadFailed:     {logrus.ErrorLevel, "settings not reloaded"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
@@ -96,6 +98,18 @@
 	return &Logger{entry: l.WithField("instance", instance), writer: out, requestBudget: requestBudget{limits: v}}, nil
 }
 
+// SetLimits changes the lowest level that is logged and the limits on requests. It returns
+// ErrSetting, and changes nothing, if the level is unknown.
+func (l *Logger) SetLimits(level string, v RequestLimits) error {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return eris.Wrapf(ErrSetting, "level %q", level)
+	}
+	l.entry.Logger.SetLevel(parsed)
+	l.requestBudget.setLimits(v)
+	return nil
+}
+
 // closeTimeout bounds the time for writing the queued lines.
 const closeTimeout = 500 * time.Millisecond
 
--- a/logger/request.go
+++ b/logger/request.go
@@ -46,6 +46,12 @@
 	omittedSince            time.Time
 }
 
+func (b *requestBudget) setLimits(v RequestLimits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits = v
+}
+
 // admit reports whether a request is logged. If requests were omitted and
 // omittedReportInterval has passed since the last report of them, it also returns and
 // resets their counts; otherwise the counts are 0.
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,8 @@
 
 // Server is a running entry instance.
 type Server struct {
+	// reloadMu guards the fields of settings that Reload changes. The others never change.
+	reloadMu   sync.Mutex
 	settings   configurer.Settings
 	log        *logger.Logger
 	self       descriptor.Member
@@ -264,7 +267,9 @@
 
 // Settings implements operator.Source.
 func (s *Server) Settings() any {
+	s.reloadMu.Lock()
 	settings := s.settings
+	s.reloadMu.Unlock()
 	settings.Inner.Key = ""
 	return settings
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -80,3 +80,22 @@
 		asserter.Equal(t, "key", kept.Inner.Key, "")
 	})
 }
+
+func TestReload(t *testing.T) {
+	f := oneInstance(t, 3, imitator.BackendOptions{Slots: 2, Median: time.Millisecond})
+	s := f.Servers()[0]
+	before := s.Settings().(configurer.Settings)
+	changed := before
+	changed.Inner.Seeds = []string{"127.0.0.1:1"}
+	changed.Limits.Grace = 7 * time.Second
+	changed.Retries.Extra = 9
+	changed.Log.Level, changed.Log.Notable = "warn", 3
+	changed.Callers.Keep = 2 * before.Callers.Keep
+	s.Reload(changed)
+	after := s.Settings().(configurer.Settings)
+	asserter.Equal(t, "seeds", after.Inner.Seeds, changed.Inner.Seeds)
+	asserter.Equal(t, "grace", after.Limits.Grace, changed.Limits.Grace)
+	asserter.Equal(t, "retries", after.Retries, changed.Retries)
+	asserter.Equal(t, "log", after.Log.Notable, 3.0)
+	asserter.Equal(t, "settings that need a restart", after.Callers, before.Callers)
+}
--- a/stopper/stopper.go
+++ b/stopper/stopper.go
@@ -1,4 +1,5 @@
-// Package stopper manages the graceful shutdown of a process.
+// Package stopper handles the signals of a process: its graceful shutdown and the reload of
+// its settings.
 package stopper
 
 import (
@@ -8,6 +9,10 @@
 	"syscall"
 )
 
+// signalQueueLength is the number of signals that may wait to be handled. SIGHUP may come
+// right before SIGTERM, and neither may be lost.
+const signalQueueLength = 8
+
 // Stopper holds a request to shut down, which the first signal or call of
 // RequestShutdown makes. It is safe for use by many goroutines.
 type Stopper struct {
@@ -18,20 +23,28 @@
 	isDone      bool
 	reason      string
 	signals     chan os.Signal
+	// reloads holds at most one request to reload the settings.
+	reloads chan struct{}
 }
 
-// New returns a stopper that requests a shutdown on SIGTERM or SIGINT.
+// New returns a stopper that requests a shutdown on SIGTERM or SIGINT, and a reload on
+// SIGHUP.
 func New() *Stopper {
 	s := &Stopper{
 		requested: make(chan struct{}),
 		done:      make(chan struct{}),
-		signals:   make(chan os.Signal, 1),
+		signals:   make(chan os.Signal, signalQueueLength),
+		reloads:   make(chan struct{}, 1),
 	}
-	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		for {
 			select {
 			case v := <-s.signals:
+				if v == syscall.SIGHUP {
+					s.requestReload()
+					continue
+				}
 				s.RequestShutdown(v.String())
 			case <-s.done:
 				signal.Stop(s.signals)
@@ -42,6 +55,18 @@
 	return s
 }
 
+// requestReload requests a reload, unless one is already pending.
+func (s *Stopper) requestReload() {
+	select {
+	case s.reloads <- struct{}{}:
+	default:
+	}
+}
+
+// ReloadRequested returns a channel with a value for each request to reload the settings.
+// Requests that arrive before the last one was received count as one.
+func (s *Stopper) ReloadRequested() <-chan struct{} { return s.reloads }
+
 // RequestShutdown requests a shutdown. Only the first call has an effect.
 func (s *Stopper) RequestShutdown(reason string) {
 	s.mu.Lock()
