--- a/platform_test.go
+++ b/platform_test.go
@@ -412,3 +412,27 @@
 		hangUp(t)
 	})
 }
+
+// TestPlatformLogReaderGone guards against SIGPIPE ending an instance when the reader of its
+// log is gone.
+func TestPlatformLogReaderGone(t *testing.T) {
+	f := newPlatformFleet(t, 1, 2)
+	p := f.instances[0]
+	f.kill(p)
+	r, w, err := os.Pipe()
+	asserter.NoError(t, "pipe", err)
+	p.cmd = exec.Command(binary, "serve", "--settings", p.settings)
+	p.cmd.Stdout = w
+	asserter.NoError(t, "start", p.cmd.Start())
+	asserter.NoError(t, "close", w.Close())
+	f.waitServed()
+	asserter.NoError(t, "close", r.Close())
+	for range 10 {
+		status, _ := f.send(p, "POST", "ledger.example", "/unknown/", "")
+		asserter.Equal(t, "status of a request that is logged", status, 404)
+	}
+	asserter.NoError(t, "signal", p.cmd.Process.Signal(syscall.SIGHUP))
+	time.Sleep(200 * time.Millisecond)
+	status, _ := f.send(p, "GET", "ledger.example", "/safe/x", "")
+	asserter.Equal(t, "status", status, 200)
+}
--- a/stopper/stopper.go
+++ b/stopper/stopper.go
@@ -28,7 +28,8 @@
 }
 
 // New returns a stopper that requests a shutdown on SIGTERM or SIGINT, and a reload on
-// SIGHUP.
+// SIGHUP. SIGPIPE is ignored, because a log that nobody reads any more must not end the
+// process.
 func New() *Stopper {
 	s := &Stopper{
 		requested: make(chan struct{}),
@@ -36,6 +37,7 @@
 		signals:   make(chan os.Signal, signalQueueLength),
 		reloads:   make(chan struct{}, 1),
 	}
+	signal.Ignore(syscall.SIGPIPE)
 	signal.Notify(s.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		for {
--- a/stopper/stopper_test.go
+++ b/stopper/stopper_test.go
@@ -35,6 +35,10 @@
 		asserter.True(t, "reload", received(s.ReloadRequested()))
 		asserter.Equal(t, "reason of a shutdown", s.Reason(), "")
 	})
+	t.Run("SIGPIPE changes nothing", func(t *testing.T) {
+		raise(t, syscall.SIGPIPE)
+		asserter.Equal(t, "reason of a shutdown", s.Reason(), "")
+	})
 	t.Run("SIGTERM requests a shutdown", func(t *testing.T) {
 		raise(t, syscall.SIGTERM)
 		asserter.True(t, "shutdown", received(s.ShutdownRequested()))
