--- a/decider/decider.go
+++ b/decider/decider.go
@@ -327,6 +327,10 @@
 	}
 	declared := known.service
 	d.counter.Receive(e.At, e.Service)
+	if d.arrivesTooLate(e) {
+		d.refuse(e, descriptor.Misdirected, descriptor.NotRun, 0)
+		return
+	}
 	s, ok := d.served.Get(e.Service)
 	if !ok {
 		d.refuse(e, d.refusalReason(declared), descriptor.NotRun, 0)
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -16,6 +16,11 @@
 	tallyTimeout = 5 * time.Second
 	// usableGraceShare is the share of the grace time that a shutdown may use.
 	usableGraceShare = 0.93
+	// lateArrivalShare is the share of the grace time after which a request is taken only
+	// if its deadline passes lateArrivalMargin before the process ends. Callers with an
+	// old address may still come then, and their requests would be cut.
+	lateArrivalShare  = 0.5
+	lateArrivalMargin = 200 * time.Millisecond
 	// finalSendTime is how long the last messages have to be sent.
 	finalSendTime = 300 * time.Millisecond
 )
@@ -45,6 +50,25 @@
 	d.dirty = true
 }
 
+// exitTime returns the time at which a shutdown ends in any case. It is zero without a
+// shutdown or a grace time.
+func (d *Decider[E, D, P, L]) exitTime() time.Time {
+	if !d.shutdown.started || d.options.Grace <= 0 {
+		return time.Time{}
+	}
+	return d.shutdown.at.Add(time.Duration(usableGraceShare * float64(d.options.Grace)))
+}
+
+// arrivesTooLate reports whether a request arrives so late in a shutdown that it may not be
+// answered before the process ends.
+func (d *Decider[E, D, P, L]) arrivesTooLate(e descriptor.Arrived) bool {
+	exit := d.exitTime()
+	if exit.IsZero() || d.now.Sub(d.shutdown.at) < time.Duration(lateArrivalShare*float64(d.options.Grace)) {
+		return false
+	}
+	return e.Deadline.IsZero() || e.Deadline.Add(lateArrivalMargin).After(exit)
+}
+
 // advanceShutdown takes the next step of a shutdown when it is possible: finish
 // every request, have the last tallies confirmed, hand the keys over and publish
 // that this instance left. It reports completion once the last messages had time to
@@ -54,7 +78,7 @@
 	if !s.started || s.done {
 		return
 	}
-	if d.options.Grace > 0 && d.now.Sub(s.at) >= time.Duration(usableGraceShare*float64(d.options.Grace)) {
+	if exit := d.exitTime(); !exit.IsZero() && !d.now.Before(exit) {
 		// The platform is about to kill the process, which ends all open
 		// requests. Tallies that are not confirmed and keys that are not handed
 		// over by now are lost.
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -30,8 +30,10 @@
 	partitioned map[string]bool
 	// storeDown reports whether the store is unavailable.
 	storeDown bool
-	reads     int
-	ticks     int
+	// refused lists the refused requests.
+	refused []descriptor.Refuse
+	reads   int
+	ticks   int
 }
 
 func newRoutedFleet(n int) *routedFleet {
@@ -78,6 +80,8 @@
 			}
 		case descriptor.Watch:
 			f.watches[id] = a.Active
+		case descriptor.Refuse:
+			f.refused = append(f.refused, a)
 		}
 	}
 }
@@ -226,3 +230,35 @@
 	f.run(2 * time.Second)
 	asserter.True(t, "shutdown complete within the grace time", f.instances[id].shutdown.done)
 }
+
+// TestLateArrivalInShutdown guards against taking a request so late in a shutdown that the
+// platform kills the process before the request is answered.
+func TestLateArrivalInShutdown(t *testing.T) {
+	const grace = 6 * time.Second
+	for _, c := range []struct {
+		name     string
+		after    time.Duration
+		deadline time.Duration
+		refused  bool
+	}{
+		{"soon after SIGTERM", 2 * time.Second, time.Minute, false},
+		{"in the second half of the grace time", 3100 * time.Millisecond, time.Minute, true},
+		{"with a deadline before the exit", 3100 * time.Millisecond, 2 * time.Second, false},
+		{"near its end", 5100 * time.Millisecond, time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRoutedFleet(3)
+			id := f.order[0]
+			f.step(id, descriptor.SettingsChanged{At: f.now, Grace: grace})
+			f.step(id, descriptor.Arrived{At: f.now, Request: 1, Service: "ledger", Class: "r0", Deadline: f.now.Add(time.Minute)})
+			f.step(id, descriptor.ShutdownRequested{At: f.now})
+			f.run(c.after)
+			f.refused = nil
+			f.step(id, descriptor.Arrived{At: f.now, Request: 2, Service: "ledger", Class: "r0", Deadline: f.now.Add(c.deadline)})
+			asserter.Equal(t, "refused", len(f.refused) > 0, c.refused)
+			for _, r := range f.refused {
+				asserter.Equal(t, "outcome", r.Outcome, descriptor.NotRun)
+			}
+		})
+	}
+}
