--- a/decider/documents.go
+++ b/decider/documents.go
@@ -63,7 +63,8 @@
 // applyDocument puts a document in force unless the same or a newer revision
 // already is.
 func (d *Decider[E, D, P, L]) applyDocument(document descriptor.Document, from string) {
-	if !d.spreader.Take(document, from) {
+	document, ok := d.spreader.Take(document, from)
+	if !ok {
 		return
 	}
 	switch document.Kind {
--- /dev/null
+++ b/decider/lists_test.go
@@ -0,0 +1,72 @@
+package decider
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
+)
+
+// controlBytesPerSecond is the budget of an instance for control, in bytes per second.
+const controlBytesPerSecond = 16 << 10
+
+// listOf returns a list of n backend servers. Those before changed are of a later start.
+func listOf(n, changed int) []descriptor.Backend {
+	list := make([]descriptor.Backend, 0, n)
+	for i := range n {
+		id := fmt.Sprintf("i-%08x@%d", i, 1768717824176)
+		if i < changed {
+			id = fmt.Sprintf("i-%08x@%d", i, 1768717899999)
+		}
+		list = append(list, descriptor.Backend{ID: id, Name: id[:10], Address: fmt.Sprintf("10.5.64.%d:8162", i), Domain: "karatu-a", Slots: 6})
+	}
+	return list
+}
+
+// TestEqualListsAreNotSent guards against sending a list to instances that hold the same one
+// under another revision. Instances that read the store at different moments see different
+// revisions, so that after the start of a fleet each sent its lists to all others.
+func TestEqualListsAreNotSent(t *testing.T) {
+	f := newRoutedFleet(0)
+	f.backends = listOf(150, 0)
+	for i := range 24 {
+		f.add(fmt.Sprintf("entry-%d", i), []string{"worcester", "providence", "portsmouth"}[i%3])
+	}
+	for i, id := range f.order {
+		f.revision = uint64(100 + i)
+		f.read(id, f.version)
+	}
+	clear(f.sentBytes)
+	f.run(5 * time.Second)
+	asserter.Equal(t, "bytes of documents", f.sentBytes[descriptor.TypeDocuments], 0)
+}
+
+// TestBytesOfChangingLists guards against sending a whole list for each change of it. The
+// links of small instances were full of lists while backend servers were replaced.
+func TestBytesOfChangingLists(t *testing.T) {
+	f := newRoutedFleet(24)
+	f.backends = listOf(150, 0)
+	f.revision++
+	f.run(5 * time.Second)
+	clear(f.sentBytes)
+	const steps = 20
+	for step := range steps {
+		f.backends = listOf(150, 3*(step+1))
+		f.revision++
+		f.run(300 * time.Millisecond)
+	}
+	total := 0
+	for _, n := range f.sentBytes {
+		total += n
+	}
+	seconds := float64(steps) * 0.3
+	asserter.AtMost(t, "bytes an instance and second", float64(total)/seconds/float64(len(f.order)), controlBytesPerSecond)
+	f.run(2 * time.Second)
+	for _, id := range f.order {
+		list, _ := f.instances[id].spreader.Get(descriptor.KindBackends, "ledger")
+		asserter.True(t, id+" holds the present list", slices.Equal(list.Backends, f.backends))
+	}
+}
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -10,6 +10,7 @@
 	"monsoonswitch/descriptor"
 	"monsoonswitch/detector"
 	"monsoonswitch/limiter"
+	"monsoonswitch/messenger"
 	"monsoonswitch/picker"
 )
 
@@ -32,14 +33,35 @@
 	storeDown bool
 	// refused lists the refused requests.
 	refused []descriptor.Refuse
+	// backends is the list of backend servers in the store.
+	backends []descriptor.Backend
+	// sentBytes holds the encoded sizes of all messages by type.
+	sentBytes map[descriptor.MessageType]int
+	// pending holds the messages on their way.
+	pending []routedMessage
 	reads   int
 	ticks   int
 }
 
+// routedMessage is a message between two instances.
+type routedMessage struct {
+	from, to string
+	message  descriptor.Message
+}
+
+const (
+	// routedTick is the time between two ticks of an instance, and messageTime that from
+	// sending a message to its delivery.
+	routedTick  = 50 * time.Millisecond
+	messageTime = 5 * time.Millisecond
+)
+
 func newRoutedFleet(n int) *routedFleet {
 	f := &routedFleet{
 		instances: make(map[string]*Routed), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
 		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1,
+		backends:  []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}},
+		sentBytes: make(map[descriptor.MessageType]int),
 	}
 	for i := range n {
 		f.add(fmt.Sprintf("entry-%d", i), []string{"worcester", "providence", "portsmouth"}[i%3])
@@ -75,9 +97,8 @@
 				f.link(id, p.ID)
 			}
 		case descriptor.Send:
-			if f.instances[a.To.ID] != nil && !f.partitioned[id] && !f.partitioned[a.To.ID] {
-				f.step(a.To.ID, descriptor.Received{At: f.now, From: id, Message: a.Message})
-			}
+			f.count(a.Message)
+			f.pending = append(f.pending, routedMessage{from: id, to: a.To.ID, message: a.Message})
 		case descriptor.Watch:
 			f.watches[id] = a.Active
 		case descriptor.Refuse:
@@ -86,6 +107,13 @@
 	}
 }
 
+// count adds the encoded size of a message to sentBytes.
+func (f *routedFleet) count(m descriptor.Message) {
+	if data, err := messenger.Encode(m); err == nil {
+		f.sentBytes[m.Type()] += len(data)
+	}
+}
+
 // routingOf returns the routing of a version; it has one route for each version.
 func routingOf(version uint64) declarer.Routing {
 	r := declarer.Routing{Version: version}
@@ -106,13 +134,27 @@
 		{Kind: descriptor.KindRouting, Name: "all", Revision: version, Routing: &routing},
 	}})
 	f.step(id, descriptor.DocumentsRead{At: f.now, AsOf: f.now, Kind: descriptor.KindBackends, Complete: true, Documents: []descriptor.Document{
-		{Kind: descriptor.KindBackends, Name: "ledger", Revision: f.revision, Backends: []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}}},
+		{Kind: descriptor.KindBackends, Name: "ledger", Revision: f.revision, Backends: f.backends},
 	}})
 }
 
+// deliver hands over the pending messages.
+func (f *routedFleet) deliver() {
+	pending := f.pending
+	f.pending = nil
+	for _, m := range pending {
+		if f.instances[m.to] != nil && !f.partitioned[m.from] && !f.partitioned[m.to] {
+			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message})
+		}
+	}
+}
+
 func (f *routedFleet) run(span time.Duration) {
 	for end := f.now.Add(span); f.now.Before(end); {
-		f.now = f.now.Add(50 * time.Millisecond)
+		for range routedTick / messageTime {
+			f.now = f.now.Add(messageTime)
+			f.deliver()
+		}
 		f.ticks++
 		for _, id := range f.order {
 			if f.watches[id] && !f.storeDown && f.ticks%6 == 0 {
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -152,8 +152,15 @@
 	At time.Time
 	// Service is set for KindService.
 	Service *declarer.Service `cbor:",omitempty"`
-	// Backends is set for KindBackends.
+	// Backends is set for KindBackends. Each of them has an ID of its own.
 	Backends []Backend `cbor:",omitempty"`
+	// Base is 0 in a complete document. Otherwise the document holds only the
+	// difference to the list with the content hash Base: Backends are those that were
+	// added or changed, and Removed are the IDs of those that were removed. Sum is the
+	// content hash of the resulting list.
+	Base    uint64   `json:",omitzero" cbor:",omitempty"`
+	Removed []string `json:",omitempty" cbor:",omitempty"`
+	Sum     uint64   `json:",omitzero" cbor:",omitempty"`
 	// Ejections is set for KindEjections, oldest first.
 	Ejections []Ejection `cbor:",omitempty"`
 	// Routing is set for KindRouting.
@@ -165,6 +172,10 @@
 	Kind     Kind
 	Name     string
 	Revision uint64
+	// Sum is the content hash of a list of backend servers. It is that of the
+	// revision, or in a request that of the list which the sender holds, and 0 if the
+	// sender holds none or needs a complete one.
+	Sum uint64 `json:",omitzero" cbor:",omitempty"`
 }
 
 // Score is one instance's evidence about one backend server.
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -27,19 +27,51 @@
 	name string
 }
 
+// held is a document with its content hash.
+type held struct {
+	document descriptor.Document
+	// sum is the content hash of a list of backend servers, and 0 for other kinds, whose
+	// content follows from the revision.
+	sum uint64
+}
+
+// newHeld returns a complete document with its content hash.
+func newHeld(d descriptor.Document) held {
+	if d.Kind != descriptor.KindBackends {
+		return held{document: d}
+	}
+	return held{document: d, sum: contentSum(d.Backends)}
+}
+
+// WithRevision returns h with a later revision that has the same content.
+func (h held) WithRevision(revision uint64) held {
+	h.document.Revision = revision
+	return h
+}
+
+// reference returns the reference of h.
+func (h held) reference() descriptor.Reference {
+	return descriptor.Reference{Kind: h.document.Kind, Name: h.document.Name, Revision: h.document.Revision, Sum: h.sum}
+}
+
 // request is an open request for a document.
 type request struct {
 	revision uint64
 	at       time.Time
 	// instances is the number of instances asked since at.
 	instances int
+	// whole is set once a difference could not be applied, so that the complete document
+	// is requested.
+	whole bool
 }
 
 // Spreader holds the documents of one instance. It must be used by one goroutine
 // only.
 type Spreader struct {
-	documents *container.Table[key, descriptor.Document]
-	// digest sums up the references of all documents.
+	documents *container.Table[key, held]
+	// history holds the latest earlier versions of each list of backend servers.
+	history *container.Table[key, *container.Ring[version]]
+	// digest sums up the hashes of all documents.
 	digest container.BucketSums
 	// differing holds, for each instance, the set of buckets in which its last
 	// digest differed.
@@ -54,7 +86,8 @@
 // New returns a spreader without documents.
 func New() *Spreader {
 	return &Spreader{
-		documents:   container.NewTable[key, descriptor.Document](),
+		documents:   container.NewTable[key, held](),
+		history:     container.NewTable[key, *container.Ring[version]](),
 		requested:   container.NewTable[key, request](),
 		unannounced: container.NewTable[key, string](),
 		differing:   container.NewTable[string, uint64](),
@@ -69,34 +102,67 @@
 
 // Get returns a document.
 func (s *Spreader) Get(kind descriptor.Kind, id string) (descriptor.Document, bool) {
-	return s.documents.Get(key{kind, id})
+	h, ok := s.documents.Get(key{kind, id})
+	return h.document, ok
 }
 
-// Take stores a document unless the same or a newer revision is held, and reports
-// whether it did. from is the instance that it came from, or empty.
-func (s *Spreader) Take(d descriptor.Document, from string) bool {
+// Take stores a document unless the same or a newer revision is held. It returns the
+// complete document, and whether it was stored. A later revision with the same content
+// replaces only the revision and counts as not stored. from is the instance that it came
+// from, or empty.
+func (s *Spreader) Take(d descriptor.Document, from string) (descriptor.Document, bool) {
 	k := key{d.Kind, d.Name}
 	old, ok := s.documents.Get(k)
-	if ok && old.Revision >= d.Revision {
-		return false
+	if ok && old.document.Revision >= d.Revision {
+		return d, false
+	}
+	d, whole := s.complete(d)
+	if !whole {
+		s.requestWhole(k)
+		return d, false
+	}
+	if ok && old.withoutChange(d) {
+		s.documents.Put(k, old.WithRevision(d.Revision))
+		s.requested.Delete(k)
+		return d, false
 	}
 	if ok {
-		s.digest = s.digest.Without(k.hash(), documentHash(old))
+		s.digest = s.digest.Without(k.hash(), old.hash())
+		s.remember(k, old)
 	}
-	s.digest = s.digest.With(k.hash(), documentHash(d))
-	s.documents.Put(k, d)
+	h := newHeld(d)
+	s.digest = s.digest.With(k.hash(), h.hash())
+	s.documents.Put(k, h)
 	s.requested.Delete(k)
 	s.unannounced.Put(k, from)
-	return true
+	return d, true
+}
+
+// requestWhole has the complete document requested with the next reference to it.
+func (s *Spreader) requestWhole(k key) {
+	r, _ := s.requested.Get(k)
+	s.requested.Put(k, request{revision: r.revision, whole: true})
 }
 
 // hash distributes the keys over the buckets.
 func (k key) hash() uint64 { return xxhash.Sum64String(k.kind.String() + "/" + k.name) }
 
-func documentHash(d descriptor.Document) uint64 {
-	return key{d.Kind, d.Name}.hash()*31 + d.Revision*0x9e3779b97f4a7c15
+// hash returns the hash of a document in digests. Lists are compared by content, because
+// instances that read the store at different moments see different revisions of it.
+func (h held) hash() uint64 {
+	k := key{h.document.Kind, h.document.Name}
+	if h.sum != 0 {
+		return k.hash()*hashMultiplier + h.sum
+	}
+	return k.hash()*hashMultiplier + h.document.Revision*revisionMultiplier
 }
 
+// Odd multipliers that mix the bits of hashes.
+const (
+	hashMultiplier     = 31
+	revisionMultiplier = 0x9e3779b97f4a7c15
+)
+
 // ClearAnnouncements drops the pending announcements. It is used where single
 // documents are not announced.
 func (s *Spreader) ClearAnnouncements() { s.unannounced = container.NewTable[key, string]() }
@@ -115,8 +181,8 @@
 	for _, id := range to {
 		var list []descriptor.Reference
 		for k, from := range s.unannounced.All {
-			if d, ok := s.documents.Get(k); ok && from != id {
-				list = append(list, descriptor.Reference{Kind: k.kind, Name: k.name, Revision: d.Revision})
+			if h, ok := s.documents.Get(k); ok && from != id {
+				list = append(list, h.reference())
 			}
 		}
 		if len(list) > 0 {
@@ -166,9 +232,9 @@
 
 func (s *Spreader) bucketReferences(set uint64) []descriptor.Reference {
 	var list []descriptor.Reference
-	for k, d := range s.documents.All {
+	for k, h := range s.documents.All {
 		if container.InBuckets(set, k.hash()) {
-			list = append(list, descriptor.Reference{Kind: k.kind, Name: k.name, Revision: d.Revision})
+			list = append(list, h.reference())
 		}
 	}
 	return list
@@ -180,8 +246,8 @@
 // List returns the references of all documents, sorted by kind and name.
 func (s *Spreader) List() []descriptor.Reference {
 	list := make([]descriptor.Reference, 0, s.documents.Len())
-	for k, d := range s.documents.All {
-		list = append(list, descriptor.Reference{Kind: k.kind, Name: k.name, Revision: d.Revision})
+	for _, h := range s.documents.All {
+		list = append(list, h.reference())
 	}
 	sort.Slice(list, func(i, j int) bool {
 		if list[i].Kind != list[j].Kind {
@@ -194,21 +260,37 @@
 
 // Compare returns a request for the listed documents that are newer than those
 // held, and the held documents of the listed buckets that are newer or missing in
-// the list.
+// the list. A list with the same content is neither requested nor returned.
 func (s *Spreader) Compare(now time.Time, m descriptor.References) (descriptor.Refresh, []descriptor.Documents) {
 	var want descriptor.Refresh
-	listed := make(map[key]uint64, len(m.List))
+	listed := make(map[key]descriptor.Reference, len(m.List))
 	for _, r := range m.List {
 		k := key{r.Kind, r.Name}
-		listed[k] = r.Revision
-		if d, ok := s.documents.Get(k); (!ok || d.Revision < r.Revision) && s.startRequest(now, k, r.Revision) {
+		listed[k] = r
+		h, ok := s.documents.Get(k)
+		if ok && h.document.Revision >= r.Revision {
+			continue
+		}
+		if ok && r.Sum != 0 && r.Sum == h.sum {
+			s.documents.Put(k, h.WithRevision(r.Revision))
+			continue
+		}
+		if open, ok := s.startRequest(now, k, r.Revision); ok {
+			r.Sum = h.sum
+			if open.whole {
+				r.Sum = 0
+			}
 			want.List = append(want.List, r)
 		}
 	}
 	var have []descriptor.Document
-	for k, d := range s.documents.All {
-		if container.InBuckets(m.Buckets, k.hash()) && d.Revision > listed[k] {
-			have = append(have, d)
+	for k, h := range s.documents.All {
+		r, ok := listed[k]
+		if !container.InBuckets(m.Buckets, k.hash()) || h.document.Revision <= r.Revision {
+			continue
+		}
+		if !ok || r.Sum == 0 || r.Sum != h.sum {
+			have = append(have, s.difference(k, h, r.Sum))
 		}
 	}
 	return want, pack(have)
@@ -218,27 +300,29 @@
 // at the same time, in case one request is lost.
 const maxParallelRequests = 2
 
-// startRequest reports whether to request a revision now, and records the request
-// if so. It is false if enough other instances were asked within requestTimeout.
-func (s *Spreader) startRequest(now time.Time, k key, revision uint64) bool {
+// startRequest returns the request for a revision and whether to send it now, and records
+// it if so. It is not sent if enough other instances were asked within requestTimeout.
+func (s *Spreader) startRequest(now time.Time, k key, revision uint64) (request, bool) {
 	r, ok := s.requested.Get(k)
 	if !ok || r.revision < revision || now.Sub(r.at) >= requestTimeout {
-		r = request{revision: revision, at: now}
+		r = request{revision: revision, at: now, whole: r.whole}
 	}
 	if r.instances == maxParallelRequests {
-		return false
+		return r, false
 	}
 	r.instances++
 	s.requested.Put(k, r)
-	return true
+	return r, true
 }
 
-// Answer returns messages with the requested documents that are held.
+// Answer returns messages with the requested documents that are held. An instance that
+// holds a known version of a list gets the difference to it.
 func (s *Spreader) Answer(m descriptor.Refresh) []descriptor.Documents {
 	var list []descriptor.Document
 	for _, r := range m.List {
-		if d, ok := s.documents.Get(key{r.Kind, r.Name}); ok && d.Revision >= r.Revision {
-			list = append(list, d)
+		k := key{r.Kind, r.Name}
+		if h, ok := s.documents.Get(k); ok && h.document.Revision >= r.Revision {
+			list = append(list, s.difference(k, h, r.Sum))
 		}
 	}
 	return pack(list)
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -37,7 +37,8 @@
 		revision uint64
 		took     bool
 	}{{5, true}, {4, false}, {5, false}, {6, true}, {1, false}} {
-		asserter.Equal(t, fmt.Sprintf("take %d", c.revision), s.Take(document("a", c.revision), ""), c.took)
+		_, took := s.Take(document("a", c.revision), "")
+		asserter.Equal(t, fmt.Sprintf("take %d", c.revision), took, c.took)
 	}
 	wantRevision(t, s, "a", 6)
 }
