--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -219,15 +219,16 @@
 	b.startQueued()
 }
 
-// Gone handles a caller that disconnected. Work that is idempotent or has not started
-// is abandoned; other work runs on so that its outcome is known.
+// Gone handles a caller that disconnected. Work that is idempotent or has not started is
+// abandoned, and so is an answer that has begun, which shows that the work ran. Other work
+// runs on so that its outcome is known.
 func (b *Balancer[E, D, P, L]) Gone(e descriptor.CallerGone) {
 	b.advance(e.At)
 	r, ok := b.requests.Get(e.Request)
 	if !ok {
 		return
 	}
-	if r.count > 0 && !b.classes[r.class].declared.Idempotent {
+	if r.count > 0 && r.delivered == 0 && !b.classes[r.class].declared.Idempotent {
 		b.requests.Put(r.id, r.WithCallerGone())
 		return
 	}
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -655,3 +655,44 @@
 		asserter.AtMost(t, "refused", got.refused, 10*180-10*90*85/100)
 	})
 }
+
+// refusals returns the refusals of b since the last call.
+func refusals(b *pooledBalancer) []descriptor.Refuse {
+	actions, _ := b.Flush(nil, nil)
+	var list []descriptor.Refuse
+	for _, a := range actions {
+		if r, ok := a.(descriptor.Refuse); ok {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// TestBegunAnswerEnds guards against an answer that began and never ends, which occupied its
+// slot after the deadline of the request or after its caller left.
+func TestBegunAnswerEnds(t *testing.T) {
+	begun := func() *pooledBalancer {
+		b := newPooledBalancer(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}}, backendList(3, 3))
+		b.Arrive(nonIdempotent(1, epoch))
+		b.Answered(descriptor.Answered{At: epoch.Add(time.Millisecond), Request: 1, Attempt: 1, Status: 200})
+		b.Flush(nil, nil)
+		return b
+	}
+	t.Run("before the deadline the answer goes on", func(t *testing.T) {
+		b := begun()
+		b.Tick(epoch.Add(900 * time.Millisecond))
+		asserter.Equal(t, "refused", len(refusals(b)), 0)
+	})
+	t.Run("after the deadline it is cut", func(t *testing.T) {
+		b := begun()
+		b.Tick(epoch.Add(1200 * time.Millisecond))
+		asserter.Equal(t, "refused", refusals(b), []descriptor.Refuse{{Request: 1, Reason: descriptor.AnswerCut, Outcome: descriptor.Ran}})
+		asserter.Equal(t, "open requests", b.Open(), 0)
+	})
+	t.Run("when the caller leaves it is cut, also of work that may run only once", func(t *testing.T) {
+		b := begun()
+		b.Gone(descriptor.CallerGone{At: epoch.Add(100 * time.Millisecond), Request: 1})
+		asserter.Equal(t, "refused", refusals(b), []descriptor.Refuse{{Request: 1, Reason: descriptor.Abandoned, Outcome: descriptor.Ran}})
+		asserter.Equal(t, "open requests", b.Open(), 0)
+	})
+}
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -248,7 +248,12 @@
 		}
 	}
 	for _, r := range late {
+		delivered := r.delivered != 0
 		r = b.cancelOthers(r, 0)
+		if delivered {
+			b.refuse(r, descriptor.AnswerCut, descriptor.Ran, 0)
+			continue
+		}
 		reason := descriptor.BackendFailed
 		if !r.deadline.IsZero() && !b.now.Before(r.deadline) {
 			reason = descriptor.Expired
@@ -259,10 +264,11 @@
 
 // shouldAbandon reports whether a running request is to be abandoned: after its
 // timeout, after its deadline if it is idempotent or outcomes are pooled, or after
-// many targets. Long work never is.
+// many targets. One whose answer is being delivered is abandoned only if outcomes are
+// pooled, because its deadline then bounds the whole answer. Long work never is.
 func (b *Balancer[E, D, P, L]) shouldAbandon(r request) bool {
 	declared := b.classes[r.class].declared
-	if r.count == 0 || r.delivered != 0 || declared.Long {
+	if r.count == 0 || declared.Long || r.delivered != 0 && !b.options.PooledOutcomes {
 		return false
 	}
 	if declared.Timeout > 0 && b.now.Sub(r.arrived) > declared.Timeout+timeoutSlack {
@@ -275,5 +281,5 @@
 	if declared.Idempotent && !r.deadline.IsZero() && b.now.After(r.deadline) {
 		return true
 	}
-	return b.now.Sub(r.arrived) > max(minAbandonTime, abandonTargets*declared.Target)
+	return r.delivered == 0 && b.now.Sub(r.arrived) > max(minAbandonTime, abandonTargets*declared.Target)
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"monsoonswitch/descriptor"
 )
 
@@ -19,27 +21,64 @@
 	return &b
 }}
 
-// copyAnswer streams an answer to the caller and returns the number of bytes read.
-// It returns an error only if the backend server's answer was truncated. After the
-// caller disconnects, the rest of the answer is read and discarded, so that the
-// completion of the work is still observed.
-func (s *session) copyAnswer(response *http.Response) (uint64, error) {
+// errCallerLeft reports that the caller disconnected while an answer was copied to it.
+var errCallerLeft = eris.New("caller disconnected")
+
+// delivery is the result of copying an answer to the caller.
+type delivery struct {
+	attempt *attempt
+	// bytes is the number of bytes read from the backend server.
+	bytes uint64
+	// err is nil if the answer was copied completely. It is errCallerLeft if the caller
+	// disconnected, and otherwise the error of reading the answer.
+	err error
+}
+
+// startDelivery copies the answer of an attempt to the caller in the background. If the
+// caller left, the answer is discarded instead.
+func (s *session) startDelivery(t *attempt) {
+	s.delivering = t
+	copyTo := s.copyAnswer
+	if s.callerLeft {
+		copyTo = (*attempt).discardDelivered
+	}
+	go func() {
+		n, err := copyTo(t)
+		s.copied <- delivery{attempt: t, bytes: n, err: err}
+	}()
+}
+
+// discardDelivered reads and discards an answer whose caller left. If it is too long for
+// that, its connection is closed.
+func (t *attempt) discardDelivered() (uint64, error) {
+	n, err := io.CopyN(io.Discard, t.response.Body, maxDiscardedBytes)
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return uint64(n), err
+}
+
+// copyAnswer streams the answer of an attempt to the caller and returns the number of bytes
+// read. It returns errCallerLeft if the caller disconnects, and an error if the backend
+// server's answer was truncated or the attempt was cancelled.
+func (s *session) copyAnswer(t *attempt) (uint64, error) {
+	response := t.response
 	controller := http.NewResponseController(s.w)
 	copyHeader(s.w.Header(), response.Header)
 	s.forwarder.dialect.AddAnswerHeaders(s.w.Header())
 	s.closeIfLeaving()
 	announceTrailers(s.w.Header(), response)
-	if !s.callerLeft {
-		s.w.WriteHeader(response.StatusCode)
-	}
+	s.w.WriteHeader(response.StatusCode)
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	var sum uint64
 	for {
 		n, err := response.Body.Read(*buffer)
 		sum += uint64(n)
-		if n > 0 && !s.callerLeft {
-			s.write(controller, (*buffer)[:n])
+		if n > 0 {
+			if err := s.write(t, controller, (*buffer)[:n]); err != nil {
+				return sum, err
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			copyTrailers(s.w.Header(), response)
@@ -59,21 +98,57 @@
 	}
 }
 
-// write sends bytes to the caller. On a write error it records that the caller
-// disconnected and posts this to the control goroutine.
-func (s *session) write(controller *http.ResponseController, data []byte) {
+// write sends bytes to the caller. It returns errCallerLeft if that fails, and an error if
+// the attempt was cancelled; see stopDelivery.
+func (s *session) write(t *attempt, controller *http.ResponseController, data []byte) error {
 	_ = controller.SetWriteDeadline(time.Now().Add(s.forwarder.options.StallTimeout))
+	if err := t.ctx.Err(); err != nil {
+		return err
+	}
 	_, err := s.w.Write(data)
 	if err == nil {
 		err = controller.Flush()
 	}
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
-		s.callerLeft = true
-		s.callerDone = nil
-		s.forwarder.control.Post(descriptor.CallerGone{At: time.Now(), Request: s.id})
+		return eris.Wrapf(errCallerLeft, "%v", err)
+	}
+	return nil
+}
+
+// stopDelivery cancels the delivery and waits for its end. The write deadline ends a write
+// to a caller that does not read; write sets its own only before it checks for cancellation.
+func (s *session) stopDelivery() delivery {
+	s.delivering.cancel()
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now())
+	return <-s.copied
+}
+
+// endDelivery ends the request after its answer was copied or failed.
+func (s *session) endDelivery(d delivery) {
+	now := time.Now()
+	switch {
+	case d.err == nil:
+		s.forwarder.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: d.attempt.id, Bytes: d.bytes})
+		s.forwarder.recorder.End(s.endReason(descriptor.Served), now.Sub(s.started), d.bytes)
+	case errors.Is(d.err, errCallerLeft):
+		s.recordCallerGone(now)
+		s.forwarder.recorder.End(descriptor.Abandoned, now.Sub(s.started), d.bytes)
+	case d.attempt.ctx.Err() != nil:
+		s.abortAnswer(descriptor.AnswerCut, d.bytes)
+	default:
+		s.forwarder.control.Post(descriptor.Failed{At: now, Request: s.id, Attempt: d.attempt.id, Fault: descriptor.FaultTruncated})
+		s.forwarder.recorder.Fault()
+		s.abortAnswer(descriptor.AnswerCut, d.bytes)
 	}
 }
 
+// abortAnswer ends a request whose answer is not complete. It aborts the connection or
+// stream to the caller, so that the answer can't be taken for a complete one.
+func (s *session) abortAnswer(reason descriptor.Reason, bytes uint64) {
+	s.forwarder.recorder.End(s.endReason(reason), time.Since(s.started), bytes)
+	panic(http.ErrAbortHandler)
+}
+
 // refusal is the JSON body of a refusal.
 type refusal struct {
 	Reason    string    `json:"reason"`
@@ -85,7 +160,7 @@
 
 // refuse answers that the request is refused, and whether the work may have run.
 func (s *session) refuse(a descriptor.Refuse) {
-	s.forwarder.recorder.End(s.endReason(a), time.Since(s.started), 0)
+	s.forwarder.recorder.End(s.endReason(a.Reason), time.Since(s.started), 0)
 	body := refusal{
 		Reason:  a.Reason.String(),
 		Outcome: a.Outcome.String(),
@@ -101,11 +176,12 @@
 	}
 }
 
-func (s *session) endReason(a descriptor.Refuse) descriptor.Reason {
+// endReason returns why the request ended, given the reason if the caller did not leave.
+func (s *session) endReason(reason descriptor.Reason) descriptor.Reason {
 	if s.callerLeft {
 		return descriptor.Abandoned
 	}
-	return a.Reason
+	return reason
 }
 
 // currentEntry returns the newest directory entry of the service.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -49,8 +49,8 @@
 	}
 	head := s.forwarder.dialect.ParseHead(response, s.label)
 	if fault, ok := head.fault(); ok {
-		t.discard(response, head)
 		t.post(fault, head)
+		t.discard(response, head)
 		return
 	}
 	t.response = response
@@ -92,7 +92,7 @@
 
 // maxDiscardedBytes bounds the bytes that are read from an answer that is not
 // delivered. Reading it to its end allows its connection to be reused.
-const maxDiscardedBytes = 4 << 10
+const maxDiscardedBytes = 64 << 10
 
 // request builds the request for the backend server.
 func (t *attempt) request() *http.Request {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -33,6 +33,8 @@
 	nonIdempotentIdleTime = time.Second
 	// maxIdlePerBackend bounds the number of idle connections to one backend server.
 	maxIdlePerBackend = 8
+	// maxHeadBytes bounds the head of an answer in bytes.
+	maxHeadBytes = 64 << 10
 	// probeDelay is the delay before a connect probe.
 	probeDelay = 50 * time.Millisecond
 	// clientName is the name of the client in go-zero.
@@ -111,11 +113,12 @@
 
 func newClient(dialer *net.Dialer, idle time.Duration) httpc.Service {
 	transport := &http.Transport{
-		DialContext:           dialer.DialContext,
-		MaxIdleConnsPerHost:   maxIdlePerBackend,
-		IdleConnTimeout:       idle,
-		DisableCompression:    true,
-		ExpectContinueTimeout: time.Second,
+		DialContext:            dialer.DialContext,
+		MaxIdleConnsPerHost:    maxIdlePerBackend,
+		IdleConnTimeout:        idle,
+		DisableCompression:     true,
+		ExpectContinueTimeout:  time.Second,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
 		Transport:     transport,
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -34,6 +34,10 @@
 	callerLeft bool
 	attempts   map[descriptor.AttemptID]*attempt
 	running    sync.WaitGroup
+	// delivering is the attempt whose answer is copied to the caller, or nil. Until the
+	// result arrives on copied, only the goroutine that copies uses w.
+	delivering *attempt
+	copied     chan delivery
 }
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
@@ -45,6 +49,7 @@
 		started:    time.Now(),
 		callerDone: r.Context().Done(),
 		attempts:   make(map[descriptor.AttemptID]*attempt),
+		copied:     make(chan delivery, 1),
 	}
 	s.label = f.dialect.Label(r)
 	if p := f.dialect.CallerTimeout(r); p > 0 {
@@ -144,14 +149,26 @@
 			if s.apply(a) {
 				return
 			}
+		case d := <-s.copied:
+			s.endDelivery(d)
+			return
 		case <-s.callerDone:
-			s.callerDone = nil
-			s.callerLeft = true
-			s.forwarder.control.Post(descriptor.CallerGone{At: time.Now(), Request: s.id})
+			s.recordCallerGone(time.Now())
 		}
 	}
 }
 
+// recordCallerGone records that the caller disconnected and posts this to the control
+// goroutine. Only the first call has an effect.
+func (s *session) recordCallerGone(now time.Time) {
+	s.callerDone = nil
+	if s.callerLeft {
+		return
+	}
+	s.callerLeft = true
+	s.forwarder.control.Post(descriptor.CallerGone{At: now, Request: s.id})
+}
+
 // precheck returns a reason and true if the request is refused without being passed to
 // the control goroutine.
 func (s *session) precheck() (descriptor.Reason, bool) {
@@ -216,8 +233,13 @@
 			t.cancel()
 		}
 	case descriptor.Deliver:
-		return s.deliver(a)
+		if t, ok := s.attempts[a.Attempt]; ok && t.response != nil && s.delivering == nil {
+			s.startDelivery(t)
+		}
 	case descriptor.Refuse:
+		if s.delivering != nil {
+			s.abortAnswer(a.Reason, s.stopDelivery().bytes)
+		}
 		s.stopAttempts()
 		s.refuse(a)
 		return true
@@ -250,35 +272,3 @@
 		t.close()
 	}
 }
-
-// deliver copies the answer of an attempt to the caller and reports whether the request
-// ended.
-func (s *session) deliver(a descriptor.Deliver) bool {
-	t, ok := s.attempts[a.Attempt]
-	if !ok || t.response == nil {
-		return false
-	}
-	bytes, err := s.copyAnswer(t.response)
-	if err != nil {
-		return s.abortCut(a.Attempt, bytes)
-	}
-	now := time.Now()
-	s.forwarder.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: a.Attempt, Bytes: bytes})
-	reason := descriptor.Served
-	if s.callerLeft {
-		reason = descriptor.Abandoned
-	}
-	s.forwarder.recorder.End(reason, now.Sub(s.started), bytes)
-	return true
-}
-
-// abortCut ends a request whose answer was truncated. It aborts the connection or
-// stream to the caller, so that the truncated answer can't be taken for a complete
-// one.
-func (s *session) abortCut(id descriptor.AttemptID, bytes uint64) bool {
-	now := time.Now()
-	s.forwarder.control.Post(descriptor.Failed{At: now, Request: s.id, Attempt: id, Fault: descriptor.FaultTruncated})
-	s.forwarder.recorder.Fault()
-	s.forwarder.recorder.End(descriptor.AnswerCut, now.Sub(s.started), bytes)
-	panic(http.ErrAbortHandler)
-}
