--- a/balancer/floor_test.go
+++ b/balancer/floor_test.go
@@ -24,7 +24,7 @@
 // watchFloor counts the windows in which too few backend servers had work.
 func (f *simulation[P]) watchFloor() {
 	notGray, notGrayUsed := f.used(func(i int) bool { return !f.load.gray(i, f.now) && !f.load.gray(i, f.now-floorWindow) })
-	if float64(notGrayUsed) < floorUsedShare*float64(notGray) {
+	if f.now <= replayTraffic && float64(notGrayUsed) < floorUsedShare*float64(notGray) {
 		f.tally.idleWindows++
 	}
 	healthy, used := f.used(f.countsForFloor)
--- a/balancer/replay_test.go
+++ b/balancer/replay_test.go
@@ -77,6 +77,8 @@
 	// replayTimeout is the timeout of the requests.
 	replayTimeout = 2 * time.Second
 	replayLength  = 60 * time.Second
+	// replayTraffic is the time after which no more requests arrive.
+	replayTraffic = replayLength - 5*time.Second
 	// quickFailure is the time after which a gray backend server fails work.
 	quickFailure = time.Millisecond
 	// busyTick and idleTick are the times between ticks with and without open
@@ -181,7 +183,7 @@
 // arrivals schedules all requests.
 func (f *simulation[P]) arrivals() {
 	var id descriptor.RequestID
-	for at := time.Duration(0); at < replayLength-5*time.Second; {
+	for at := time.Duration(0); at < replayTraffic; {
 		at += time.Duration(f.random.ExpFloat64() / f.load.rate(at) * float64(time.Second))
 		id++
 		request, instance := id, f.random.IntN(owners)
