--- a/container/container_test.go
+++ b/container/container_test.go
@@ -67,13 +67,16 @@
 
 func TestGenerations(t *testing.T) {
 	g := NewGenerations[int, int](3)
-	dropped := 0
+	generations, keys := 0, 0
 	for i := range 10 {
-		if g.Put(i, i) {
-			dropped++
+		began, dropped := g.Put(i, i)
+		if began {
+			generations++
 		}
+		keys += dropped
 	}
-	asserter.Equal(t, "generations dropped", dropped, 3)
+	asserter.Equal(t, "generations begun", generations, 3)
+	asserter.Equal(t, "keys dropped", keys, 6)
 	asserter.AtMost(t, "length", g.Len(), 6)
 	_, ok := g.Get(0)
 	asserter.Equal(t, "oldest", ok, false)
--- a/container/generation.go
+++ b/container/generation.go
@@ -29,17 +29,18 @@
 	return v, ok
 }
 
-// Put stores v under k and reports whether it began a new generation. That drops
-// the previous one, which is empty the first time.
-func (g *Generations[K, V]) Put(k K, v V) bool {
+// Put stores v under k. It reports whether that began a new generation, and how many keys
+// were dropped with the previous one: none the first time.
+func (g *Generations[K, V]) Put(k K, v V) (began bool, dropped int) {
 	delete(g.previous, k)
 	if _, ok := g.current[k]; !ok && len(g.current) >= g.limit {
+		dropped = len(g.previous)
 		g.previous = g.current
 		g.current = map[K]V{k: v}
-		return true
+		return true, dropped
 	}
 	g.current[k] = v
-	return false
+	return false, 0
 }
 
 // Delete removes k.
--- a/keeper/handover.go
+++ b/keeper/handover.go
@@ -51,27 +51,53 @@
 	return actions
 }
 
+// receipt is what was received so far of the keys of an issuer.
+type receipt struct {
+	// keys is the number of keys received.
+	keys int
+	// dropped is set if keys were dropped meanwhile, of this or another issuer.
+	dropped bool
+}
+
+// WithKeys returns r after n more keys.
+func (r receipt) WithKeys(n int) receipt {
+	r.keys += n
+	return r
+}
+
+// WithDropped returns r after keys were dropped.
+func (r receipt) WithDropped() receipt {
+	r.dropped = true
+	return r
+}
+
 // HandleKeyHandover stores the keys of one handover message. After the last message
 // this instance decides about the keys of the issuer that left. If a message was lost
 // it does not, and requests with these keys are refused as unsettled.
 func (k *Keeper) HandleKeyHandover(m descriptor.KeyHandover) {
+	from := issuer{m.Instance, m.Incarnation}
+	if !k.receiving.Has(from) {
+		k.receiving.Put(from, receipt{})
+	}
 	for _, r := range m.Keys {
 		if r.State < int(stateRunning) || r.State > int(stateFree) || len(r.Key) > 2*MaxKey {
 			continue
 		}
 		k.put(r.Key, record{state: state(r.State), holder: r.Holder})
 	}
-	from := issuer{m.Instance, m.Incarnation}
 	received, _ := k.receiving.Get(from)
-	received += len(m.Keys)
-	k.receiving.Put(from, received)
+	received = received.WithKeys(len(m.Keys))
 	if !m.Last {
+		k.receiving.Put(from, received)
 		return
 	}
 	k.receiving.Delete(from)
-	if received != m.Total {
+	if received.keys != m.Total {
 		return
 	}
+	if received.dropped {
+		m.Floor = allEpochs
+	}
 	if len(k.takeovers) == maxTakeovers {
 		k.takeovers = k.takeovers[1:]
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -80,6 +80,9 @@
 	floor uint64
 }
 
+// allEpochs is the floor of an issuer of which any key may have been dropped.
+const allEpochs = ^uint64(0)
+
 // Verdict is the decision about a request.
 type Verdict int
 
@@ -120,12 +123,11 @@
 	newestEpoch, closedEpoch, floor uint64
 	keys                            *container.Generations[string, record]
 	takeovers                       []takeover
-	// receiving counts the keys received so far in each unfinished handover.
-	receiving *container.Table[issuer, int]
+	// receiving holds what was received so far in each unfinished handover.
+	receiving *container.Table[issuer, receipt]
 	// closed is set once the keys were handed over.
 	closed bool
-	// dropped is an upper bound of the number of keys dropped to bound memory. It
-	// grows by generationKeys with each new generation.
+	// dropped is the number of keys dropped to bound memory.
 	dropped uint64
 
 	// waiting holds the requests that wait for the answer to a claim.
@@ -149,7 +151,7 @@
 		members:   members,
 		next:      next,
 		keys:      container.NewGenerations[string, record](generationKeys),
-		receiving: container.NewTable[issuer, int](),
+		receiving: container.NewTable[issuer, receipt](),
 		waiting:   container.NewTable[descriptor.RequestID, parked](),
 		writes:    container.NewTable[descriptor.WriteID, descriptor.RequestID](),
 		holds:     container.NewTable[descriptor.RequestID, held](),
@@ -270,17 +272,26 @@
 
 // put stores a record. If that drops a generation of keys, the epochs of these keys
 // are closed, because a dropped key can't be distinguished from a new one. For issuers
-// that were taken over all epochs are closed, since those of their keys are not known.
+// that were taken over, or whose handover is not finished, all epochs are closed, since
+// those of their keys are not known.
 func (k *Keeper) put(key string, r record) {
-	if !k.keys.Put(key, r) {
+	began, dropped := k.keys.Put(key, r)
+	if !began {
 		return
 	}
 	k.floor = k.closedEpoch
+	k.closedEpoch = k.newestEpoch
+	if dropped == 0 {
+		return
+	}
+	k.dropped += uint64(dropped)
 	for i := range k.takeovers {
-		k.takeovers[i].floor = ^uint64(0)
+		k.takeovers[i].floor = allEpochs
+	}
+	for i := range k.receiving.Len() {
+		_, received := k.receiving.At(i)
+		k.receiving.SetAt(i, received.WithDropped())
 	}
-	k.closedEpoch = k.newestEpoch
-	k.dropped += generationKeys
 }
 
 // beginRemote sends a claim to the issuer of a key, or to its successor.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -193,6 +193,7 @@
 		}
 	}
 	asserter.AtMost(t, "keys held", p.keepers["a"].keys.Len(), 2*generationKeys)
+	asserter.Equal(t, "keys dropped", p.keepers["a"].Dump().Dropped, uint64(generationKeys))
 	_, d := p.send("a", first)
 	p.want(d, Reject, descriptor.KeyUnsettled, descriptor.MayHaveRun)
 }
@@ -200,22 +201,12 @@
 // TestKeyHandover guards against work that runs again at the successor of an instance
 // that shut down, also when a message of the handover is lost.
 func TestKeyHandover(t *testing.T) {
-	// handOver hands over the keys of a to c, without the message with index lose, and
-	// makes c the successor of a.
-	handOver := func(p *cluster, lose int) {
-		for i, a := range p.keepers["a"].HandOver(p.members["c"]) {
-			if i != lose {
-				p.keepers["c"].HandleKeyHandover(a.(descriptor.Send).Message.(descriptor.KeyHandover))
-			}
-		}
-		p.members["a"] = p.members["a"].WithState(descriptor.Left, nil).WithSuccessor("c")
-	}
 	t.Run("refuses work that ran and grants work that did not", func(t *testing.T) {
 		p := newCluster(t)
 		key, fresh := p.key("a", "1"), p.key("a", "2")
 		id, _ := p.send("b", key)
 		p.end("b", id, descriptor.Ran)
-		handOver(p, -1)
+		p.handOver("a", "c", -1)
 		for _, at := range []string{"b", "c"} {
 			_, d := p.send(at, key)
 			p.want(d, Reject, descriptor.KeyUsed, descriptor.Ran)
@@ -226,23 +217,60 @@
 	t.Run("an issuer grants nothing after the handover", func(t *testing.T) {
 		p := newCluster(t)
 		key := p.key("a", "1")
-		handOver(p, -1)
+		p.handOver("a", "c", -1)
 		_, d := p.send("a", key)
 		asserter.True(t, "not granted", d.Verdict != Proceed)
 	})
 	t.Run("a lost handover message leaves all keys uncertain", func(t *testing.T) {
 		p := newCluster(t)
-		for i := range maxHandoverKeys + 1 {
-			id, _ := p.send("a", p.key("a", fmt.Sprint(i)))
-			p.end("a", id, descriptor.Ran)
-		}
+		p.run("a", maxHandoverKeys+1)
 		key := p.key("a", "fresh")
-		handOver(p, 0)
+		p.handOver("a", "c", 0)
 		_, d := p.send("c", key)
 		p.want(d, Reject, descriptor.KeyUnsettled, descriptor.MayHaveRun)
 	})
 }
 
+// handOver hands over the keys of an instance that shuts down to another, without the
+// message with index lose, and makes that one its successor.
+func (p *cluster) handOver(from, to string, lose int) {
+	for i, a := range p.keepers[from].HandOver(p.members[to]) {
+		if i != lose {
+			p.keepers[to].HandleKeyHandover(a.(descriptor.Send).Message.(descriptor.KeyHandover))
+		}
+	}
+	p.members[from] = p.members[from].WithState(descriptor.Left, nil).WithSuccessor(to)
+}
+
+// run runs the work of n keys with the tickets of an instance at that instance.
+func (p *cluster) run(at string, n int) {
+	for i := range n {
+		id, _ := p.send(at, p.key(at, fmt.Sprint(i)))
+		p.end(at, id, descriptor.Ran)
+	}
+}
+
+// TestLargeKeyHandover guards against work that runs again because the successor dropped its
+// key during the handover, which together with its own keys exceeded its memory.
+func TestLargeKeyHandover(t *testing.T) {
+	const handed, own = 60000, 20000
+	p := newCluster(t)
+	p.run("a", handed)
+	p.run("c", own)
+	keys := make([]string, handed)
+	for i := range keys {
+		keys[i] = p.key("a", fmt.Sprint(i))
+	}
+	p.handOver("a", "c", -1)
+	granted := 0
+	for _, key := range keys {
+		if _, d := p.send("c", key); d.Verdict == Proceed {
+			granted++
+		}
+	}
+	asserter.Equal(t, "keys granted again", granted, 0)
+}
+
 func TestCallerMadeKeys(t *testing.T) {
 	begin := func(p *cluster, at string) (descriptor.RequestID, Decision, []descriptor.Action) {
 		p.next++
