--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -207,6 +207,17 @@
 	// about the keys, provided that it received Total of them.
 	Last  bool
 	Total int
+	// Issuers lists, in the last part, the issuers whose keys the instance took over
+	// itself. These keys are among the Total.
+	Issuers []KeyIssuer
+}
+
+// KeyIssuer is one incarnation of an instance whose keys were taken over.
+type KeyIssuer struct {
+	Instance    string
+	Incarnation int64
+	// Floor is as in KeyHandover.
+	Floor uint64
 }
 
 // CrashReport reports that a connection to a backend server broke before the response
--- a/keeper/handover.go
+++ b/keeper/handover.go
@@ -27,27 +27,16 @@
 		}
 		last.Keys = append(last.Keys, descriptor.KeyRecord{Key: key, State: int(r.state), Holder: r.holder})
 	}
-	parts[len(parts)-1].Last = true
-	parts[len(parts)-1].Total = k.keys.Len()
+	last := &parts[len(parts)-1]
+	last.Last = true
+	last.Total = k.keys.Len()
+	for _, h := range k.takeovers {
+		last.Issuers = append(last.Issuers, descriptor.KeyIssuer{Instance: h.from.instance, Incarnation: h.from.incarnation, Floor: h.floor})
+	}
 	var actions []descriptor.Action
 	for _, p := range parts {
 		actions = append(actions, descriptor.Send{To: successor, Message: p})
 	}
-	return append(actions, k.handOverIssuers(successor)...)
-}
-
-// handOverIssuers hands over the responsibility for the issuers whose keys this
-// instance took over itself.
-func (k *Keeper) handOverIssuers(successor descriptor.Member) []descriptor.Action {
-	var actions []descriptor.Action
-	for _, h := range k.takeovers {
-		actions = append(actions, descriptor.Send{To: successor, Message: descriptor.KeyHandover{
-			Instance:    h.from.instance,
-			Incarnation: h.from.incarnation,
-			Floor:       h.floor,
-			Last:        true,
-		}})
-	}
 	return actions
 }
 
@@ -95,15 +84,23 @@
 	if received.keys != m.Total {
 		return
 	}
-	if received.dropped {
-		m.Floor = allEpochs
+	issuers := append(m.Issuers, descriptor.KeyIssuer{Instance: m.Instance, Incarnation: m.Incarnation, Floor: m.Floor})
+	for _, h := range issuers {
+		if received.dropped {
+			h.Floor = allEpochs
+		}
+		k.takeOver(h)
 	}
+}
+
+// takeOver makes this instance decide about the keys of an issuer.
+func (k *Keeper) takeOver(i descriptor.KeyIssuer) {
 	if len(k.takeovers) == maxTakeovers {
 		k.takeovers = k.takeovers[1:]
 	}
 	k.takeovers = append(k.takeovers, takeover{
-		from:  from,
-		floor: m.Floor,
+		from:  issuer{i.Instance, i.Incarnation},
+		floor: i.Floor,
 	})
 }
 
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -25,6 +25,9 @@
 	// maxTakeovers is the maximum number of issuers whose keys are taken over; the
 	// oldest one is dropped.
 	maxTakeovers = 64
+	// maxSuccessors is the maximum number of instances that left one after the other
+	// which are followed to find the one that decides about a key.
+	maxSuccessors = 8
 )
 
 // state is the state of the work of a key.
@@ -306,18 +309,22 @@
 }
 
 // remoteIssuer returns the other instance that decides about the keys of a ticket, and
-// whether there is a live one. It is the issuer, or the issuer's successor if the
-// issuer left. A successor of the successor is not looked up.
+// whether there is a live one. It is the issuer or, if that left, its successor, and so
+// on up to maxSuccessors.
 func (k *Keeper) remoteIssuer(t Ticket) (descriptor.Member, bool) {
 	m, ok := k.members.Member(t.Instance)
 	if !ok || m.Incarnation != t.Incarnation || m.ID == k.self.ID {
 		return m, false
 	}
-	if m.State != descriptor.Left {
-		return m, m.State != descriptor.Dead
+	for range maxSuccessors {
+		if m.State != descriptor.Left {
+			break
+		}
+		if m, ok = k.members.Member(m.Successor); !ok {
+			return m, false
+		}
 	}
-	successor, ok := k.members.Member(m.Successor)
-	return successor, ok && successor.State < descriptor.Dead && successor.ID != k.self.ID
+	return m, m.State < descriptor.Dead && m.ID != k.self.ID
 }
 
 // End records how an admitted request ended. It returns the message to the issuer
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -271,6 +271,29 @@
 	asserter.Equal(t, "keys granted again", granted, 0)
 }
 
+// TestSecondKeyHandover shuts down an instance and then its successor.
+func TestSecondKeyHandover(t *testing.T) {
+	t.Run("an unused key of the first is granted at each instance", func(t *testing.T) {
+		p := newCluster(t)
+		p.add("d")
+		p.handOver("a", "b", -1)
+		p.handOver("b", "c", -1)
+		for _, at := range []string{"c", "d"} {
+			_, d := p.send(at, p.key("a", "unused-at-"+at))
+			p.want(d, Proceed, 0, 0)
+		}
+	})
+	t.Run("a key of the first whose record was lost stays uncertain", func(t *testing.T) {
+		p := newCluster(t)
+		ran := p.key("a", "0")
+		p.run("a", maxHandoverKeys+1)
+		p.handOver("a", "b", -1)
+		p.handOver("b", "c", 0)
+		_, d := p.send("c", ran)
+		p.want(d, Reject, descriptor.KeyUnsettled, descriptor.MayHaveRun)
+	})
+}
+
 func TestCallerMadeKeys(t *testing.T) {
 	begin := func(p *cluster, at string) (descriptor.RequestID, Decision, []descriptor.Action) {
 		p.next++
