--- a/decider/decider.go
+++ b/decider/decider.go
@@ -154,7 +154,7 @@
 		spreader:  spreader.New(),
 		counter:   counter.New(o.Self),
 		index:     allocator.NewIndex(),
-		relayer:   relayer.New(o.Self),
+		relayer:   relayer.New(),
 		fullyRead: container.NewTable[descriptor.Kind, bool](),
 		declared:  container.NewTable[string, declaration](),
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	// version is that of the routing in the store, revision that of its backend
 	// list.
 	version, revision uint64
+	// clock is the incarnation of instances that are added.
+	clock int64
 	// partitioned holds the instances whose messages are dropped while their links
 	// stay open.
 	partitioned map[string]bool
@@ -59,7 +62,7 @@
 func newRoutedFleet(n int) *routedFleet {
 	f := &routedFleet{
 		instances: make(map[string]*Routed), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
-		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1,
+		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1, clock: 1e6,
 		backends:  []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}},
 		sentBytes: make(map[descriptor.MessageType]int),
 	}
@@ -71,14 +74,32 @@
 }
 
 func (f *routedFleet) add(id, domain string) {
-	self := descriptor.Member{ID: id, Incarnation: 1, Domain: domain, Public: id + ":80", Inner: id + ":81"}
+	self := descriptor.Member{ID: id, Incarnation: f.clock, Domain: domain, Public: id + ":80", Inner: id + ":81"}
 	f.instances[id] = New[detector.Evidence, detector.Sequential, picker.HighestScore, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true}, f.now)
-	f.order = append(f.order, id)
+	if !slices.Contains(f.order, id) {
+		f.order = append(f.order, id)
+	}
 	if first := f.order[0]; first != id {
 		f.link(id, first)
 	}
 }
 
+// restart replaces an instance with one that just started.
+func (f *routedFleet) restart(id string) {
+	for pair := range f.linked {
+		if pair[0] == id || pair[1] == id {
+			delete(f.linked, pair)
+			for _, other := range pair {
+				if other != id {
+					f.step(other, descriptor.LinkClosed{At: f.now, Peer: id})
+				}
+			}
+		}
+	}
+	f.watches[id] = false
+	f.add(id, f.instances[id].options.Self.Domain)
+}
+
 func (f *routedFleet) link(from, to string) {
 	if f.linked[[2]string{from, to}] || f.linked[[2]string{to, from}] || f.instances[to] == nil {
 		return
@@ -220,6 +241,25 @@
 			asserter.AtMost(t, "watching", f.watching(), routedWatcherCount)
 		})
 	})
+	t.Run("instances stay current when those that watch start again with clocks set back", func(t *testing.T) {
+		f := newRoutedFleet(12)
+		f.run(2 * time.Second)
+		f.clock -= 2000
+		for _, id := range f.order[1:] {
+			if f.watches[id] {
+				f.restart(id)
+			}
+		}
+		f.run(5 * time.Second)
+		for range 40 {
+			f.run(routedTick)
+			for _, id := range f.order {
+				age := f.now.Sub(f.instances[id].relayer.Current(f.instances[id].options.kinds()))
+				asserter.AtMost(t, "age at "+id, age, 1200*time.Millisecond)
+			}
+		}
+		asserter.AtMost(t, "watching", f.watching(), routedWatcherCount)
+	})
 	t.Run("an older version is never put in force", func(t *testing.T) {
 		f := newRoutedFleet(6)
 		f.version = 9
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -106,7 +106,7 @@
 	if !d.options.Routing || !d.watching || !d.synced {
 		return
 	}
-	p, ok := d.relayer.NextFreshness(d.now, d.options.kinds(), d.spreader.Digest().Hash())
+	p, ok := d.relayer.NextFreshness(d.now, d.gossiper.Self(), d.options.kinds(), d.spreader.Digest().Hash())
 	if ok {
 		d.forwardFreshness(p)
 	}
@@ -141,7 +141,7 @@
 		d.suspicionSequence++
 		m := descriptor.SuspicionList{
 			Origin:      d.options.Self.ID,
-			Incarnation: d.options.Self.Incarnation,
+			Incarnation: d.gossiper.Self().Incarnation,
 			Sequence:    d.suspicionSequence,
 			Service:     service,
 			List:        s.Suspicions(d.now),
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -31,6 +31,10 @@
 	// minAccusers is the number of instances that must suspect an instance
 	// before it is declared dead; small fleets need fewer.
 	minAccusers = 2
+	// incarnationStep is the step, in microseconds, by which an instance raises its
+	// incarnation to replace the record of an earlier start. Starts at different times
+	// thereby get different incarnations.
+	incarnationStep = 1 << 20
 	// maxMessageRecords is the maximum number of records in one message.
 	maxMessageRecords = 256
 	// maxInitialMembers is the number of members up to which an instance that just
@@ -368,7 +372,7 @@
 	}
 	if m.Incarnation > g.self.Incarnation {
 		// An earlier start of this instance had a clock ahead of the present one.
-		g.self.Incarnation = m.Incarnation + 1
+		g.self.Incarnation += (m.Incarnation-g.self.Incarnation)/incarnationStep*incarnationStep + incarnationStep
 		g.updateSelf(now, g.self)
 		return
 	}
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -226,6 +226,16 @@
 			asserter.Equal(t, "incarnation at "+id, m.Incarnation, int64(2))
 		}
 	})
+	t.Run("two starts that replace the same record do so with different incarnations", func(t *testing.T) {
+		var got []int64
+		for _, incarnation := range []int64{2, 3} {
+			g := New(descriptor.Member{ID: "n01", Incarnation: incarnation}, time.Unix(1000, 0))
+			g.mergeSelf(descriptor.Member{ID: "n01", Incarnation: 100}, time.Unix(1000, 0))
+			got = append(got, g.Self().Incarnation)
+			asserter.True(t, "newer than the record", g.Self().Incarnation > 100)
+		}
+		asserter.True(t, "different", got[0] != got[1])
+	})
 	t.Run("an instance with an incomplete list of members is not suspected repeatedly", func(t *testing.T) {
 		x := newNetwork(t, 24)
 		x.kill("n03")
--- a/keeper/handover.go
+++ b/keeper/handover.go
@@ -30,6 +30,9 @@
 	last := &parts[len(parts)-1]
 	last.Last = true
 	last.Total = k.keys.Len()
+	if incarnation := k.incarnation(); incarnation != k.self.Incarnation {
+		last.Issuers = append(last.Issuers, descriptor.KeyIssuer{Instance: k.self.ID, Incarnation: incarnation, Floor: k.floor})
+	}
 	for _, h := range k.takeovers {
 		last.Issuers = append(last.Issuers, descriptor.KeyIssuer{Instance: h.from.instance, Incarnation: h.from.incarnation, Floor: h.floor})
 	}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -208,13 +208,27 @@
 	if k.closed {
 		return false
 	}
-	if t.Instance == k.self.ID && t.Incarnation == k.self.Incarnation {
+	if k.isOwn(t) {
 		return true
 	}
 	_, ok := k.takeover(t)
 	return ok
 }
 
+// isOwn reports whether a ticket names this process: by the incarnation of its start or,
+// if an earlier start had a larger one, by that with which it replaced the earlier record.
+func (k *Keeper) isOwn(t Ticket) bool {
+	return t.Instance == k.self.ID && (t.Incarnation == k.self.Incarnation || t.Incarnation == k.incarnation())
+}
+
+// incarnation returns the incarnation in the member record of this instance.
+func (k *Keeper) incarnation() int64 {
+	if m, ok := k.members.Member(k.self.ID); ok {
+		return m.Incarnation
+	}
+	return k.self.Incarnation
+}
+
 // takeover returns the takeover of the issuer of a ticket, if there is one.
 func (k *Keeper) takeover(t Ticket) (takeover, bool) {
 	for _, h := range k.takeovers {
@@ -255,7 +269,7 @@
 // floorOf returns the newest epoch of a ticket's issuer with keys that may have
 // been dropped.
 func (k *Keeper) floorOf(t Ticket) uint64 {
-	if t.issuer() != (issuer{k.self.ID, k.self.Incarnation}) {
+	if !k.isOwn(t) {
 		h, _ := k.takeover(t)
 		return h.floor
 	}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -271,6 +271,40 @@
 	asserter.Equal(t, "keys granted again", granted, 0)
 }
 
+// TestReplacedIncarnation has an instance replace the record of an earlier start with a
+// larger incarnation, as after a clock that was ahead. The tickets that other instances then
+// make have its new incarnation, and work with their keys must run.
+func TestReplacedIncarnation(t *testing.T) {
+	replaced := func(t *testing.T) *cluster {
+		p := newCluster(t)
+		m := p.members["a"]
+		m.Incarnation = 9
+		p.members["a"] = m
+		return p
+	}
+	for _, at := range []string{"a", "b"} {
+		t.Run("a key of the new incarnation runs once at "+at, func(t *testing.T) {
+			p := replaced(t)
+			key := p.key("a", "1")
+			id, d := p.send(at, key)
+			p.want(d, Proceed, 0, 0)
+			p.end(at, id, descriptor.Ran)
+			_, d = p.send(at, key)
+			p.want(d, Reject, descriptor.KeyUsed, descriptor.Ran)
+		})
+	}
+	t.Run("its keys are handed over", func(t *testing.T) {
+		p := replaced(t)
+		ran := p.key("a", "0")
+		p.run("a", 1)
+		p.handOver("a", "c", -1)
+		_, d := p.send("b", ran)
+		p.want(d, Reject, descriptor.KeyUsed, descriptor.Ran)
+		_, d = p.send("b", p.key("a", "unused"))
+		p.want(d, Proceed, 0, 0)
+	})
+}
+
 // TestSecondKeyHandover shuts down an instance and then its successor.
 func TestSecondKeyHandover(t *testing.T) {
 	t.Run("an unused key of the first is granted at each instance", func(t *testing.T) {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -53,7 +53,6 @@
 // Relayer tracks how current the documents of one instance are. It is not safe for
 // concurrent use.
 type Relayer struct {
-	self descriptor.Member
 	// own holds the time at which this instance last read each kind of document
 	// from the store.
 	own *container.Table[descriptor.Kind, time.Time]
@@ -81,10 +80,9 @@
 	sentAsOf time.Time
 }
 
-// New returns the relayer of an instance.
-func New(self descriptor.Member) *Relayer {
+// New returns a relayer without documents.
+func New() *Relayer {
 	return &Relayer{
-		self:    self,
 		own:     container.NewTable[descriptor.Kind, time.Time](),
 		origins: container.NewTable[string, origin](),
 	}
@@ -161,11 +159,11 @@
 	return r.querying
 }
 
-// NextFreshness returns the next freshness announcement of an instance that watches
-// the store, and whether one must be sent. One is sent after each new read of the
+// NextFreshness returns the next freshness announcement of self, which watches the
+// store, and whether one must be sent. One is sent after each new read of the
 // store, at most every announceInterval, and immediately when the hash sum of the
 // documents changed. None is sent if the last read is maxConfirmationAge old.
-func (r *Relayer) NextFreshness(now time.Time, kinds []descriptor.Kind, sum uint64) (descriptor.Freshness, bool) {
+func (r *Relayer) NextFreshness(now time.Time, self descriptor.Member, kinds []descriptor.Kind, sum uint64) (descriptor.Freshness, bool) {
 	asOf := r.read(kinds)
 	if asOf.IsZero() || now.Sub(asOf) >= maxConfirmationAge {
 		return descriptor.Freshness{}, false
@@ -177,8 +175,8 @@
 	r.sequence++
 	r.sentAt, r.sentSum, r.sentAsOf = now, sum, asOf
 	return descriptor.Freshness{
-		Origin:      r.self.ID,
-		Incarnation: r.self.Incarnation,
+		Origin:      self.ID,
+		Incarnation: self.Incarnation,
 		Sequence:    r.sequence,
 		Sum:         sum,
 		Age:         now.Sub(asOf).Milliseconds(),
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -59,10 +59,13 @@
 	})
 }
 
+// self is the instance that sends announcements.
+var self = descriptor.Member{ID: "a", Incarnation: 7}
+
 // newWatcher returns a relayer that read both kinds of documents from the store at
 // the given time.
-func newWatcher(id string, read time.Time) *Relayer {
-	r := New(descriptor.Member{ID: id, Incarnation: 7})
+func newWatcher(read time.Time) *Relayer {
+	r := New()
 	for _, k := range kinds {
 		r.RecordRead(k, read)
 	}
@@ -71,19 +74,19 @@
 
 func TestFreshness(t *testing.T) {
 	const sum = 42
-	origin := newWatcher("a", at(0))
-	announcement, ok := origin.NextFreshness(at(100*time.Millisecond), kinds, sum)
+	origin := newWatcher(at(0))
+	announcement, ok := origin.NextFreshness(at(100*time.Millisecond), self, kinds, sum)
 	asserter.True(t, "sent", ok)
 	asserter.Equal(t, "age", announcement.Age, 100)
 	t.Run("confirms equal documents as of the time of the read", func(t *testing.T) {
-		r := New(descriptor.Member{ID: "b"})
+		r := New()
 		_, ok := r.HandleFreshness(at(time.Second), announcement)
 		asserter.True(t, "new", ok)
 		asserter.Equal(t, "differs", r.ApplyAnnouncements("a", sum), false)
 		asserter.Equal(t, "current", r.Current(kinds), at(900*time.Millisecond))
 	})
 	t.Run("does not confirm other documents until they are received", func(t *testing.T) {
-		r := New(descriptor.Member{ID: "b"})
+		r := New()
 		r.HandleFreshness(at(time.Second), announcement)
 		asserter.Equal(t, "differs", r.ApplyAnnouncements("a", sum+1), true)
 		asserter.Equal(t, "current", r.Current(kinds), time.Time{})
@@ -91,33 +94,33 @@
 		asserter.Equal(t, "current with them", r.Current(kinds), at(900*time.Millisecond))
 	})
 	t.Run("is forwarded once", func(t *testing.T) {
-		r := New(descriptor.Member{ID: "b"})
+		r := New()
 		r.HandleFreshness(at(time.Second), announcement)
 		_, ok := r.HandleFreshness(at(time.Second), announcement)
 		asserter.Equal(t, "again", ok, false)
 	})
 	t.Run("is not sent without a new read of the store", func(t *testing.T) {
-		_, ok := origin.NextFreshness(at(800*time.Millisecond), kinds, sum)
+		_, ok := origin.NextFreshness(at(800*time.Millisecond), self, kinds, sum)
 		asserter.Equal(t, "sent", ok, false)
 	})
 	t.Run("is sent at once when documents changed", func(t *testing.T) {
-		_, ok := origin.NextFreshness(at(810*time.Millisecond), kinds, sum+1)
+		_, ok := origin.NextFreshness(at(810*time.Millisecond), self, kinds, sum+1)
 		asserter.Equal(t, "sent", ok, true)
 	})
 	t.Run("is not sent by an instance that cannot reach the store", func(t *testing.T) {
-		_, ok := origin.NextFreshness(at(5*time.Second), kinds, sum+2)
+		_, ok := origin.NextFreshness(at(5*time.Second), self, kinds, sum+2)
 		asserter.Equal(t, "sent", ok, false)
 	})
 }
 
 func TestMustQuery(t *testing.T) {
 	t.Run("without messages from peers, queries the store well within two seconds", func(t *testing.T) {
-		r := newWatcher("b", at(0))
+		r := newWatcher(at(0))
 		asserter.Equal(t, "after 1 s", r.MustQuery(at(time.Second), kinds), false)
 		asserter.Equal(t, "after 1.3 s", r.MustQuery(at(1300*time.Millisecond), kinds), true)
 	})
 	t.Run("keeps querying until announcements arrive regularly", func(t *testing.T) {
-		r := newWatcher("b", at(0))
+		r := newWatcher(at(0))
 		r.MustQuery(at(1300*time.Millisecond), kinds)
 		for _, k := range kinds {
 			r.RecordRead(k, at(1400*time.Millisecond))
@@ -135,7 +138,7 @@
 // TestRestoreDeadline guards against dropping backend servers whose entries expired
 // while the store was unavailable, before they could register again.
 func TestRestoreDeadline(t *testing.T) {
-	r := New(descriptor.Member{ID: "b"})
+	r := New()
 	r.RecordResponse(at(0), at(0))
 	r.RecordResponse(at(time.Second), at(900*time.Millisecond))
 	asserter.Equal(t, "no outage", r.RestoreDeadline(), time.Time{})
