--- a/bench_test.go
+++ b/bench_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/operator"
 )
 
 // usage is the resource usage of all running processes. The processor time cpu, the
@@ -38,16 +41,30 @@
 		pages, _ := strconv.Atoi(fields[21])
 		u.cpu += time.Duration(user+system) * time.Second / ticksPerSecond
 		u.resident += float64(pages * os.Getpagesize())
-		var m map[string]struct {
-			Value float64 `json:"value"`
-		}
-		get(f.t, p.operators, "/metrics", &m)
-		u.sentBytes += m["links.sentbytes"].Value
+		u.sentBytes += f.metric(p, "monsoonswitch_links_sentbytes")
 	}
 	u.calls = f.store.Calls().Total()
 	return u
 }
 
+// metric returns the value of a metric of a process.
+func (f *fleet) metric(p *process, name string) float64 {
+	f.t.Helper()
+	response, err := http.Get("http://" + p.operators + operator.MetricsPath)
+	asserter.NoError(f.t, "send request", err)
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if text, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			value, err := strconv.ParseFloat(text, 64)
+			asserter.NoError(f.t, "value of "+name, err)
+			return value
+		}
+	}
+	f.t.Fatalf("no metric %s", name)
+	return 0
+}
+
 // BenchmarkFleet measures fleets of real processes without requests: control traffic,
 // processor time, memory, store calls, and how long a new revision takes to be in
 // force at all instances.
