--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -75,10 +75,15 @@
 		return 0
 	}
 	share := slots / n
-	rest := slots % n
-	first, _ := bits.Mul64(xxhash.Sum64String(backend), uint64(n))
-	if (i-int(first)+n)%n < rest {
+	if Turn(n, i, backend) < slots%n {
 		share++
 	}
 	return share
 }
+
+// Turn returns the position of the serving instance with index i of n in an order that
+// differs by backend server, from 0 to n-1. n is positive and i is from 0 to n-1.
+func Turn(n, i int, backend string) int {
+	first, _ := bits.Mul64(xxhash.Sum64String(backend), uint64(n))
+	return (i - int(first) + n) % n
+}
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -194,6 +194,9 @@
 	}
 	id, s := b.backends.At(position)
 	long := b.classes[r.class].declared.Long
+	if s.estimate.ServeProbability(b.now) < healthyThreshold && b.mayCheck(r) {
+		r = r.WithReserved(b.spendRetry())
+	}
 	r = r.WithAttempt(id, b.now)
 	b.trace(r, descriptor.NoteDispatched, r.last, id, "", 0)
 	b.requests.Put(r.id, r)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -284,6 +284,7 @@
 	if r.queued {
 		b.queued--
 	}
+	b.returnRetry(r)
 	if b.options.PooledOutcomes && countsAsUnserved(reason) {
 		b.recordUnserved()
 	}
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -70,9 +70,10 @@
 		return false
 	}
 	if e.Fault == descriptor.FaultConnect {
+		b.returnRetry(r)
 		return true
 	}
-	return b.spendRetry()
+	return r.reserved || b.spendRetry()
 }
 
 // exhausted reports whether a request was sent to as many backend servers as allowed.
@@ -95,6 +96,13 @@
 	return ok
 }
 
+// returnRetry adds the retry that is reserved for r to the budget again.
+func (b *Balancer[E, D, P, L]) returnRetry(r request) {
+	if r.reserved {
+		b.budget = b.budget.WithReturned(b.terms)
+	}
+}
+
 // retryAfterError cancels an attempt that was answered with a server error if the
 // request has another open attempt or can be retried, and in the latter case retries
 // it. It reports whether the attempt was cancelled.
@@ -117,6 +125,7 @@
 // retry starts another attempt, or queues the request until a backend server not yet
 // tried has a free slot.
 func (b *Balancer[E, D, P, L]) retry(r request) {
+	r = r.WithReserved(false)
 	b.requests.Put(r.id, r)
 	if b.start(r) {
 		return
--- a/balancer/floor_test.go
+++ b/balancer/floor_test.go
@@ -5,7 +5,10 @@
 	"time"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
 	"monsoonswitch/picker"
+	"monsoonswitch/retrier"
 )
 
 // The floor of backend servers in use: in each window whose share of failures is
@@ -19,6 +22,10 @@
 	floorUsedShare   = 0.7
 	minFloorFailures = 0.1
 	maxFloorFailures = 0.5
+	// returnTime is the time after the end of its fault period within which a backend
+	// server must have work again: floorWindow until it counts as healthy, and floorWindow
+	// in which it must have work then.
+	returnTime = 2 * floorWindow
 )
 
 // watchFloor counts the windows in which too few backend servers had work.
@@ -27,6 +34,9 @@
 	if f.now <= replayTraffic && float64(notGrayUsed) < floorUsedShare*float64(notGray) {
 		f.tally.idleWindows++
 	}
+	if f.now <= replayTraffic {
+		f.watchRecovered()
+	}
 	healthy, used := f.used(f.countsForFloor)
 	share := f.failedShare()
 	if share > minFloorFailures && share < maxFloorFailures && float64(used) < floorUsedShare*float64(healthy) {
@@ -35,6 +45,19 @@
 	f.schedule(f.now+floorStep, f.watchFloor)
 }
 
+// watchRecovered counts the backend servers that recovered and have no work, and the
+// windows in which too few of those without running work had any.
+func (f *simulation[P]) watchRecovered() {
+	unused, _ := f.used(func(i int) bool { return f.healthyFor(i, returnTime) && f.now-f.lastSentAt[i] >= returnTime })
+	f.tally.unusedAfterRecovery += unused
+	idle, used := f.used(func(i int) bool {
+		return f.busy[i] == 0 && f.now-f.ownFailureAt[i] >= floorWindow && f.healthyFor(i, lossExclusion+floorWindow)
+	})
+	if float64(used) < floorUsedShare*float64(idle) {
+		f.tally.lossWindows++
+	}
+}
+
 // used counts the backend servers that match kind, and those of them that had work
 // within floorWindow.
 func (f *simulation[P]) used(kind func(int) bool) (all, used int) {
@@ -50,6 +73,16 @@
 	return all, used
 }
 
+// healthyFor reports whether a backend server was in no fault period for the given time.
+func (f *simulation[P]) healthyFor(i int, span time.Duration) bool {
+	for at := f.now - span; at <= f.now; at += floorWindow / 4 {
+		if at < 0 || f.load.gray(i, at) {
+			return false
+		}
+	}
+	return true
+}
+
 // countsForFloor reports whether a backend server counts as healthy: it had no
 // failure of its own within floorWindow, and none of its answers could be lost within
 // harmExclusion.
@@ -83,6 +116,23 @@
 	asserter.Equal(t, "windows with too few in use", got.idleWindows, 0)
 }
 
+// TestRecoveredGetWork guards against leaving backend servers without work after they
+// recovered. At many instances none could save the two retries that each needed to check
+// a suspected backend server.
+func TestRecoveredGetWork(t *testing.T) {
+	cases := []struct {
+		name                string
+		instances, backends int
+	}{{"few instances", owners, 40}, {"many instances", 30, 74}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			got := replay[picker.HighestScore](loadPattern{rate: steady(200), idempotent: 0.9, gray: grayPeriods, shedShare: noSheds, backends: c.backends, slots: 6, instances: c.instances})
+			asserter.Equal(t, "recovered without work", got.unusedAfterRecovery, 0)
+			asserter.Equal(t, "windows with too few in use before a loss of all work", got.lossWindows, 0)
+		})
+	}
+}
+
 // losingAnswers loses a share of the answers of the first backend servers for six
 // seconds.
 func losingAnswers(share float64, backends int) func(int, time.Duration) float64 {
@@ -120,3 +170,27 @@
 	l := loadPattern{rate: steady(15), gray: grayPeriods, shedShare: noSheds, backends: 6, slots: 3, lostShare: losingAnswers(0.4, 4)}
 	asserter.Equal(t, "windows with too few in use", replay[picker.HighestScore](l).shortWindows, 0)
 }
+
+// TestChecksReserveRetries guards against checks of suspected backend servers that count on
+// the same retry, so that all but one of them fail if the backend servers have not recovered.
+func TestChecksReserveRetries(t *testing.T) {
+	b := newPooledBalancer(Options{Self: "entry-0", Retries: retrier.Bounds{Ratio: 1, Window: time.Second}}, []descriptor.Member{{ID: "entry-0"}}, backendList(3, 3))
+	b.Declare(declarer.Service{Name: "billing", Classes: []declarer.Class{{Name: "read", Target: replayTarget, Idempotent: true, Attempts: 2}}}, 1)
+	b.HandleSuspicionList(epoch, descriptor.SuspicionList{List: []descriptor.Suspicion{{Backend: "b0", Gray: 1}, {Backend: "b1", Gray: 1}}})
+	b.budget = retrier.NewBudget(retrier.Terms{Limit: 1})
+	now := epoch.Add(2 * spreadInterval)
+	b.HandleOutcomes(now, descriptor.Outcomes{Service: "billing", List: []descriptor.BackendOutcomes{{Backend: "b2", Before: 1}}})
+	arrive := func(id descriptor.RequestID) {
+		b.Arrive(descriptor.Arrived{At: now, Request: id, Class: "read", Replayable: true, Deadline: now.Add(time.Second)})
+	}
+	arrive(1)
+	arrive(2)
+	sent := sentTo(b)
+	asserter.Equal(t, "sent", len(sent), 2)
+	asserter.True(t, "the first checks a suspected backend server", sent[0] != "b2")
+	asserter.Equal(t, "the second is sent to", sent[1], "b2")
+	t.Run("the reserved retry serves the check that failed", func(t *testing.T) {
+		b.Answered(descriptor.Answered{At: now, Request: 1, Attempt: 1, Status: 500})
+		asserter.Equal(t, "sent to", sentTo(b), []string{"b2"})
+	})
+}
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -32,16 +32,14 @@
 	// retryCost is the cost of a failure of work that can be retried, as a part of
 	// the cost of a failure of other work.
 	retryCost = 0.35
-	// requestsPerCanary is the mean number of idempotent requests of which one goes
-	// to the suspected backend server with the oldest estimate.
-	requestsPerCanary = 16
-	// nonOwnerRequestsPerCanary is that number at non-owners, which have few requests
-	// and get suspicion lists but no outcomes from other instances.
-	nonOwnerRequestsPerCanary = 3
-	// minCanaryBudget is the number of retries left below which an owner sends no
-	// canary and any instance counts a failure of idempotent work in full. Non-owners
-	// can save only 1 retry, so they send canaries from 1 on.
-	minCanaryBudget = 2
+	// requestsPerCanary is the mean number of idempotent requests at a non-owner of which
+	// one goes to the suspected backend server with the oldest estimate. Non-owners have
+	// few requests, and get suspicion lists but no outcomes from other instances.
+	requestsPerCanary = 3
+	// minCheckBudget is the number of retries left below which idempotent work checks no
+	// suspected backend server and its failure counts in full. It is one retry, which each
+	// instance can save, however many share the retries.
+	minCheckBudget = 1
 )
 
 // pickPooled returns the position of a backend server for r by pooled estimates and
@@ -118,7 +116,7 @@
 // failure of work that can be retried counts only retryCost.
 func (b *Balancer[E, D, P, L]) serveProbability(r request, s backend[E]) float64 {
 	probability := s.estimate.ServeProbability(b.now)
-	if !b.repeatable(r) || b.budget.Left < minCanaryBudget || int(r.last)-r.notRun+1 >= b.attemptLimit(r) {
+	if !b.repeatable(r) || b.budget.Left < minCheckBudget || int(r.last)-r.notRun+1 >= b.attemptLimit(r) {
 		return probability
 	}
 	return 1 - retryCost*(1-probability)
@@ -169,17 +167,13 @@
 }
 
 // canary returns the position of a suspected backend server for a random part of the
-// idempotent requests, or -1. This detects recovery without risking work that cannot
-// be retried.
+// idempotent requests of a non-owner, or -1. This detects recovery without risking work
+// that cannot be retried. Owners check all of them; see spreadBonusFor.
 func (b *Balancer[E, D, P, L]) canary(r request, positions []int) int {
-	every, budget := uint64(requestsPerCanary), float64(minCanaryBudget)
-	if b.position < 0 {
-		every, budget = nonOwnerRequestsPerCanary, 1
-	}
-	if r.last > 0 || !b.repeatable(r) || b.queued > 0 || b.budget.Left < budget {
+	if b.position >= 0 || b.queued > 0 || !b.mayCheck(r) {
 		return -1
 	}
-	if b.random.Uint64()%every != 0 {
+	if b.random.Uint64()%requestsPerCanary != 0 {
 		return -1
 	}
 	oldest := -1
--- a/balancer/replay_test.go
+++ b/balancer/replay_test.go
@@ -52,6 +52,8 @@
 	seed uint64
 	// backends and slots are the size of the service.
 	backends, slots int
+	// instances is the number of instances; 0 means owners.
+	instances int
 }
 
 // tally counts how requests ended.
@@ -67,6 +69,12 @@
 	// idleWindows counts all windows in which too few of those outside a fault period
 	// had work.
 	shortWindows, idleWindows int
+	// unusedAfterRecovery counts the pairs of a window and a backend server that left its
+	// fault period returnTime ago or earlier and had no work for as long.
+	unusedAfterRecovery int
+	// lossWindows counts the windows at whose end too few of the backend servers without
+	// running work had any before. Only these count as healthy if all running work is lost.
+	lossWindows int
 	// longest is the longest wait of a request that was refused.
 	longest time.Duration
 }
@@ -85,7 +93,7 @@
 	// requests.
 	busyTick = 10 * time.Millisecond
 	idleTick = 100 * time.Millisecond
-	// owners is the number of instances, all of which own slots.
+	// owners is the default number of instances, all of which own slots.
 	owners = 6
 )
 
@@ -126,20 +134,23 @@
 
 // replay runs a load with a picker policy and returns the result.
 func replay[P picker.Policy](l loadPattern) tally {
+	if l.instances == 0 {
+		l.instances = owners
+	}
 	f := &simulation[P]{load: l, random: rand.New(rand.NewPCG(7, 9+l.seed)), requests: make(map[descriptor.RequestID]*replayed), busy: make([]int, l.backends)}
 	for range l.backends {
 		f.lastSentAt, f.ownFailureAt, f.lossPossibleAt = append(f.lastSentAt, -lossExclusion), append(f.ownFailureAt, -lossExclusion), append(f.lossPossibleAt, -lossExclusion)
 	}
 	f.tally.used = make(map[int]time.Duration)
 	var members []descriptor.Member
-	for i := range owners {
+	for i := range l.instances {
 		members = append(members, descriptor.Member{ID: fmt.Sprintf("entry-%d", i)})
 	}
 	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{
 		{Name: "read", Target: replayTarget, Timeout: replayTimeout, Idempotent: true, Attempts: 3},
 		{Name: "once", Target: replayTarget, Timeout: replayTimeout, Attempts: 1},
 	}}
-	for i := range owners {
+	for i := range l.instances {
 		b := New[detector.Evidence, detector.Sequential, P, limiter.Bounded](service, Options{
 			Self: members[i].ID, Seed: uint64(i), PooledOutcomes: true, NextWrite: func() descriptor.WriteID { return 1 },
 			Retries: retrier.Bounds{Ratio: 0.2, Extra: 50, Window: 10 * time.Second},
@@ -186,7 +197,7 @@
 	for at := time.Duration(0); at < replayTraffic; {
 		at += time.Duration(f.random.ExpFloat64() / f.load.rate(at) * float64(time.Second))
 		id++
-		request, instance := id, f.random.IntN(owners)
+		request, instance := id, f.random.IntN(f.load.instances)
 		class := "once"
 		if f.random.Float64() < f.load.idempotent {
 			class = "read"
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -58,6 +58,8 @@
 	callerGone bool
 	// queued is set while the request waits for a slot.
 	queued bool
+	// reserved is set while a retry of the budget is reserved for the request.
+	reserved bool
 	// status is the HTTP status delivered to the caller.
 	status int
 }
@@ -109,6 +111,12 @@
 	return r
 }
 
+// WithReserved returns r with or without a reserved retry.
+func (r request) WithReserved(reserved bool) request {
+	r.reserved = reserved
+	return r
+}
+
 // WithNotRun returns r after an attempt that did not run.
 func (r request) WithNotRun() request {
 	r.notRun++
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -28,9 +28,10 @@
 	// for a request. It is below the two-second window of the operators, so that an
 	// instance with little work still sends one in time.
 	spreadInterval = 1800 * time.Millisecond
-	// ownerIntervalRatio shortens spreadInterval at the one owner that is assigned to
-	// a backend server. The other owners send work only if that one did not.
-	ownerIntervalRatio = 0.8
+	// firstTurnRatio shortens spreadInterval at the owner whose turn comes first for a
+	// backend server. The other owners follow one after the other until spreadInterval, so
+	// that they do not all send work at once.
+	firstTurnRatio = 0.8
 	// spreadProbability is the probability of serving a request from which a backend
 	// server counts as possibly healthy. spreadProbabilityFailing applies while the
 	// share of failures is elevated.
@@ -39,12 +40,23 @@
 	// spreadBonus adds to the score of an overdue backend server, in units of the
 	// probability of serving the request. It ranks it ahead of all others.
 	spreadBonus = 0.7
+	// maxOverdueIntervals bounds the factor by which the bonus for a check grows with the
+	// time without work, in spread intervals. It grows so that a backend server with a
+	// low estimate is not passed over for as long as others are overdue.
+	maxOverdueIntervals = 2
 )
 
 // spreadBonusFor returns the addition to the score of s for r because s had no work
 // for a while.
 func (b *Balancer[E, D, P, L]) spreadBonusFor(r request, s backend[E]) float64 {
-	if !b.spreading || b.failedRecently(s) || s.estimate.ServeProbability(b.now) < b.spreadThreshold || b.inUse(s, b.spreadIntervalFor(s)) {
+	if b.position < 0 || b.inUse(s, b.spreadIntervalFor(s)) {
+		return 0
+	}
+	if b.mayCheck(r) && b.now.Sub(s.failedAt) >= spreadInterval {
+		intervals := float64(b.now.Sub(s.usedAt)) / float64(spreadInterval)
+		return spreadBonus * min(maxOverdueIntervals, intervals)
+	}
+	if !b.spreading || b.failedRecently(s) || s.estimate.ServeProbability(b.now) < b.spreadThreshold {
 		return 0
 	}
 	if !b.repeatable(r) && b.repeatableShare >= minRepeatableShare && !b.recentOutcomes.failuresElevated() {
@@ -54,6 +66,13 @@
 	return spreadBonus
 }
 
+// mayCheck reports whether r may find out whether a suspected backend server recovered: a
+// failure costs it only one of the retries that are left. dispatch reserves that one, so
+// that the checks in progress do not count on the same retry.
+func (b *Balancer[E, D, P, L]) mayCheck(r request) bool {
+	return r.last == 0 && b.repeatable(r) && b.attemptLimit(r) > 1 && b.budget.Left >= minCheckBudget
+}
+
 // updateRepeatableShare adds r to the moving average share of work that may run
 // twice.
 func (b *Balancer[E, D, P, L]) updateRepeatableShare(r request) {
@@ -67,11 +86,9 @@
 // spreadIntervalFor returns the time without work after which s is overdue for a
 // request of this instance.
 func (b *Balancer[E, D, P, L]) spreadIntervalFor(s backend[E]) time.Duration {
-	if allocator.Share(1, len(b.owners), b.position, s.listed.ID) == 0 {
-		return spreadInterval
-	}
-	interval := ownerIntervalRatio * float64(spreadInterval)
-	return time.Duration(interval)
+	owners := len(b.owners)
+	turn := float64(allocator.Turn(owners, b.position, s.listed.ID)) / float64(owners)
+	return time.Duration((firstTurnRatio + (1-firstTurnRatio)*turn) * float64(spreadInterval))
 }
 
 // inUse reports whether a backend server had work within the given time.
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -195,8 +195,8 @@
 			continue
 		}
 		position := b.pickFrom(&b.preferred, r)
-		if position >= 0 && b.spendRetry() {
-			b.dispatch(r, position)
+		if position >= 0 && (r.reserved || b.spendRetry()) {
+			b.dispatch(r.WithReserved(false), position)
 		}
 	}
 }
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -99,6 +99,12 @@
 	return b
 }
 
+// WithReturned returns b after a retry that was taken and not sent.
+func (b Budget) WithReturned(t Terms) Budget {
+	b.Left = min(t.Limit, b.Left+1)
+	return b
+}
+
 // WithRetry returns b after one retry and reports whether the budget allowed it.
 func (b Budget) WithRetry() (Budget, bool) {
 	if b.Left < 1 {
