--- a/endless_test.go
+++ b/endless_test.go
@@ -57,7 +57,7 @@
 
 // serve answers the first request of a connection until the instance closes it.
 func (b *endlessBackend) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	if err != nil {
 		return
