--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -75,6 +75,9 @@
 	for {
 		n, err := response.Body.Read(*buffer)
 		sum += uint64(n)
+		if response.ContentLength >= 0 && sum >= uint64(response.ContentLength) {
+			t.wholeRead.Store(true)
+		}
 		if n > 0 {
 			if err := s.write(t, controller, (*buffer)[:n]); err != nil {
 				return sum, err
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,9 @@
 	cancel  context.CancelFunc
 	// response is set before Answered is posted.
 	response *http.Response
+	// wholeRead is set before the last byte of an answer of known length is written to
+	// the caller, which may then have the whole answer.
+	wholeRead atomic.Bool
 	closing  sync.Once
 	// connectionsUsed counts the connections that carried the request.
 	// firstIdleNanos is how long the first one had been idle, in nanoseconds.
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -153,6 +153,12 @@
 			s.endDelivery(d)
 			return
 		case <-s.callerDone:
+			if s.delivering != nil && s.delivering.wholeRead.Load() {
+				// The caller may have left because it has the whole answer. The result
+				// of copying it tells.
+				s.callerDone = nil
+				continue
+			}
 			s.recordCallerGone(time.Now())
 		}
 	}
