--- a/linker/link.go
+++ b/linker/link.go
@@ -73,6 +73,9 @@
 	conn, response, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
 		HTTPClient: l.client,
 		HTTPHeader: http.Header{proofHeader: {proof}},
+
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: compressedBytes,
 	})
 	if err != nil {
 		return l.dialError(err)
@@ -107,7 +110,10 @@
 		return
 	}
 	w.Header().Set(proofHeader, messenger.Prove(l.options.Key, messenger.Acceptor, nonce, time.Now()))
-	conn, err := websocket.Accept(w, r, nil)
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{
+		CompressionMode:      websocket.CompressionNoContextTakeover,
+		CompressionThreshold: compressedBytes,
+	})
 	if err != nil {
 		l.options.Reject(r.RemoteAddr, err)
 		return
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -44,6 +44,10 @@
 	maxIdleTime = 30 * time.Second
 )
 
+// compressedBytes is the size of a message in bytes from which it is compressed. Smaller
+// ones are frequent, and compressing them would save little.
+const compressedBytes = 4 << 10
+
 // Poster accepts events.
 type Poster interface {
 	// Post posts an event.
