--- a/decider/lists_test.go
+++ b/decider/lists_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 )
 
@@ -70,3 +72,41 @@
 		asserter.True(t, id+" holds the present list", slices.Equal(list.Backends, f.backends))
 	}
 }
+
+// manyRoutes is the number of routes of a large routing.
+const manyRoutes = 1450
+
+// largeRouting returns a routing with many routes, the last of them of the given version.
+func largeRouting(version uint64) declarer.Routing {
+	r := declarer.Routing{Version: version}
+	for i := range manyRoutes {
+		r.Routes = append(r.Routes, declarer.HostRoute{
+			Host: "jepu9.example", Path: fmt.Sprintf("/lepu%d/2f/", i), Parts: []declarer.Part{{Service: "ledger", Weight: 1}},
+			Class: declarer.Class{Name: fmt.Sprintf("r-%07d", i), Target: time.Second, Timeout: 3 * time.Second, Attempts: 3},
+		})
+	}
+	r.Routes[manyRoutes-1].Class.Timeout = time.Duration(version) * time.Second
+	return r
+}
+
+// TestBytesOfChangingRouting guards against sending all routes for each change of one. With
+// the links of small instances full of routes, a version was in force too late.
+func TestBytesOfChangingRouting(t *testing.T) {
+	f := newRoutedFleet(24)
+	f.routing = largeRouting
+	f.version++
+	f.run(10 * time.Second)
+	clear(f.sentBytes)
+	const steps = 20
+	for range steps {
+		f.version++
+		f.run(300 * time.Millisecond)
+	}
+	seconds := float64(steps) * 0.3
+	asserter.AtMost(t, "bytes an instance and second", float64(f.sentBytes[descriptor.TypeDocuments])/seconds/float64(len(f.order)), controlBytesPerSecond)
+	f.run(2 * time.Second)
+	for _, id := range f.order {
+		asserter.Equal(t, "version at "+id, f.inForce(id), f.version)
+		asserter.True(t, id+" holds the present routes", reflect.DeepEqual(f.instances[id].routes.Routing(), largeRouting(f.version)))
+	}
+}
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -27,6 +27,8 @@
 	// version is that of the routing in the store, revision that of its backend
 	// list.
 	version, revision uint64
+	// routing returns the routing of a version.
+	routing func(version uint64) declarer.Routing
 	// clock is the incarnation of instances that are added.
 	clock int64
 	// partitioned holds the instances whose messages are dropped while their links
@@ -62,7 +64,7 @@
 func newRoutedFleet(n int) *routedFleet {
 	f := &routedFleet{
 		instances: make(map[string]*Routed), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
-		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1, clock: 1e6,
+		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1, clock: 1e6, routing: routingOf,
 		backends:  []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}},
 		sentBytes: make(map[descriptor.MessageType]int),
 	}
@@ -150,7 +152,7 @@
 // read gives an instance a complete read of the store.
 func (f *routedFleet) read(id string, version uint64) {
 	f.reads++
-	routing := routingOf(version)
+	routing := f.routing(version)
 	f.step(id, descriptor.DocumentsRead{At: f.now, AsOf: f.now, Kind: descriptor.KindRouting, Complete: true, Documents: []descriptor.Document{
 		{Kind: descriptor.KindRouting, Name: "all", Revision: version, Routing: &routing},
 	}})
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -155,9 +155,9 @@
 	// Backends is set for KindBackends. Each of them has an ID of its own.
 	Backends []Backend `cbor:",omitempty"`
 	// Base is 0 in a complete document. Otherwise the document holds only the
-	// difference to the list with the content hash Base: Backends are those that were
-	// added or changed, and Removed are the IDs of those that were removed. Sum is the
-	// content hash of the resulting list.
+	// difference to the list or routing with the content hash Base: Backends or the
+	// routes of Routing are those that were added or changed, and Removed are the IDs or
+	// class names of those that were removed. Sum is the content hash of the result.
 	Base    uint64   `json:",omitzero" cbor:",omitempty"`
 	Removed []string `json:",omitempty" cbor:",omitempty"`
 	Sum     uint64   `json:",omitzero" cbor:",omitempty"`
@@ -172,10 +172,13 @@
 	Kind     Kind
 	Name     string
 	Revision uint64
-	// Sum is the content hash of a list of backend servers. It is that of the
-	// revision, or in a request that of the list which the sender holds, and 0 if the
-	// sender holds none or needs a complete one.
+	// Sum is the content hash of a list of backend servers or a routing. It is that of
+	// the revision, or in a request that of the version which the sender holds, and 0 if
+	// the sender holds none or needs a complete one.
 	Sum uint64 `json:",omitzero" cbor:",omitempty"`
+	// Earlier holds, in a request, the content hashes of the versions that the sender
+	// held before, newest first.
+	Earlier []uint64 `json:",omitempty" cbor:",omitempty"`
 }
 
 // Score is one instance's evidence about one backend server.
--- a/spreader/list.go
+++ b/spreader/list.go
@@ -1,6 +1,7 @@
 package spreader
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
@@ -49,11 +50,18 @@
 	return d.Kind == descriptor.KindBackends && k.sum == contentSum(d.Backends)
 }
 
-// remember keeps a list that is about to be replaced.
-func (s *Spreader) remember(k key, h held) {
-	if k.kind != descriptor.KindBackends {
-		return
+// remember keeps what it takes to send next, which is about to replace h, as a difference.
+func (s *Spreader) remember(k key, h held, next descriptor.Document) {
+	switch k.kind {
+	case descriptor.KindBackends:
+		s.rememberList(k, h)
+	case descriptor.KindRouting:
+		s.rememberRouting(k, h, next)
 	}
+}
+
+// rememberList keeps a list that is about to be replaced.
+func (s *Spreader) rememberList(k key, h held) {
 	history, ok := s.history.Get(k)
 	if !ok {
 		history = container.NewRing[version](historyLength)
@@ -62,16 +70,55 @@
 	history.Add(version{sum: h.sum, list: h.document.Backends})
 }
 
-// difference returns d as the difference to the version with the content hash base, or d
-// itself if that version is not known or the difference is not smaller.
-func (s *Spreader) difference(k key, h held, base uint64) descriptor.Document {
-	d := h.document
-	if k.kind != descriptor.KindBackends || base == 0 {
-		return d
+// maxEarlier is the number of earlier versions that a request names.
+const maxEarlier = 8
+
+// earlier returns the content hashes of the versions of a document that were held before,
+// newest first.
+func (s *Spreader) earlier(k key) []uint64 {
+	var sums []uint64
+	if history, ok := s.history.Get(k); ok {
+		for _, v := range history.Slice() {
+			sums = append(sums, v.sum)
+		}
+	}
+	if changes, ok := s.routingChanges.Get(k); ok {
+		for _, c := range changes.Slice() {
+			sums = append(sums, c.sum)
+		}
+	}
+	slices.Reverse(sums)
+	return sums[:min(len(sums), maxEarlier)]
+}
+
+// difference returns a document as the difference to the first known version of those that
+// r names, or complete if r names none or none is known.
+func (s *Spreader) difference(k key, h held, r descriptor.Reference) descriptor.Document {
+	if r.Sum == 0 || h.sum == 0 {
+		return h.document
+	}
+	for _, base := range append([]uint64{r.Sum}, r.Earlier...) {
+		if d, ok := s.differenceTo(k, h, base); ok {
+			return d
+		}
 	}
+	return h.document
+}
+
+// differenceTo returns a document as the difference to the version with the content hash
+// base, or complete if that is not larger. It returns false if that version is not known.
+func (s *Spreader) differenceTo(k key, h held, base uint64) (descriptor.Document, bool) {
+	if k.kind == descriptor.KindRouting {
+		return s.routingDifference(k, h, base)
+	}
+	return s.listDifference(k, h, base)
+}
+
+func (s *Spreader) listDifference(k key, h held, base uint64) (descriptor.Document, bool) {
+	d := h.document
 	from, ok := s.version(k, h, base)
 	if !ok {
-		return d
+		return d, false
 	}
 	before := make(map[string]descriptor.Backend, len(from))
 	for _, b := range from {
@@ -91,9 +138,9 @@
 		}
 	}
 	if len(changes.Backends)+len(changes.Removed) >= len(d.Backends) {
-		return d
+		return d, true
 	}
-	return changes
+	return changes, true
 }
 
 // version returns the present or an earlier version of a list by its content hash.
@@ -113,17 +160,27 @@
 	return nil, false
 }
 
-// complete returns the complete document for one that may hold only a difference. It
-// returns false if the base of the difference is not held, or the result is not the
-// expected list.
-func (s *Spreader) complete(d descriptor.Document) (descriptor.Document, bool) {
-	if d.Base == 0 {
+// complete returns the complete document for one that may hold only a difference. That is
+// applied to base, the version that is held, also if it is to an earlier one: what changed
+// since then is in the difference too, unless it changed back. complete returns false if the
+// difference is to a version that was not held, or the result is not the expected one.
+func (s *Spreader) complete(k key, d descriptor.Document, base held) (descriptor.Document, bool) {
+	switch {
+	case d.Base == 0:
 		return d, true
-	}
-	h, ok := s.documents.Get(key{d.Kind, d.Name})
-	if !ok || h.sum != d.Base {
+	case d.Base != base.sum && !slices.Contains(s.earlier(k), d.Base):
 		return d, false
+	case d.Kind == descriptor.KindBackends:
+		return completeList(d, base.document.Backends)
+	case d.Kind == descriptor.KindRouting && d.Routing != nil && base.document.Routing != nil:
+		return completeRouting(d, *base.document.Routing)
 	}
+	return d, false
+}
+
+// completeList returns the complete list for a difference to the one that is held. It
+// returns false if the result is not the expected list.
+func completeList(d descriptor.Document, base []descriptor.Backend) (descriptor.Document, bool) {
 	changed := make(map[string]descriptor.Backend, len(d.Backends))
 	for _, b := range d.Backends {
 		changed[b.ID] = b
@@ -132,8 +189,8 @@
 	for _, id := range d.Removed {
 		removed[id] = true
 	}
-	list := make([]descriptor.Backend, 0, len(h.document.Backends)+len(d.Backends))
-	for _, b := range h.document.Backends {
+	list := make([]descriptor.Backend, 0, len(base)+len(d.Backends))
+	for _, b := range base {
 		if now, ok := changed[b.ID]; ok {
 			list = append(list, now)
 			delete(changed, b.ID)
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -30,17 +30,20 @@
 // held is a document with its content hash.
 type held struct {
 	document descriptor.Document
-	// sum is the content hash of a list of backend servers, and 0 for other kinds, whose
-	// content follows from the revision.
+	// sum is the content hash of a list of backend servers or a routing, and 0 for other
+	// kinds.
 	sum uint64
 }
 
 // newHeld returns a complete document with its content hash.
 func newHeld(d descriptor.Document) held {
-	if d.Kind != descriptor.KindBackends {
-		return held{document: d}
+	switch {
+	case d.Kind == descriptor.KindBackends:
+		return held{document: d, sum: contentSum(d.Backends)}
+	case d.Kind == descriptor.KindRouting && d.Routing != nil:
+		return held{document: d, sum: routingSum(*d.Routing)}
 	}
-	return held{document: d, sum: contentSum(d.Backends)}
+	return held{document: d}
 }
 
 // WithRevision returns h with a later revision that has the same content.
@@ -71,6 +74,8 @@
 	documents *container.Table[key, held]
 	// history holds the latest earlier versions of each list of backend servers.
 	history *container.Table[key, *container.Ring[version]]
+	// routingChanges holds how the latest versions of each routing differ.
+	routingChanges *container.Table[key, *container.Ring[routingChange]]
 	// digest sums up the hashes of all documents.
 	digest container.BucketSums
 	// differing holds, for each instance, the set of buckets in which its last
@@ -91,6 +96,8 @@
 		requested:   container.NewTable[key, request](),
 		unannounced: container.NewTable[key, string](),
 		differing:   container.NewTable[string, uint64](),
+
+		routingChanges: container.NewTable[key, *container.Ring[routingChange]](),
 	}
 }
 
@@ -116,7 +123,7 @@
 	if ok && old.document.Revision >= d.Revision {
 		return d, false
 	}
-	d, whole := s.complete(d)
+	d, whole := s.complete(k, withSortedRoutes(d), old)
 	if !whole {
 		s.requestWhole(k)
 		return d, false
@@ -128,7 +135,7 @@
 	}
 	if ok {
 		s.digest = s.digest.Without(k.hash(), old.hash())
-		s.remember(k, old)
+		s.remember(k, old, d)
 	}
 	h := newHeld(d)
 	s.digest = s.digest.With(k.hash(), h.hash())
@@ -151,7 +158,7 @@
 // instances that read the store at different moments see different revisions of it.
 func (h held) hash() uint64 {
 	k := key{h.document.Kind, h.document.Name}
-	if h.sum != 0 {
+	if k.kind == descriptor.KindBackends {
 		return k.hash()*hashMultiplier + h.sum
 	}
 	return k.hash()*hashMultiplier + h.document.Revision*revisionMultiplier
@@ -276,9 +283,9 @@
 			continue
 		}
 		if open, ok := s.startRequest(now, k, r.Revision); ok {
-			r.Sum = h.sum
+			r.Sum, r.Earlier = h.sum, s.earlier(k)
 			if open.whole {
-				r.Sum = 0
+				r.Sum, r.Earlier = 0, nil
 			}
 			want.List = append(want.List, r)
 		}
@@ -290,7 +297,7 @@
 			continue
 		}
 		if !ok || r.Sum == 0 || r.Sum != h.sum {
-			have = append(have, s.difference(k, h, r.Sum))
+			have = append(have, s.difference(k, h, r))
 		}
 	}
 	return want, pack(have)
@@ -322,7 +329,7 @@
 	for _, r := range m.List {
 		k := key{r.Kind, r.Name}
 		if h, ok := s.documents.Get(k); ok && h.document.Revision >= r.Revision {
-			list = append(list, s.difference(k, h, r.Sum))
+			list = append(list, s.difference(k, h, r))
 		}
 	}
 	return pack(list)
