--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -53,8 +53,7 @@
 		return 0
 	}
 	if b.mayCheck(r) && b.now.Sub(s.failedAt) >= spreadInterval {
-		intervals := float64(b.now.Sub(s.usedAt)) / float64(spreadInterval)
-		return spreadBonus * min(maxOverdueIntervals, intervals)
+		return b.checkBonus(s)
 	}
 	if !b.spreading || b.failedRecently(s) || s.estimate.ServeProbability(b.now) < b.spreadThreshold {
 		return 0
@@ -66,6 +65,13 @@
 	return spreadBonus
 }
 
+// checkBonus returns the addition to the score of s for a request that checks it. It grows
+// with the time without work.
+func (b *Balancer[E, D, P, L]) checkBonus(s backend[E]) float64 {
+	intervals := float64(b.now.Sub(s.usedAt)) / float64(spreadInterval)
+	return spreadBonus * min(maxOverdueIntervals, intervals)
+}
+
 // mayCheck reports whether r may find out whether a suspected backend server recovered: a
 // failure costs it only one of the retries that are left. dispatch reserves that one, so
 // that the checks in progress do not count on the same retry.
--- a/spreader/list.go
+++ b/spreader/list.go
@@ -114,6 +114,8 @@
 	return s.listDifference(k, h, base)
 }
 
+// listDifference returns the list h as the difference to the version with the content hash
+// base, or complete if that is not larger. It returns false if that version is not known.
 func (s *Spreader) listDifference(k key, h held, base uint64) (descriptor.Document, bool) {
 	d := h.document
 	from, ok := s.version(k, h, base)
--- a/spreader/routing.go
+++ b/spreader/routing.go
@@ -1,6 +1,7 @@
 package spreader
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -111,6 +112,9 @@
 	changes.Add(routingChange{sum: h.sum, names: changedRoutes(h.document.Routing, next.Routing)})
 }
 
+// routingDifference returns the routing h as the difference to the version with the content
+// hash base, or complete if nearly all routes changed. It returns false if that version is
+// not known.
 func (s *Spreader) routingDifference(k key, h held, base uint64) (descriptor.Document, bool) {
 	names, ok := s.routesChangedSince(k, base)
 	if !ok || len(names) >= len(h.document.Routing.Routes) {
@@ -125,9 +129,7 @@
 			delete(names, route.Class.Name)
 		}
 	}
-	for name := range names {
-		d.Removed = append(d.Removed, name)
-	}
+	d.Removed = slices.Sorted(maps.Keys(names))
 	d.Routing, d.Base, d.Sum = &routing, base, h.sum
 	return d, true
 }
