--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -28,7 +28,7 @@
 	// wholeRead is set before the last byte of an answer of known length is written to
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
-	closing  sync.Once
+	closing   sync.Once
 	// connectionsUsed counts the connections that carried the request.
 	// firstIdleNanos is how long the first one had been idle, in nanoseconds.
 	connectionsUsed atomic.Int32
