--- a/balancer/floor_test.go
+++ b/balancer/floor_test.go
@@ -171,6 +171,27 @@
 	asserter.Equal(t, "windows with too few in use", replay[picker.HighestScore](l).shortWindows, 0)
 }
 
+// TestFloorOfManyOwners guards against too few backend servers in use when the share of
+// failures of a service without idempotent work passes a tenth. Each of its owners sees few
+// requests, and only failures tell that other backend servers must be tried.
+func TestFloorOfManyOwners(t *testing.T) {
+	l := loadPattern{rate: steady(75), gray: grayPeriods, shedShare: noSheds, backends: 32, slots: 3, instances: 15}
+	cases := []struct {
+		name      string
+		lostShare func(int, time.Duration) float64
+	}{{"gray ones only", nil}, {"some answers of most backend servers", losingAnswers(0.4, 18)}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			short := 0
+			for seed := range uint64(3) {
+				l.seed, l.lostShare = seed, c.lostShare
+				short += replay[picker.HighestScore](l).shortWindows
+			}
+			asserter.Equal(t, "windows with too few in use", short, 0)
+		})
+	}
+}
+
 // TestChecksReserveRetries guards against checks of suspected backend servers that count on
 // the same retry, so that all but one of them fail if the backend servers have not recovered.
 func TestChecksReserveRetries(t *testing.T) {
