--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -194,7 +194,7 @@
 	}
 	id, s := b.backends.At(position)
 	long := b.classes[r.class].declared.Long
-	if s.estimate.ServeProbability(b.now) < healthyThreshold && b.mayCheck(r) {
+	if b.mayCheck(r) && s.estimate.ServeProbability(b.now) < healthyThreshold {
 		r = r.WithReserved(b.spendRetry())
 	}
 	r = r.WithAttempt(id, b.now)
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -49,7 +49,7 @@
 // spreadBonusFor returns the addition to the score of s for r because s had no work
 // for a while.
 func (b *Balancer[E, D, P, L]) spreadBonusFor(r request, s backend[E]) float64 {
-	if b.position < 0 || b.inUse(s, b.spreadIntervalFor(s)) {
+	if b.position < 0 || !b.overdue(s) {
 		return 0
 	}
 	if b.mayCheck(r) && b.now.Sub(s.failedAt) >= spreadInterval {
@@ -89,6 +89,13 @@
 	b.repeatableShare += repeatableShareWeight * (repeatable - b.repeatableShare)
 }
 
+// overdue reports whether s had no work for so long that this instance sends it a request.
+// Most had work within the shortest interval, which saves computing the turn.
+func (b *Balancer[E, D, P, L]) overdue(s backend[E]) bool {
+	const shortest = time.Duration(firstTurnRatio * float64(spreadInterval))
+	return !b.inUse(s, shortest) && !b.inUse(s, b.spreadIntervalFor(s))
+}
+
 // spreadIntervalFor returns the time without work after which s is overdue for a
 // request of this instance.
 func (b *Balancer[E, D, P, L]) spreadIntervalFor(s backend[E]) time.Duration {
@@ -135,7 +142,7 @@
 			probability = 1 - s.estimate.WithTime(b.now).Gray
 		}
 		expected += probability
-		if b.inUse(s, b.spreadIntervalFor(s)) {
+		if !b.overdue(s) {
 			used += probability
 		}
 	}
--- a/spreader/list.go
+++ b/spreader/list.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sort"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -183,30 +183,37 @@
 // completeList returns the complete list for a difference to the one that is held. It
 // returns false if the result is not the expected list.
 func completeList(d descriptor.Document, base []descriptor.Backend) (descriptor.Document, bool) {
-	changed := make(map[string]descriptor.Backend, len(d.Backends))
-	for _, b := range d.Backends {
-		changed[b.ID] = b
-	}
-	removed := make(map[string]bool, len(d.Removed))
-	for _, id := range d.Removed {
-		removed[id] = true
-	}
-	list := make([]descriptor.Backend, 0, len(base)+len(d.Backends))
-	for _, b := range base {
-		if now, ok := changed[b.ID]; ok {
-			list = append(list, now)
-			delete(changed, b.ID)
-		} else if !removed[b.ID] {
-			list = append(list, b)
+	sum := d.Sum
+	d.Backends = merged(base, d.Backends, d.Removed, func(b descriptor.Backend) string { return b.ID })
+	d.Base, d.Removed, d.Sum = 0, nil, 0
+	return d, contentSum(d.Backends) == sum
+}
+
+// merged returns base with changed and added items and without those whose names are
+// removed, in the order of the names.
+func merged[T any](base, changes []T, removals []string, name func(T) string) []T {
+	changed := make(map[string]T, len(changes))
+	for _, v := range changes {
+		changed[name(v)] = v
+	}
+	removed := make(map[string]bool, len(removals))
+	for _, n := range removals {
+		removed[n] = true
+	}
+	result := make([]T, 0, len(base)+len(changes))
+	for _, v := range base {
+		if now, ok := changed[name(v)]; ok {
+			result = append(result, now)
+			delete(changed, name(v))
+		} else if !removed[name(v)] {
+			result = append(result, v)
 		}
 	}
-	for _, b := range d.Backends {
-		if _, ok := changed[b.ID]; ok {
-			list = append(list, b)
+	for _, v := range changes {
+		if _, ok := changed[name(v)]; ok {
+			result = append(result, v)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-	sum := d.Sum
-	d.Backends, d.Base, d.Removed, d.Sum = list, 0, nil, 0
-	return d, contentSum(list) == sum
+	slices.SortStableFunc(result, func(a, b T) int { return strings.Compare(name(a), name(b)) })
+	return result
 }
--- a/spreader/routing.go
+++ b/spreader/routing.go
@@ -157,29 +157,8 @@
 // completeRouting returns the complete routing for a difference to the one that is held. It
 // returns false if the result is not the expected routing.
 func completeRouting(d descriptor.Document, base declarer.Routing) (descriptor.Document, bool) {
-	changed := routesByName(d.Routing)
-	removed := make(map[string]bool, len(d.Removed))
-	for _, name := range d.Removed {
-		removed[name] = true
-	}
-	routing := *d.Routing
-	routing.Routes = make([]declarer.HostRoute, 0, len(base.Routes)+len(d.Routing.Routes))
-	for _, route := range base.Routes {
-		name := route.Class.Name
-		if now, ok := changed[name]; ok {
-			routing.Routes = append(routing.Routes, now)
-			delete(changed, name)
-		} else if !removed[name] {
-			routing.Routes = append(routing.Routes, route)
-		}
-	}
-	for _, route := range d.Routing.Routes {
-		if _, ok := changed[route.Class.Name]; ok {
-			routing.Routes = append(routing.Routes, route)
-		}
-	}
-	slices.SortStableFunc(routing.Routes, compareRoutes)
-	sum := d.Sum
+	sum, routing := d.Sum, *d.Routing
+	routing.Routes = merged(base.Routes, routing.Routes, d.Removed, func(r declarer.HostRoute) string { return r.Class.Name })
 	d.Routing, d.Base, d.Removed, d.Sum = &routing, 0, nil, 0
 	return d, routingSum(routing) == sum
 }
