--- /dev/null
+++ b/allocator/callers.go
@@ -0,0 +1,99 @@
+package allocator
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonswitch/descriptor"
+)
+
+// capacityPerSlot is the processor, in thousandths of a core, that the instances which
+// callers are sent to have together for each slot of the backend servers. A slot that runs
+// two requests a second needs about a third of it, which leaves room for bursts and for the
+// loss of an instance.
+const capacityPerSlot = 4
+
+// SetCallers has a role filled by the instances that callers are sent to, where the
+// backend servers of all services have the given number of slots together. It reports
+// whether these instances changed.
+func (x *Index) SetCallers(role string, slots int) bool {
+	r, ok := x.services.Get(role)
+	if ok && r.callers && r.count == slots {
+		return false
+	}
+	r.callers = true
+	r.count = slots
+	return x.rank(role, r)
+}
+
+// callers returns the instances that callers are sent to. Callers choose evenly among the
+// instances of their failure domain, so that the least capable one bounds what they serve
+// together.
+func (g *groups) callers(role string, slots int) []descriptor.Member {
+	if !g.capacitiesKnown() {
+		return g.serving(role, CallerCount(slots, g.domains.Len()))
+	}
+	hash := xxhash.Sum64String(role)
+	need := slots * capacityPerSlot / max(1, g.domains.Len())
+	var lists [][]weighted
+	for _, d := range g.domains.All {
+		list := d.byCapacity(hash)
+		lists = append(lists, list[:callersOf(list, need)])
+	}
+	return interleave(lists)
+}
+
+// capacitiesKnown reports whether the capacity of every member is known.
+func (g *groups) capacitiesKnown() bool {
+	for _, d := range g.domains.All {
+		for _, m := range d.members.All {
+			if m.Capacity <= 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// byCapacity returns all members with the largest capacity first, and those of one capacity
+// by their weight.
+func (d *group) byCapacity(role uint64) []weighted {
+	list := d.top(role, d.members.Len())
+	sort.SliceStable(list, func(i, j int) bool { return list[i].member.Capacity > list[j].member.Capacity })
+	return list
+}
+
+// callersOf returns how many of the members of a failure domain, sorted by capacity,
+// callers are sent to: the smallest number that has the needed capacity if each gets the
+// same part of the work, or else the number that has the most.
+func callersOf(list []weighted, need int) int {
+	best, most := 0, 0
+	for i, w := range list {
+		n := i + 1
+		together := n * int(w.member.Capacity)
+		if together > most || n <= minCallersPerDomain {
+			best, most = n, max(most, together)
+		}
+		if n >= minCallersPerDomain && most >= need {
+			break
+		}
+	}
+	return best
+}
+
+// interleave returns the members of all lists, in rounds of one from each list.
+func interleave(lists [][]weighted) []descriptor.Member {
+	sort.Slice(lists, func(i, j int) bool { return precedes(lists[i][0], lists[j][0]) })
+	var result []descriptor.Member
+	for round, more := 0, true; more; round++ {
+		more = false
+		for _, list := range lists {
+			if round < len(list) {
+				result = append(result, list[round].member)
+				more = true
+			}
+		}
+	}
+	return result
+}
--- a/allocator/index.go
+++ b/allocator/index.go
@@ -10,6 +10,9 @@
 type serviceRecord struct {
 	count   int
 	serving []descriptor.Member
+	// callers is set for a role that SetCallers declared. count is then the number of
+	// slots.
+	callers bool
 }
 
 // Index keeps the serving instances of all services up to date with the members.
@@ -66,7 +69,7 @@
 		return x.replace(m)
 	}
 	return x.rerank(func(service string, r serviceRecord) bool {
-		return contains(r.serving, m.ID) || mayEnter(service, r, m)
+		return r.callers || contains(r.serving, m.ID) || mayEnter(service, r, m)
 	})
 }
 
@@ -79,7 +82,7 @@
 	}
 	x.members.Delete(id)
 	x.groups.remove(m)
-	return x.rerank(func(_ string, r serviceRecord) bool { return contains(r.serving, id) })
+	return x.rerank(func(_ string, r serviceRecord) bool { return r.callers || contains(r.serving, id) })
 }
 
 // replace replaces the record of a member that is already known in the same
@@ -120,6 +123,9 @@
 // changed.
 func (x *Index) rank(service string, r serviceRecord) bool {
 	serving := x.groups.serving(service, r.count)
+	if r.callers {
+		serving = x.groups.callers(service, r.count)
+	}
 	changed := !sameMembers(serving, r.serving)
 	r.serving = serving
 	x.services.Put(service, r)
--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -71,8 +71,9 @@
 	}
 	_, s := b.backends.At(p)
 	s = s.WithAnswer().WithLoad(e.Load, e.At)
+	s = b.recordPause(s, e.Pause)
 	if e.Health == descriptor.HealthDraining {
-		s = b.markDraining(s)
+		s = b.recordDraining(s)
 	}
 	if e.Health == descriptor.HealthCold {
 		s.coldUntil = e.At.Add(coldTime)
@@ -136,6 +137,38 @@
 	return b.references[c].Tail(age, declared.Target)
 }
 
+// recordDraining returns s after it announced in an answer that it is leaving. If outcomes
+// are pooled, the incarnation never returns, and the other instances learn of it with the
+// outcomes. Otherwise the announcement has to be repeated within drainTime.
+func (b *Balancer[E, D, P, L]) recordDraining(s backend[E]) backend[E] {
+	if !b.options.PooledOutcomes {
+		return b.markDraining(s)
+	}
+	if leaving, _ := b.knownLeaving.Get(s.listed.ID); !leaving {
+		b.note(descriptor.NoteDrain, s.listed.ID, "announced in an answer")
+		b.queueLeaving(s.listed.ID)
+	}
+	return b.withAnnouncedLeaving(s)
+}
+
+// withAnnouncedLeaving returns s leaving for good.
+func (b *Balancer[E, D, P, L]) withAnnouncedLeaving(s backend[E]) backend[E] {
+	b.knownLeaving.Put(s.listed.ID, true)
+	listed := s.listed
+	listed.Leaving = true
+	return s.WithListed(listed).WithMode(modeLeaving)
+}
+
+// learnLeaving handles the report of another instance that a backend server announced that
+// it is leaving. The report may arrive before the list that names the backend server.
+func (b *Balancer[E, D, P, L]) learnLeaving(id string) {
+	b.knownLeaving.Put(id, true)
+	if p := b.backends.Position(id); p >= 0 {
+		_, s := b.backends.At(p)
+		b.putBackend(p, b.withAnnouncedLeaving(s))
+	}
+}
+
 // markDraining returns s after it announced that it is leaving or the wrong backend
 // server answered at its address, and notifies the other owners.
 func (b *Balancer[E, D, P, L]) markDraining(s backend[E]) backend[E] {
@@ -195,7 +228,7 @@
 	}
 	_, s := b.backends.At(p)
 	s = s.WithEnd(b.classes[r.class].declared.Long)
-	if s.inFlight == 0 && s.mode == modeLeaving && !b.isListed(s.listed.ID) {
+	if s.inFlight == 0 && s.delisted {
 		b.remove(s.listed.ID)
 		return
 	}
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -91,6 +91,10 @@
 		b.refuse(r, descriptor.Expired, descriptor.NotRun, 0)
 		return
 	}
+	if wait, ok := b.pausedBeyond(expires); ok {
+		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, wait)
+		return
+	}
 	if !b.limiter.Admits(b.queueState(r.class)) {
 		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, retryAfter)
 		return
@@ -402,5 +406,5 @@
 	if !r.deadline.IsZero() && !b.now.Before(r.deadline) {
 		reason = descriptor.Expired
 	}
-	b.refuse(r, reason, r.outcome(), retryAfter)
+	b.refuse(r, reason, r.outcome(), b.waitHint())
 }
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -52,7 +52,10 @@
 // backend holds what this instance knows of one backend server.
 type backend[E any] struct {
 	listed descriptor.Backend
-	mode   mode
+	// delisted is set while the platform does not list the backend server and it still
+	// has work.
+	delisted bool
+	mode     mode
 	// share is the number of slots assigned to this instance.
 	share int
 	// leasedIn is the number of slots leased from other instances, usable until
@@ -114,6 +117,8 @@
 	restoreDeadline time.Time
 	// drainUntil is until when a drain stays in effect.
 	drainUntil time.Time
+	// pausedUntil is until when the backend server wants no requests of this instance.
+	pausedUntil time.Time
 	// probeAt is the time of the next probe while the backend server is down.
 	// probeWait is the wait before it.
 	probeAt   time.Time
@@ -301,6 +306,18 @@
 	return b
 }
 
+// WithPause returns b after it asked this instance at now for no requests for a time.
+// An earlier answer may arrive later, so a longer pause stays in effect.
+func (b backend[E]) WithPause(now time.Time, pause time.Duration) backend[E] {
+	if until := now.Add(pause); pause > 0 && until.After(b.pausedUntil) {
+		b.pausedUntil = until
+	}
+	return b
+}
+
+// paused reports whether b wants no requests of this instance at now.
+func (b backend[E]) paused(now time.Time) bool { return now.Before(b.pausedUntil) }
+
 // WithEjection returns b ejected, with its evidence and avoidance cleared.
 func (b backend[E]) WithEjection() backend[E] {
 	var noEvidence E
@@ -329,6 +346,9 @@
 
 // limit returns how many attempts may be in flight at now.
 func (b backend[E]) limit(now time.Time) int {
+	if b.paused(now) {
+		return 0
+	}
 	switch b.mode {
 	case modeEjected, modeDown, modeLeaving:
 		return 0
@@ -356,6 +376,9 @@
 // pooledLimit returns how many attempts may be in flight at now if the slots are not
 // divided among instances. Shares, leases, ramps and trials do not limit them.
 func (b backend[E]) pooledLimit(now time.Time) int {
+	if b.paused(now) {
+		return 0
+	}
 	switch b.mode {
 	case modeEjected, modeDown, modeLeaving:
 		return 0
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -142,6 +142,8 @@
 	unsentUnserved int
 	// recentOutcomes counts the latest outcomes at all instances.
 	recentOutcomes window
+	// lastPauseEnd is the end of the pause that ends last; see recordPause.
+	lastPauseEnd time.Time
 	// spreading is set when too few of the probably healthy backend servers are in
 	// use.
 	spreading bool
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -168,10 +168,6 @@
 // the evidence of this instance reaches the detector's AvoidLimit. The time for which
 // it is avoided doubles each time in a row, up to maxAvoidTime.
 func (b *Balancer[E, D, P, L]) updateAvoidance(v assessment) {
-	if b.options.PooledOutcomes {
-		// Pooled outcomes decide the placement instead.
-		return
-	}
 	id, s := b.backends.At(v.position)
 	if s.mode == modeTrial {
 		b.finishTrial(v)
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -54,7 +54,7 @@
 	if e.Fault == descriptor.FaultShed || e.Fault == descriptor.FaultWrongBackend {
 		reason = descriptor.Overloaded
 	}
-	b.refuse(r, reason, r.outcome(), retryAfter)
+	b.refuse(r, reason, r.outcome(), b.waitHint())
 }
 
 // mayRetry reports whether a request may be sent to another backend server.
@@ -134,6 +134,10 @@
 	if !r.deadline.IsZero() && r.deadline.Before(expires) {
 		expires = r.deadline
 	}
+	if wait, ok := b.pausedBeyond(expires); ok {
+		b.refuse(r, descriptor.Overloaded, r.outcome(), wait)
+		return
+	}
 	b.requests.Put(r.id, r.WithQueued(expires))
 	b.queued++
 	b.retries = append(b.retries, r.id)
@@ -147,8 +151,9 @@
 		return
 	}
 	_, s := b.backends.At(p)
+	s = b.recordPause(s, e.Pause)
 	if e.Health == descriptor.HealthDraining {
-		s = b.markDraining(s)
+		s = b.recordDraining(s)
 	}
 	switch e.Fault {
 	case descriptor.FaultConnect:
@@ -170,6 +175,10 @@
 // taken to be full.
 func (b *Balancer[E, D, P, L]) shed(s backend[E], e descriptor.Failed) backend[E] {
 	s = s.WithLoad(e.Load, e.At)
+	if e.Pause > 0 || e.Health == descriptor.HealthDraining {
+		// It turns work away on purpose, which is no sign of a fault.
+		return s
+	}
 	if b.options.PooledOutcomes && !reportsFull(e.Load) {
 		b.queueOutcome(s.listed.ID, true)
 		return s.WithOutcome(b.now, true, shedFailureBase)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -48,6 +48,7 @@
 	}
 	listed = b.withKnownLeaving(listed)
 	s.restoreDeadline = time.Time{}
+	s.delisted = false
 	s = s.WithListed(listed).WithShare(b.shareOf(listed))
 	if listed.Leaving {
 		s = s.WithMode(modeLeaving)
@@ -102,16 +103,10 @@
 	}
 	listed := s.listed
 	listed.Leaving = true
+	s.delisted = true
 	b.backends.Put(id, s.WithListed(listed).WithMode(modeLeaving))
 }
 
-// isListed reports whether a backend server is known and its entry is not marked as
-// leaving. delist marks the entry of one that is no longer listed but has work.
-func (b *Balancer[E, D, P, L]) isListed(id string) bool {
-	s, ok := b.backends.Get(id)
-	return ok && !s.listed.Leaving
-}
-
 // remove deletes a backend server. Positions change, so the sets are rebuilt.
 func (b *Balancer[E, D, P, L]) remove(id string) {
 	b.backends.Delete(id)
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -60,6 +60,16 @@
 	b.unsentOutcomes.Put(id, o)
 }
 
+// queueLeaving records that a backend server announced that it is leaving, and sends it to
+// the other instances at once.
+func (b *Balancer[E, D, P, L]) queueLeaving(id string) {
+	o, _ := b.unsentOutcomes.Get(id)
+	o.Backend = id
+	o.Leaving = true
+	b.unsentOutcomes.Put(id, o)
+	b.publishOutcomes()
+}
+
 // publishOutcomes sends the outcomes of this instance to the other owners. A
 // non-owner sends them to one owner, which relays them.
 func (b *Balancer[E, D, P, L]) publishOutcomes() {
@@ -74,7 +84,7 @@
 	urgent := b.now.Sub(b.outcomesSentAt) >= wait
 	for _, o := range b.unsentOutcomes.All {
 		list = append(list, b.withReport(o))
-		urgent = urgent || o.Bad+o.Late > 0
+		urgent = urgent || o.Leaving || o.Bad+o.Late > 0
 	}
 	if !urgent {
 		return
@@ -123,11 +133,25 @@
 	return list
 }
 
-// HandleSuspicionList applies the suspicion list of the owners. An owner applies only
-// the first one after its start, because its own estimates are more recent
-// afterwards.
+// Leaving returns the listed backend servers that are leaving.
+func (b *Balancer[E, D, P, L]) Leaving() []string {
+	var list []string
+	for id, s := range b.backends.All {
+		if s.listed.Leaving {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
+// HandleSuspicionList applies the suspicion list of the owners. An owner applies the
+// suspicions only of the first one after its start, because its own estimates are more
+// recent afterwards.
 func (b *Balancer[E, D, P, L]) HandleSuspicionList(now time.Time, m descriptor.SuspicionList) {
 	b.advance(now)
+	for _, id := range m.Leaving {
+		b.learnLeaving(id)
+	}
 	if b.position >= 0 && b.suspicionsReceived {
 		return
 	}
@@ -212,6 +236,9 @@
 		b.unsentUnserved += max(0, m.Unserved)
 	}
 	for _, o := range m.List {
+		if o.Leaving {
+			b.learnLeaving(o.Backend)
+		}
 		p := b.backends.Position(o.Backend)
 		if p < 0 {
 			continue
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -38,7 +38,11 @@
 		b.updateOverdueScores()
 		b.updateSpreading()
 		b.updateOtherWork()
-		b.evaluate()
+		if !b.options.PooledOutcomes {
+			// Pooled outcomes decide the placement instead of evidence, and nothing is
+			// ejected.
+			b.evaluate()
+		}
 		b.hedge()
 		b.abandonOverdue()
 		b.publish()
@@ -79,7 +83,7 @@
 			kept = append(kept, id)
 			continue
 		}
-		b.refuse(r, descriptor.BackendFailed, r.outcome(), retryAfter)
+		b.refuse(r, descriptor.BackendFailed, r.outcome(), b.waitHint())
 	}
 	b.retries = kept
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -31,6 +31,9 @@
 	// routedWatcherCount is that number under a routing. There, every instance
 	// that misses freshness announcements reads the store itself.
 	routedWatcherCount = 2
+	// substituteCount is the number of instances that query the store when it does not
+	// answer those that watch it.
+	substituteCount = 8
 	// callersRole is the rendezvous key by which the instances that callers are
 	// sent to under a routing are chosen.
 	callersRole = "~callers"
@@ -167,8 +170,8 @@
 	d.writer = counter.NewWriter(o.Self, d.nextWrite)
 	d.index.SetService(watchRole, watcherCount)
 	if o.Routing {
-		d.index.SetService(watchRole, routedWatcherCount)
-		d.index.SetService(callersRole, allocator.MinServing)
+		d.index.SetService(watchRole, routedWatcherCount+substituteCount)
+		d.index.SetCallers(callersRole, 0)
 	}
 	return d
 }
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -165,12 +165,6 @@
 // updateCallerCount sets how many instances callers are sent to, from the slots
 // of all services together.
 func (d *Decider[E, D, P, L]) updateCallerCount() {
-	domains := make(map[string]bool)
-	for _, m := range d.gossiper.Members() {
-		if m.State < descriptor.Dead {
-			domains[m.Domain] = true
-		}
-	}
 	total := 0
 	for service := range d.declared.All {
 		document, _ := d.spreader.Get(descriptor.KindBackends, service)
@@ -178,7 +172,7 @@
 			total += b.Slots
 		}
 	}
-	if d.index.SetService(callersRole, allocator.CallerCount(total, len(domains))) {
+	if d.index.SetCallers(callersRole, total) {
 		d.updateServing(callersRole)
 	}
 }
@@ -277,9 +271,6 @@
 			d.updateServing(service)
 		}
 	}
-	if len(changes) > 0 && d.options.Routing {
-		d.updateCallerCount()
-	}
 }
 
 func (d *Decider[E, D, P, L]) reindex(m descriptor.Member) []string {
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -56,8 +56,12 @@
 // then sent a digest that shows it whether anything is missing.
 func (d *Decider[E, D, P, L]) handleDigest(from descriptor.Member, m descriptor.Digest) {
 	d.gossiper.HandleDigest(from.ID, m.Members)
-	for _, part := range d.spreader.HandleDigest(from.ID, m.Documents, !from.Ready || m.Urgent) {
-		d.send(from, part)
+	if d.synced {
+		// An instance that is not ready offers nothing: the answer to its references
+		// would be complete documents, and its own digest asks for what it lacks.
+		for _, part := range d.spreader.HandleDigest(from.ID, m.Documents, !from.Ready || m.Urgent) {
+			d.send(from, part)
+		}
 	}
 	if d.synced && !from.Ready {
 		d.sendDigest(from)
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -84,10 +84,15 @@
 // the configuration from others in time, or under a routing one that misses
 // freshness announcements.
 func (d *Decider[E, D, P, L]) updateWatching() {
-	chosen := containsMember(d.index.Get(watchRole), d.options.Self.ID)
+	watchers := d.index.Get(watchRole)
+	substitute := containsMember(watchers, d.options.Self.ID)
+	chosen := substitute
 	alone := !d.synced && d.now.Sub(d.started) >= d.options.PeerWait
+	if d.options.Routing {
+		chosen = containsMember(watchers[:min(len(watchers), routedWatcherCount)], d.options.Self.ID)
+	}
 	if d.options.Routing && d.synced {
-		alone = d.relayer.MustQuery(d.now, d.options.kinds())
+		alone = d.relayer.MustQuery(d.now, d.options.kinds(), substitute)
 	}
 	active := (chosen || alone) && !d.shutdown.started
 	if active == d.watching {
@@ -145,6 +150,7 @@
 			Sequence:    d.suspicionSequence,
 			Service:     service,
 			List:        s.Suspicions(d.now),
+			Leaving:     s.Leaving(),
 		}
 		d.sendToChildren(m.Origin, m)
 	}
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -47,6 +47,8 @@
 	Status  int
 	Health  Health
 	Load    Load `json:",omitzero"`
+	// Pause is how long the backend server wants no requests of this instance.
+	Pause time.Duration `json:",omitzero"`
 }
 
 // Finished reports that the whole response was sent to the caller. Bytes is the
@@ -70,6 +72,8 @@
 	BodyReplayable bool
 	// Load is the load that the backend server reported, for FaultShed.
 	Load Load `json:",omitzero"`
+	// Pause is as in Answered.
+	Pause time.Duration `json:",omitzero"`
 }
 
 // Probed reports the result of the connection check requested by Probe.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -77,6 +77,8 @@
 	// Protocol is the version of the protocol between instances.
 	Protocol int
 	From     Member
+	// Capacity is the capacity of From.
+	Capacity int32 `cbor:",omitempty"`
 }
 
 // Heartbeat shows that its sender is alive.
@@ -89,6 +91,36 @@
 	// receiver answers with the records of these buckets that are missing or
 	// outdated.
 	Buckets uint64
+	// Capacities holds the capacities of Records on the wire, if any is known. The records
+	// themselves are arrays of a fixed length, which earlier builds decode.
+	Capacities []int32 `cbor:",omitempty" json:",omitempty"`
+}
+
+// WithCapacities returns m with Capacities set from Records.
+func (m Members) WithCapacities() Members {
+	for i, r := range m.Records {
+		if r.Capacity > 0 && m.Capacities == nil {
+			m.Capacities = make([]int32, len(m.Records))
+		}
+		if r.Capacity > 0 {
+			m.Capacities[i] = r.Capacity
+		}
+	}
+	return m
+}
+
+// WithRecordCapacities returns m with the capacities of Records set from Capacities.
+func (m Members) WithRecordCapacities() Members {
+	records := make([]Member, len(m.Records))
+	for i, r := range m.Records {
+		if i < len(m.Capacities) {
+			r.Capacity = max(0, m.Capacities[i])
+		}
+		records[i] = r
+	}
+	m.Records = records
+	m.Capacities = nil
+	return m
 }
 
 // Digest carries hash sums of the members and documents that its sender holds.
@@ -141,6 +173,8 @@
 	Reported bool `cbor:",omitempty"`
 	Work     int  `cbor:",omitempty"`
 	Age      int  `cbor:",omitempty"`
+	// Leaving is set once the backend server announced in an answer that it is leaving.
+	Leaving bool `cbor:",omitempty"`
 }
 
 // References lists the documents that its sender holds in the digest buckets
@@ -285,6 +319,7 @@
 // WithOutcomes returns o with the outcomes of p, which happened later, added.
 func (o BackendOutcomes) WithOutcomes(p BackendOutcomes) BackendOutcomes {
 	o.Late += p.Late
+	o.Leaving = o.Leaving || p.Leaving
 	switch {
 	case p.Bad > 0:
 		if o.Bad == 0 {
@@ -351,6 +386,9 @@
 	Sequence    uint64
 	Service     string
 	List        []Suspicion
+	// Leaving lists the backend servers that are leaving. The platform's list may not
+	// show it yet, or still show it to instances that read an older one.
+	Leaving []string `cbor:",omitempty"`
 }
 
 // Suspicion is the estimated probability that a backend server is gray.
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -28,6 +28,7 @@
 	NoteDrain            = 4007
 	NotePoison           = 4008
 	NoteTrial            = 4009
+	NotePaused           = 4010
 	NoteAdmitted         = 6001
 	NoteQueued           = 6002
 	NoteDispatched       = 6003
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -69,6 +69,9 @@
 	// Successor is the ID of the instance that took over the idempotency keys of
 	// a member that left.
 	Successor string `json:"Heir"`
+	// Capacity is the processor of the instance in thousandths of a core, or 0 if it is
+	// unknown. It travels beside the record; see Members.
+	Capacity int32 `cbor:"-" json:",omitempty"`
 }
 
 // MaxAccusers bounds the accusers kept for a member.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,10 @@
 	cancel  context.CancelFunc
 	// response is set before Answered is posted.
 	response *http.Response
+	// expectedID is the identifier that the answer repeats, or "" if there is none.
+	expectedID string
+	// reused is set if the connection had carried other requests.
+	reused atomic.Bool
 	// wholeRead is set before the last byte of an answer of known length is written to
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
@@ -50,8 +54,13 @@
 		t.fail(err)
 		return
 	}
-	head := s.forwarder.dialect.ParseHead(response, s.label)
+	head := s.forwarder.dialect.ParseHead(response, Expected{ID: t.expectedID, Reused: t.reused.Load()})
 	if fault, ok := head.fault(); ok {
+		if head.Mismatched {
+			// Another request's answer tells nothing about the state of now.
+			head = Head{Mismatched: true}
+			s.forwarder.recorder.Mismatch()
+		}
 		t.post(fault, head)
 		t.discard(response, head)
 		return
@@ -64,6 +73,7 @@
 		Status:  response.StatusCode,
 		Health:  head.Health,
 		Load:    head.Load,
+		Pause:   head.Pause,
 	})
 }
 
@@ -150,7 +160,7 @@
 	s := t.session
 	h := make(http.Header, len(s.r.Header)+4)
 	copyHeader(h, s.r.Header)
-	s.forwarder.dialect.PrepareRequest(h, s.r, t.backend, s.timeLeft(time.Now()))
+	t.expectedID = s.forwarder.dialect.PrepareRequest(h, s.r, t.backend, s.timeLeft(time.Now()))
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value prevents net/http from adding its default.
 		h["User-Agent"] = []string{""}
@@ -165,6 +175,7 @@
 // meanwhile. Otherwise the request may have crashed the backend server, so the attempt
 // is cancelled and its failure is posted to the control goroutine.
 func (t *attempt) gotConn(info httptrace.GotConnInfo) {
+	t.reused.Store(info.Reused)
 	if t.connectionsUsed.Add(1) == 1 {
 		t.firstIdleNanos.Store(int64(info.IdleTime))
 		return
@@ -205,6 +216,7 @@
 		Fault:          fault,
 		Health:         head.Health,
 		Load:           head.Load,
+		Pause:          head.Pause,
 		BodyReplayable: s.body.replayable(),
 	})
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -1,7 +1,10 @@
 package forwarder
 
 import (
+	"crypto/rand"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"monsoonswitch/descriptor"
@@ -20,11 +23,11 @@
 	CallerTimeout(r *http.Request) time.Duration
 	// PrepareRequest changes the headers of a caller's request into those of a
 	// request to a backend server. left is the time until the deadline; 0 means that
-	// there is none.
-	PrepareRequest(h http.Header, r *http.Request, to descriptor.Backend, left time.Duration)
+	// there is none. It returns the identifier that the answer repeats, or "" if the
+	// request has none.
+	PrepareRequest(h http.Header, r *http.Request, to descriptor.Backend, left time.Duration) string
 	// ParseHead returns the information in the head of a backend server's answer.
-	// label is the caller's identifier of the request.
-	ParseHead(response *http.Response, label string) Head
+	ParseHead(response *http.Response, e Expected) Head
 	// AddAnswerHeaders adds the fleet's headers to an answer that is delivered to a
 	// caller.
 	AddAnswerHeaders(h http.Header)
@@ -33,6 +36,24 @@
 	Refuse(w http.ResponseWriter, r *http.Request, a descriptor.Refuse) bool
 }
 
+// Expected describes the request that an answer should belong to.
+type Expected struct {
+	// ID is the identifier that the answer repeats, or "" if the request has none.
+	ID string
+	// Reused reports whether the connection carried other requests before. A late
+	// answer to one of them may then be read as the answer to this request.
+	Reused bool
+}
+
+// Matches reports whether an answer with an identifier belongs to the request. An answer
+// without one belongs to it only if no other request used the connection.
+func (e Expected) Matches(id string) bool {
+	if id == "" {
+		return !e.Reused
+	}
+	return id == e.ID
+}
+
 // Head is the information in the head of a backend server's answer.
 type Head struct {
 	// NotRun reports whether the backend server refused the work without running it.
@@ -42,8 +63,11 @@
 	Foreign bool
 	// Mismatched reports whether the answer belongs to another request.
 	Mismatched bool
-	Health     descriptor.Health
-	Load       descriptor.Load
+	// Pause is how long the backend server wants no requests of this instance; 0 means
+	// that it did not ask for a pause.
+	Pause  time.Duration
+	Health descriptor.Health
+	Load   descriptor.Load
 }
 
 // StandardDialect implements the headers and statuses of docs/CALLERS.md and
@@ -69,17 +93,42 @@
 func (StandardDialect) CallerTimeout(r *http.Request) time.Duration { return callerTimeout(r) }
 
 // PrepareRequest implements Dialect. The remaining time is not forwarded.
-func (StandardDialect) PrepareRequest(h http.Header, r *http.Request, _ descriptor.Backend, _ time.Duration) {
+func (p StandardDialect) PrepareRequest(h http.Header, r *http.Request, _ descriptor.Backend, _ time.Duration) string {
 	addForwardedHeaders(h, r)
+	id := p.options.Instance + "." + rand.Text()
+	h.Set(headerAttempt, id)
+	return id
 }
 
-// ParseHead implements Dialect.
-func (StandardDialect) ParseHead(response *http.Response, _ string) Head {
+// ParseHead implements Dialect. Only a refusal must repeat the identifier of the attempt:
+// an earlier one that is written again would otherwise pass work off as not run.
+func (StandardDialect) ParseHead(response *http.Response, e Expected) Head {
+	id := response.Header.Get(headerAttempt)
+	notRun := response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != ""
 	return Head{
-		NotRun: response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != "",
-		Health: descriptor.ParseHealth(response.Header.Get(headerState)),
-		Load:   loadOf(response.Header.Get(headerLoad)),
+		NotRun:     notRun,
+		Mismatched: (notRun || id != "") && !e.Matches(id),
+		Pause:      ParsePause(response),
+		Health:     descriptor.ParseHealth(response.Header.Get(headerState)),
+		Load:       loadOf(response.Header.Get(headerLoad)),
+	}
+}
+
+// maxPause bounds the pause that a backend server can ask for.
+const maxPause = time.Minute
+
+// ParsePause returns how long the backend server wants no requests, by the Retry-After of
+// a 503, in seconds with an optional fraction. A longer time than maxPause is cut to it.
+// It returns 0 if the header is missing, malformed or a date.
+func ParsePause(response *http.Response) time.Duration {
+	if response.StatusCode != http.StatusServiceUnavailable {
+		return 0
+	}
+	v, err := strconv.ParseFloat(strings.TrimSpace(response.Header.Get("Retry-After")), 64)
+	if err != nil || !(v > 0) {
+		return 0
 	}
+	return time.Duration(min(v, maxPause.Seconds()) * float64(time.Second))
 }
 
 // AddAnswerHeaders implements Dialect.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -61,8 +61,8 @@
 	StallTimeout time.Duration
 	// Keep is how long callers may cache a list of addresses.
 	Keep time.Duration
-	// Domain is the failure domain of this instance.
-	Domain string
+	// Instance is the name of this instance, and Domain its failure domain.
+	Instance, Domain string
 	// FreshTime is how long an idle connection is reused for non-idempotent work; 0
 	// means nonIdempotentIdleTime.
 	FreshTime time.Duration
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -23,6 +23,9 @@
 	headerState   = "Backend-State"
 	headerLoad    = "Backend-Load"
 	headerRefused = "Backend-Refused"
+	// headerAttempt is the identifier of one attempt, which the backend server repeats
+	// in its answer.
+	headerAttempt = "Backend-Attempt"
 	// instanceHeaderPrefix is the prefix of headers that only instances set.
 	instanceHeaderPrefix = "Monsoon-"
 	// backendHeaderPrefix is the prefix of headers that only backend servers set.
--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -22,6 +22,15 @@
 	Flap time.Duration `json:"flap"`
 	// Drain announces the state draining and refuses new requests.
 	Drain bool `json:"drain"`
+	// Leave announces the state draining and still serves requests.
+	Leave bool `json:"leave"`
+	// Turn is the share of requests that are turned away unrun, from 0 to 1, and Pause the
+	// time in which the backend server then wants no requests of the same instance.
+	Turn  float64       `json:"turn"`
+	Pause time.Duration `json:"pause"`
+	// Repeat makes the backend server write its last refusal on a connection once more
+	// before the answer to the next request there.
+	Repeat bool `json:"repeat"`
 }
 
 // BackendOptions are the fixed parameters of a stand-in.
@@ -58,6 +67,9 @@
 	Peak int `json:"peak"`
 	// DrainedBegun counts the requests that started while draining.
 	DrainedBegun uint64 `json:"drainedbegun"`
+	// Pressed counts the requests that an instance sent from pauseSlack after it was asked
+	// for a pause until the end of that pause.
+	Pressed uint64 `json:"pressed"`
 	// Keys maps the token of each request to the number of its runs.
 	Keys map[string]int `json:"keys"`
 }
@@ -82,8 +94,17 @@
 	// admitted is the number of requests running or waiting for a slot.
 	admitted int
 	counts   BackendCounts
+	// pauses holds the pause that each instance was last asked for, by its name.
+	pauses map[string]pause
 }
 
+// pause is the time in which an instance is asked to send no requests.
+type pause struct{ from, until time.Time }
+
+// pauseSlack is the time in which an instance must stop sending requests after it was asked
+// for a pause.
+const pauseSlack = 500 * time.Millisecond
+
 // NewBackend returns a stand-in that started at now.
 func NewBackend(o BackendOptions, now time.Time) *Backend {
 	return &Backend{
@@ -94,6 +115,7 @@
 		crash:        make(chan struct{}),
 		crashHandler: func(time.Duration) {},
 		counts:       BackendCounts{Keys: make(map[string]int)},
+		pauses:       make(map[string]pause),
 	}
 }
 
@@ -198,6 +220,22 @@
 	return true
 }
 
+// turnAway reports whether a request of an instance that arrives at now is turned away,
+// and records the pause. It counts requests within an earlier pause.
+func (b *Backend) turnAway(instance string, now time.Time) (time.Duration, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pauses[instance]; now.After(p.from.Add(pauseSlack)) && now.Before(p.until) {
+		b.counts.Pressed++
+	}
+	if b.fault.Turn <= 0 || b.random.Float64() >= b.fault.Turn {
+		return 0, false
+	}
+	b.counts.Shed++
+	b.pauses[instance] = pause{from: now, until: now.Add(b.fault.Pause)}
+	return b.fault.Pause, true
+}
+
 // release ends an admitted request.
 func (b *Backend) release() {
 	b.mu.Lock()
@@ -241,7 +279,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case b.fault.Drain:
+	case b.fault.Drain || b.fault.Leave:
 		return "draining"
 	case now.Sub(b.started) < b.options.Cold:
 		return "cold"
--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -67,10 +67,18 @@
 }
 
 func (b *Backend) serveWork(w http.ResponseWriter, r *http.Request) {
+	if b.repeatRefusal(w, r) {
+		return
+	}
+	if wait, ok := b.turnAway(senderOf(r), time.Now()); ok {
+		if wait > 0 {
+			w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
+		}
+		b.refuse(w, r, "turned away")
+		return
+	}
 	if !b.admit() {
-		b.setStateHeaders(w)
-		w.Header().Set("Backend-Refused", "not-run")
-		writeProblem(w, http.StatusServiceUnavailable, errors.New("backlog full or draining"))
+		b.refuse(w, r, "backlog full or draining")
 		return
 	}
 	defer b.release()
@@ -83,6 +91,40 @@
 	b.run(w, r)
 }
 
+// senderOf returns the instance that sent a request, which is the part of the identifier of
+// the attempt before the last dot.
+func senderOf(r *http.Request) string {
+	id := r.Header.Get(attemptHeader)
+	return id[:max(0, strings.LastIndexByte(id, '.'))]
+}
+
+// refuse answers that a request did not run.
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, why string) {
+	b.setStateHeaders(w)
+	w.Header().Set("Backend-Refused", "not-run")
+	w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+	writeProblem(w, http.StatusServiceUnavailable, errors.New(why))
+}
+
+// attemptHeader is the identifier of an attempt, which a refusal repeats.
+const attemptHeader = "Backend-Attempt"
+
+// repeatRefusal runs a request and writes the refusal of an earlier one as its answer, if
+// the fault Repeat is set. It reports whether it did.
+func (b *Backend) repeatRefusal(w http.ResponseWriter, r *http.Request) bool {
+	if !b.faultAt(time.Now()).Repeat {
+		return false
+	}
+	b.begin(r.URL.Query().Get(TokenParameter))
+	_, err := io.Copy(io.Discard, r.Body)
+	b.end(err == nil)
+	b.setStateHeaders(w)
+	w.Header().Set("Backend-Refused", "not-run")
+	w.Header().Set(attemptHeader, "an-earlier-attempt")
+	writeProblem(w, http.StatusServiceUnavailable, errors.New("backlog full or draining"))
+	return true
+}
+
 // run runs one request that holds a slot.
 func (b *Backend) run(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
--- a/imitator/store.go
+++ b/imitator/store.go
@@ -218,10 +218,16 @@
 
 func listingOf(name string, l backendList) storer.ServiceListing {
 	result := storer.ServiceListing{Name: name, Version: l.version}
+	var list []descriptor.Backend
 	for _, b := range l.backends {
-		result.Backends = append(result.Backends, b)
+		list = append(list, b)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	for _, b := range list {
+		// A descriptor.Backend has only fields that can be encoded.
+		data, _ := json.Marshal(b)
+		result.Backends = append(result.Backends, data)
 	}
-	sort.Slice(result.Backends, func(i, j int) bool { return result.Backends[i].ID < result.Backends[j].ID })
 	return result
 }
 
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -61,11 +61,21 @@
 		fault.Flap = f.Time
 	case FaultDrain:
 		fault.Drain = true
+	case FaultLeave:
+		fault.Leave = true
+	case FaultTurn:
+		fault.Turn, fault.Pause = f.Share, f.Time
+	case FaultRepeat:
+		fault.Repeat = true
 	}
 	now := time.Now()
-	if f.Kind == FaultDrain {
+	switch f.Kind {
+	case FaultDrain, FaultLeave:
 		r.monitor.expectDrain(b)
-	} else {
+	case FaultTurn, FaultRepeat:
+		// It is not a gray fault: the backend server turns work away, or its refusals
+		// are not believed.
+	default:
 		r.monitor.expectGray(b, now)
 	}
 	b.SetFault(fault)
--- a/loader/fleet.go
+++ b/loader/fleet.go
@@ -159,7 +159,7 @@
 		return nil, err
 	}
 	for _, s := range listing.Services {
-		for _, b := range s.Backends {
+		for _, b := range s.Decode() {
 			r.backends = append(r.backends, remoteBackend{service: s.Name, listed: b})
 		}
 	}
--- a/loader/result.go
+++ b/loader/result.go
@@ -164,10 +164,14 @@
 	for _, b := range r.fleet.Backends() {
 		counts := b.Counts()
 		result.Crashes += counts.Crashes
+		if counts.Pressed > maxPressed {
+			result.violate("pause: %s received %d requests of instances that it had asked for a pause", b.ID(), counts.Pressed)
+		}
 		for k, n := range counts.Keys {
 			runs[k] += n
 		}
 	}
+	r.verifyServed(result)
 	duplicates, falseRefusals := 0, 0
 	for _, t := range r.record.keyed {
 		if runs[t.text] > 1 {
@@ -196,6 +200,20 @@
 	r.verifyTallies(result)
 }
 
+// verifyServed adds a violation for each kind of work of which none was sent or too little
+// was served.
+func (r *Runner) verifyServed(result *Result) {
+	for i, w := range result.Work {
+		if least := r.scenario.Work[i].Least; w.Sent == 0 || float64(w.Served) < least*float64(w.Sent) {
+			result.violate("served: %d of %d requests of %s, must be a share of at least %g", w.Served, w.Sent, w.Name, least)
+		}
+	}
+}
+
+// maxPressed is the number of requests that may reach a backend server in the pauses that
+// it asked for: two on each occasion.
+const maxPressed = 2
+
 // maxCrashes is the number of backend server crashes that one poison request may
 // cause before the fleet has to refuse it.
 const maxCrashes = 2
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -66,6 +66,8 @@
 	// connection breaks.
 	Idempotent bool
 	Timeout    time.Duration
+	// Least is the share of the requests that must be served, from 0 to 1.
+	Least float64
 	// Poison is the number of requests, from the first one on, that crash the
 	// backend server that runs them.
 	Poison int
@@ -82,6 +84,9 @@
 	FaultLate   FaultKind = "late"
 	FaultFlap   FaultKind = "flap"
 	FaultDrain  FaultKind = "drain"
+	FaultLeave  FaultKind = "leave"
+	FaultTurn   FaultKind = "turn"
+	FaultRepeat FaultKind = "repeat"
 	FaultOutage FaultKind = "outage"
 	FaultSlow   FaultKind = "slow"
 	FaultLost   FaultKind = "lost"
@@ -188,10 +193,15 @@
 		Keyed:      k.Flag("keyed"),
 		Idempotent: k.Flag("idempotent"),
 		Timeout:    k.Duration("timeout", 10*time.Second),
+		Least:      k.NumberIn("least", defaultLeast, 0, 1),
 		Poison:     int(k.Number("poison", 0)),
 	}
 }
 
+// defaultLeast is the share of the requests of a kind of work that must be served in a
+// scenario that does not specify another one.
+const defaultLeast = 0.9
+
 func loadFault(k *parser.Section, name string) Fault {
 	return Fault{
 		Name:    name,
@@ -252,7 +262,7 @@
 	switch f.Kind {
 	case FaultOutage, FaultSlow, FaultLost, FaultReplace, FaultOneWay:
 		return nil
-	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain:
+	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain, FaultLeave, FaultTurn, FaultRepeat:
 		if _, ok := d.service(f.Service); !ok {
 			return eris.Wrapf(ErrScenario, "%s: fault %s: unknown service %q", file, f.Name, f.Service)
 		}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -46,6 +46,7 @@
 	descriptor.NoteDown:             {logrus.WarnLevel, "backend server down"},
 	descriptor.NoteUp:               {logrus.InfoLevel, "backend server up"},
 	descriptor.NoteDrain:            {logrus.InfoLevel, "backend server draining"},
+	descriptor.NotePaused:           {logrus.InfoLevel, "backend server asks for a pause"},
 	descriptor.NotePoison:           {logrus.ErrorLevel, "request crashes backend servers"},
 	descriptor.NoteTrial:            {logrus.InfoLevel, "backend server on trial"},
 	descriptor.NoteAdmitted:         {logrus.InfoLevel, "request admitted"},
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -70,6 +70,13 @@
 // Encode returns the frame of a message. It returns ErrTooLarge if the frame is larger
 // than MaxFrame.
 func Encode(m descriptor.Message) ([]byte, error) {
+	switch v := m.(type) {
+	case descriptor.Hello:
+		v.Capacity = v.From.Capacity
+		m = v
+	case descriptor.Members:
+		m = v.WithCapacities()
+	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
 		return nil, eris.Wrap(err, "encode message")
@@ -103,9 +110,9 @@
 
 // decoders holds the decoding function of each message type.
 var decoders = map[descriptor.MessageType]func(cbor.RawMessage) (descriptor.Message, error){
-	descriptor.TypeHello:         decode[descriptor.Hello],
+	descriptor.TypeHello:         decodeHello,
 	descriptor.TypeHeartbeat:     decode[descriptor.Heartbeat],
-	descriptor.TypeMembers:       decode[descriptor.Members],
+	descriptor.TypeMembers:       decodeMembers,
 	descriptor.TypeDigest:        decode[descriptor.Digest],
 	descriptor.TypeReferences:    decode[descriptor.References],
 	descriptor.TypeDocuments:     decode[descriptor.Documents],
@@ -126,6 +133,25 @@
 	descriptor.TypeSuspicionList: decode[descriptor.SuspicionList],
 }
 
+// decodeHello sets the capacity of the sender's record, which travels beside it.
+func decodeHello(body cbor.RawMessage) (descriptor.Message, error) {
+	m, err := decode[descriptor.Hello](body)
+	if hello, ok := m.(descriptor.Hello); ok {
+		hello.From.Capacity = max(0, hello.Capacity)
+		return hello, nil
+	}
+	return nil, err
+}
+
+// decodeMembers sets the capacities of the records, which travel beside them.
+func decodeMembers(body cbor.RawMessage) (descriptor.Message, error) {
+	m, err := decode[descriptor.Members](body)
+	if members, ok := m.(descriptor.Members); ok {
+		return members.WithRecordCapacities(), nil
+	}
+	return nil, err
+}
+
 func decode[T descriptor.Message](body cbor.RawMessage) (descriptor.Message, error) {
 	var m T
 	if err := decMode.Unmarshal(body, &m); err != nil {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -30,7 +30,9 @@
 	open     metrics.Counter
 	attempts metrics.Counter
 	faults   metrics.Counter
-	bytes    metrics.Counter
+	// mismatches counts the answers that belonged to other requests.
+	mismatches metrics.Counter
+	bytes      metrics.Counter
 }
 
 // New returns a recorder whose metrics are zero.
@@ -40,11 +42,13 @@
 	r.open = metrics.NewCounter()
 	r.attempts = metrics.NewCounter()
 	r.faults = metrics.NewCounter()
+	r.mismatches = metrics.NewCounter()
 	r.bytes = metrics.NewCounter()
 	r.register("served", r.served)
 	r.register("open", r.open)
 	r.register("attempts", r.attempts)
 	r.register("faults", r.faults)
+	r.register("mismatches", r.mismatches)
 	r.register("bytes", r.bytes)
 	for _, reason := range descriptor.Reasons() {
 		c := metrics.NewCounter()
@@ -85,6 +89,9 @@
 // server refused, or whose answer is foreign or mismatched, are not counted.
 func (r *Recorder) Fault() { r.faults.Inc(1) }
 
+// Mismatch counts an answer that belonged to another request than the one waiting.
+func (r *Recorder) Mismatch() { r.mismatches.Inc(1) }
+
 // quantiles are the written quantiles of the latency of served requests.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -24,6 +24,8 @@
 	// maxConfirmationAge is the age of the last confirmation from which on an
 	// instance queries the store itself.
 	maxConfirmationAge = 1200 * time.Millisecond
+	// outageInterval is the time between announcements while the store does not answer.
+	outageInterval = 600 * time.Millisecond
 	// steadyTime is the time for which announcements must keep arriving before
 	// the instance stops its own queries.
 	steadyTime = time.Second
@@ -69,6 +71,9 @@
 	// respondedAt is the latest time at which the store is known to have responded
 	// to any instance. recoveredAt is the end of the last outage, or zero.
 	respondedAt, recoveredAt time.Time
+	// heardAt is when the last announcement arrived, and newestAsOf the latest time at
+	// which the store was read for any of them.
+	heardAt, newestAsOf time.Time
 	// querying is set while this instance queries the store for lack of
 	// announcements.
 	querying bool
@@ -145,11 +150,14 @@
 
 // MustQuery reports whether an instance that is not selected to watch the store must
 // query it. Once it reports true, it does so until announcements have kept
-// arriving for steadyTime.
-func (r *Relayer) MustQuery(now time.Time, kinds []descriptor.Kind) bool {
+// arriving for steadyTime. While announcements tell that the store does not answer the
+// instances that watch it, only a substitute queries it: the store may serve others, but
+// queries of the whole fleet would overload it.
+func (r *Relayer) MustQuery(now time.Time, kinds []descriptor.Kind, substitute bool) bool {
 	if now.Sub(r.announced) >= maxConfirmationAge {
 		r.steadySince = time.Time{}
 		r.querying = r.querying || now.Sub(r.Current(kinds)) >= maxConfirmationAge
+		r.querying = r.querying && (substitute || !r.storeAway(now))
 		return r.querying
 	}
 	if r.steadySince.IsZero() {
@@ -159,17 +167,27 @@
 	return r.querying
 }
 
+// storeAway reports whether announcements arrive and tell that the store does not answer.
+func (r *Relayer) storeAway(now time.Time) bool {
+	return now.Sub(r.heardAt) < maxConfirmationAge && now.Sub(r.newestAsOf) >= maxConfirmationAge
+}
+
 // NextFreshness returns the next freshness announcement of self, which watches the
 // store, and whether one must be sent. One is sent after each new read of the
 // store, at most every announceInterval, and immediately when the hash sum of the
-// documents changed. None is sent if the last read is maxConfirmationAge old.
+// documents changed. If the last read is maxConfirmationAge old, one is sent every
+// outageInterval, whose age tells that the store does not answer.
 func (r *Relayer) NextFreshness(now time.Time, self descriptor.Member, kinds []descriptor.Kind, sum uint64) (descriptor.Freshness, bool) {
 	asOf := r.read(kinds)
-	if asOf.IsZero() || now.Sub(asOf) >= maxConfirmationAge {
+	if asOf.IsZero() {
+		return descriptor.Freshness{}, false
+	}
+	outage := now.Sub(asOf) >= maxConfirmationAge
+	if outage && now.Sub(r.sentAt) < outageInterval {
 		return descriptor.Freshness{}, false
 	}
 	advance := asOf.Sub(r.sentAsOf)
-	if sum == r.sentSum && (advance <= 0 || now.Sub(r.sentAt) < announceInterval) {
+	if !outage && sum == r.sentSum && (advance <= 0 || now.Sub(r.sentAt) < announceInterval) {
 		return descriptor.Freshness{}, false
 	}
 	r.sequence++
@@ -193,6 +211,10 @@
 	o, _ := r.origins.Get(p.Origin)
 	o = origin{sequence: o.sequence, sum: p.Sum, asOf: now.Add(-time.Duration(p.Age) * time.Millisecond)}
 	r.origins.Put(p.Origin, o)
+	r.heardAt = now
+	if o.asOf.After(r.newestAsOf) {
+		r.newestAsOf = o.asOf
+	}
 	return p, true
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -72,6 +72,7 @@
 		ID:          settings.Instance.Name,
 		Domain:      settings.Instance.Domain,
 		Incarnation: now.UnixMicro(),
+		Capacity:    settings.Instance.Capacity(),
 	}
 	gates := newGates()
 	if err := s.listen(gates); err != nil {
@@ -149,6 +150,7 @@
 		CallerHeader:   s.settings.Callers.Header,
 		StallTimeout:   s.settings.Limits.StallTimeout,
 		Keep:           s.settings.Callers.Keep,
+		Instance:       s.settings.Instance.Name,
 		Domain:         s.settings.Instance.Domain,
 		FreshTime:      s.settings.Limits.FreshTime,
 		ConnectTimeout: s.settings.Limits.ConnectTimeout,
--- a/storer/client.go
+++ b/storer/client.go
@@ -17,7 +17,6 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
-	"monsoonswitch/descriptor"
 	"monsoonswitch/listener"
 )
 
@@ -81,9 +80,11 @@
 
 // ServiceListing lists the backend servers of one service.
 type ServiceListing struct {
-	Name     string               `json:"name"`
-	Version  uint64               `json:"version"`
-	Backends []descriptor.Backend `json:"backends"`
+	Name    string `json:"name"`
+	Version uint64 `json:"version"`
+	// Backends holds the encoded backend servers, which other writers may have
+	// published.
+	Backends []json.RawMessage `json:"backends"`
 }
 
 // Store is a key-value service with compare-and-swap, leases and watches. It is
@@ -261,15 +262,79 @@
 }
 
 // DecodeBody decodes the JSON body of an answer of the platform. It returns
-// ErrMalformed if the body is malformed.
+// ErrMalformed if the body is malformed. Values that are nested too deeply are decoded
+// as null, so that one such value does not make the whole answer malformed.
 func DecodeBody(response *http.Response, result any) error {
-	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(result)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
 		return eris.Wrapf(ErrMalformed, "%v", err)
 	}
+	if err := json.Unmarshal(cutNesting(data), result); err != nil {
+		return eris.Wrapf(ErrMalformed, "%v", err)
+	}
 	return nil
 }
 
+// maxNesting is the number of levels of arrays and objects in an answer. Declarations
+// have fewer than ten.
+const maxNesting = 64
+
+// cutNesting replaces the arrays and objects of JSON text that are nested deeper than
+// maxNesting by null. It does not validate the text.
+func cutNesting(data []byte) []byte {
+	if !nestedTooDeeply(data) {
+		return data
+	}
+	result := make([]byte, 0, len(data))
+	n := nesting{}
+	for _, c := range data {
+		before := n.depth
+		n = n.WithByte(c)
+		switch {
+		case before <= maxNesting && n.depth <= maxNesting:
+			result = append(result, c)
+		case before == maxNesting:
+			result = append(result, "null"...)
+		}
+	}
+	return result
+}
+
+func nestedTooDeeply(data []byte) bool {
+	n := nesting{}
+	for _, c := range data {
+		if n = n.WithByte(c); n.depth > maxNesting {
+			return true
+		}
+	}
+	return false
+}
+
+// nesting is the position within JSON text that is read byte by byte.
+type nesting struct {
+	depth int
+	// quoted is set within a string, and escaped after a backslash there.
+	quoted, escaped bool
+}
+
+// WithByte returns n after the next byte.
+func (n nesting) WithByte(c byte) nesting {
+	switch {
+	case n.escaped:
+		n.escaped = false
+	case n.quoted:
+		n.escaped = c == '\\'
+		n.quoted = c != '"'
+	case c == '"':
+		n.quoted = true
+	case c == '[' || c == '{':
+		n.depth++
+	case c == ']' || c == '}':
+		n.depth--
+	}
+	return n
+}
+
 // CloseBody reads an answer of the platform to its end and closes it, so that its
 // connection can be reused.
 func CloseBody(response *http.Response) {
--- a/storer/documents.go
+++ b/storer/documents.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"net"
+	"strconv"
 	"strings"
 
 	"github.com/rotisserie/eris"
@@ -65,25 +67,48 @@
 	return Feed{
 		Name:   "store",
 		Prefix: ConfigPrefix,
-		Kind:   descriptor.KindService,
-		DecodeDocument: func(i Item) (descriptor.Document, bool, error) {
-			if i.Deleted {
-				return descriptor.Document{}, false, nil
-			}
-			d, err := ParseDocument(i)
-			return d, err == nil, err
-		},
+		Parts: []Part{{
+			Prefix: ConfigPrefix,
+			Kind:   descriptor.KindService,
+			DecodeDocument: func(i Item) (descriptor.Document, bool, error) {
+				if i.Deleted {
+					return descriptor.Document{}, false, nil
+				}
+				d, err := ParseDocument(i)
+				return d, err == nil, err
+			},
+		}},
 	}
 }
 
-// backendsDocument returns the document of a service's backend servers. It omits
-// entries without an ID, an address or slots.
+// backendsDocument returns the document of a service's backend servers.
 func backendsDocument(l ServiceListing) descriptor.Document {
-	d := descriptor.Document{Kind: descriptor.KindBackends, Name: l.Name, Revision: l.Version}
-	for _, b := range l.Backends {
-		if b.ID != "" && b.Address != "" && b.Slots > 0 {
-			d.Backends = append(d.Backends, b)
+	return descriptor.Document{Kind: descriptor.KindBackends, Name: l.Name, Revision: l.Version, Backends: l.Decode()}
+}
+
+// Decode returns the backend servers of a listing. It omits entries that can't be decoded,
+// that have no ID or slots, or whose address is not host:port. Each entry is decoded by
+// itself, so that the others hold.
+func (l ServiceListing) Decode() []descriptor.Backend {
+	var result []descriptor.Backend
+	for _, entry := range l.Backends {
+		var b descriptor.Backend
+		if err := json.Unmarshal(entry, &b); err != nil {
+			continue
+		}
+		if b.ID != "" && isAddress(b.Address) && b.Slots > 0 {
+			result = append(result, b)
 		}
 	}
-	return d
+	return result
+}
+
+// isAddress reports whether an address is host:port with a port that can be dialed.
+func isAddress(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
 }
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -43,10 +44,18 @@
 	BadDocument(key string, err error)
 }
 
-// Feed is a prefix of keys that an instance follows.
+// Feed is a set of keys that an instance follows with one watch.
 type Feed struct {
 	// Name is the name of the source in reports.
-	Name   string
+	Name string
+	// Prefix is the common prefix of the keys of all parts. It may be empty.
+	Prefix string
+	Parts  []Part
+}
+
+// Part is the documents of one kind in a feed.
+type Part struct {
+	// Prefix is the prefix of the keys of this part.
 	Prefix string
 	// Kind is the kind of the documents, or of the first of them if there are several.
 	Kind descriptor.Kind
@@ -138,10 +147,13 @@
 	// compacted.
 	complete bool
 	roster   *Roster
+	// malformed holds the revisions of the values that could not be decoded and were
+	// reported. It is replaced with each list, which bounds it.
+	malformed map[string]uint64
 }
 
 func newFeedReader(f *Follower, feed Feed) *feedReader {
-	return &feedReader{follower: f, feed: feed, roster: NewRoster()}
+	return &feedReader{follower: f, feed: feed, roster: NewRoster(), malformed: make(map[string]uint64)}
 }
 
 // step lists the feed first and then watches it for changes. If the history of the
@@ -185,24 +197,60 @@
 	return started
 }
 
-// post posts the documents of an answer.
+// post posts the documents of an answer, one event for each part of the feed.
 func (c *feedReader) post(page Page, listed bool, asOf, now time.Time) {
-	e := descriptor.DocumentsRead{At: now, Kind: c.feed.Kind, Complete: listed, AsOf: asOf, Revision: page.Revision}
-	if c.feed.DecodeEntry != nil {
-		e.Documents = c.entries(page, listed)
-	} else {
-		e.Documents = c.documents(page)
+	if listed {
+		c.forgetMalformed(page)
+	}
+	for _, p := range c.feed.Parts {
+		e := descriptor.DocumentsRead{At: now, Kind: p.Kind, Complete: listed, AsOf: asOf, Revision: page.Revision}
+		if items := page.withPrefix(p.Prefix); p.DecodeEntry != nil {
+			e.Documents = c.entries(p, items, listed)
+		} else {
+			e.Documents = c.documents(p, items)
+		}
+		c.follower.poster.Post(e)
+	}
+}
+
+// withPrefix returns p with only the items whose keys begin with prefix.
+func (p Page) withPrefix(prefix string) Page {
+	var items []Item
+	for _, item := range p.Items {
+		if strings.HasPrefix(item.Key, prefix) {
+			items = append(items, item)
+		}
+	}
+	return Page{Revision: p.Revision, Items: items}
+}
+
+// reportMalformed reports a value that can't be decoded, once for each revision of it.
+func (c *feedReader) reportMalformed(item Item, err error) {
+	if revision, ok := c.malformed[item.Key]; ok && revision == item.Revision {
+		return
+	}
+	c.malformed[item.Key] = item.Revision
+	c.follower.reporter.BadDocument(item.Key, err)
+}
+
+// forgetMalformed drops the record of malformed values that a list no longer contains.
+func (c *feedReader) forgetMalformed(page Page) {
+	kept := make(map[string]uint64)
+	for _, item := range page.Items {
+		if revision, ok := c.malformed[item.Key]; ok {
+			kept[item.Key] = revision
+		}
 	}
-	c.follower.poster.Post(e)
+	c.malformed = kept
 }
 
 // documents returns the documents of an answer and reports those that can't be decoded.
-func (c *feedReader) documents(page Page) []descriptor.Document {
+func (c *feedReader) documents(p Part, page Page) []descriptor.Document {
 	var result []descriptor.Document
 	for _, item := range page.Items {
-		d, ok, err := c.feed.DecodeDocument(item)
+		d, ok, err := p.DecodeDocument(item)
 		if err != nil {
-			c.follower.reporter.BadDocument(item.Key, err)
+			c.reportMalformed(item, err)
 			continue
 		}
 		if ok {
@@ -214,7 +262,7 @@
 
 // entries applies the entries of an answer and returns the lists of backend servers
 // that changed. A backend server whose entry can't be decoded is removed.
-func (c *feedReader) entries(page Page, listed bool) []descriptor.Document {
+func (c *feedReader) entries(p Part, page Page, listed bool) []descriptor.Document {
 	var present []string
 	for _, item := range page.Items {
 		if item.Deleted {
@@ -222,9 +270,9 @@
 			continue
 		}
 		present = append(present, item.Key)
-		entry, err := c.feed.DecodeEntry(item.Key, item.Value)
+		entry, err := p.DecodeEntry(item.Key, item.Value)
 		if err != nil {
-			c.follower.reporter.BadDocument(item.Key, err)
+			c.reportMalformed(item, err)
 			c.roster.Remove(item.Key)
 			continue
 		}
