--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -63,13 +63,18 @@
 address = $store
 patience = 1s
 INI
-  "$bin" serve --settings "$dir/entry-$i.ini" 2>"$dir/entry-$i.log" &
+  "$bin" serve --settings "$dir/entry-$i.ini" >"$dir/entry-$i.log" 2>&1 &
   pids+=($!)
   for _ in $(seq 200); do
     line=$(grep -m1 -o 'callers [0-9.:]* inner [0-9.:]* operators [0-9.:]*' "$dir/entry-$i.log" || true)
     [ -n "$line" ] && break
     sleep 0.02
   done
+  if [ -z "$line" ]; then
+    echo "entry-$i did not start:" >&2
+    cat "$dir/entry-$i.log" >&2
+    exit 1
+  fi
   read -r _ callers _ inner _ ops <<<"$line"
   entries+=(--entry "$callers")
   operators+=(--operators "$ops")
