Outcomes cross a failure domain once, as rows without names; the directory leaves out suspects

Cause: each of 15 owners sent 131 KB of outcomes a second to all others, 390 bytes a message, of which field names and IDs were most. A soak with real processes is added, not run yet.

Idle large services are evaluated once a second.

--- a/assembler/proxy.go
+++ b/assembler/proxy.go
@@ -23,9 +23,13 @@
 
 // newProxy starts a proxy for the inner listener of an instance. Its upstream is set
 // by forward, since the instance's address is not known before it listens.
-func newProxy(name string) (*toxiproxy.Proxy, error) {
+func newProxy(name string) (*toxiproxy.Proxy, error) { return NewProxy(name, loopback) }
+
+// NewProxy starts a proxy on a free loopback port that forwards to an address. It returns
+// an error if it can't listen.
+func NewProxy(name, upstream string) (*toxiproxy.Proxy, error) {
 	server := toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())
-	p := toxiproxy.NewProxy(server, name, loopback, loopback)
+	p := toxiproxy.NewProxy(server, name, loopback, upstream)
 	return p, eris.Wrap(p.Start(), "start proxy")
 }
 
--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -144,7 +144,7 @@
 	if !b.options.PooledOutcomes {
 		return b.markDraining(s)
 	}
-	if leaving, _ := b.knownLeaving.Get(s.listed.ID); !leaving {
+	if leaving, _ := b.knownLeaving.Get(descriptor.MarkOf(s.listed.ID)); !leaving {
 		b.note(descriptor.NoteDrain, s.listed.ID, "announced in an answer")
 		b.queueLeaving(s.listed.ID)
 	}
@@ -153,7 +153,7 @@
 
 // withAnnouncedLeaving returns s leaving for good.
 func (b *Balancer[E, D, P, L]) withAnnouncedLeaving(s backend[E]) backend[E] {
-	b.knownLeaving.Put(s.listed.ID, true)
+	b.knownLeaving.Put(descriptor.MarkOf(s.listed.ID), true)
 	listed := s.listed
 	listed.Leaving = true
 	s.announced = true
@@ -162,9 +162,9 @@
 
 // learnLeaving handles the report of another instance that a backend server announced that
 // it is leaving. The report may arrive before the list that names the backend server.
-func (b *Balancer[E, D, P, L]) learnLeaving(id string) {
-	b.knownLeaving.Put(id, true)
-	if p := b.backends.Position(id); p >= 0 {
+func (b *Balancer[E, D, P, L]) learnLeaving(mark uint64) {
+	b.knownLeaving.Put(mark, true)
+	if p := b.backends.Position(b.marks[mark]); p >= 0 {
 		_, s := b.backends.At(p)
 		b.putBackend(p, b.withAnnouncedLeaving(s))
 	}
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -77,6 +77,7 @@
 // admit starts a request, queues it, or refuses it if its maximum wait or deadline has
 // passed or the limiter does not admit it.
 func (b *Balancer[E, D, P, L]) admit(r request) {
+	b.scanAfterIdleTime()
 	b.trace(r, descriptor.NoteAdmitted, 0, "", "", 0)
 	b.updateRepeatableShare(r)
 	if (b.queued == 0 || b.options.PooledOutcomes && b.ahead(r.class) == 0) && b.mayStart(r.class) && b.start(r) {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -121,6 +121,8 @@
 	// instance in it, or -1 for a non-owner.
 	owners   []descriptor.Member
 	position int
+	// gateways lists one owner of each other failure domain; see gatewaysOf.
+	gateways []descriptor.Member
 	// shareRetainedUntil is until when an instance that is no longer an owner keeps
 	// its share. Zero means that it is an owner or no longer has a share.
 	shareRetainedUntil time.Time
@@ -132,8 +134,11 @@
 	refusal string
 	peers   map[string]peerEvidence
 	crashes *container.Generations[uint64, crash]
-	// knownLeaving holds the incarnations that were ever listed as leaving.
-	knownLeaving *container.Generations[string, bool]
+	// knownLeaving holds the marks of the incarnations that were ever listed as leaving,
+	// or said so.
+	knownLeaving *container.Generations[uint64, bool]
+	// marks maps the mark of each backend server to its ID.
+	marks map[uint64]string
 	// unsentOutcomes holds the outcomes not yet sent to the other instances.
 	unsentOutcomes *container.Table[string, descriptor.BackendOutcomes]
 	outcomesSentAt time.Time
@@ -202,7 +207,8 @@
 		position:       -1,
 		peers:          make(map[string]peerEvidence),
 		unsentOutcomes: container.NewTable[string, descriptor.BackendOutcomes](),
-		knownLeaving:   container.NewGenerations[string, bool](maxKnownLeaving),
+		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
+		marks:          make(map[uint64]string),
 		crashes:        container.NewGenerations[uint64, crash](maxCrashes),
 	}
 	b.terms = o.terms(0, -1)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -54,6 +54,7 @@
 		s = s.WithMode(modeLeaving)
 	}
 	b.backends.Put(listed.ID, s)
+	b.marks[descriptor.MarkOf(listed.ID)] = listed.ID
 }
 
 // withKnownLeaving returns an entry marked as leaving if its incarnation was ever
@@ -64,9 +65,9 @@
 		return listed
 	}
 	if listed.Leaving {
-		b.knownLeaving.Put(listed.ID, true)
+		b.knownLeaving.Put(descriptor.MarkOf(listed.ID), true)
 	}
-	leaving, _ := b.knownLeaving.Get(listed.ID)
+	leaving, _ := b.knownLeaving.Get(descriptor.MarkOf(listed.ID))
 	listed.Leaving = leaving
 	return listed
 }
@@ -110,6 +111,7 @@
 // remove deletes a backend server. Positions change, so the sets are rebuilt.
 func (b *Balancer[E, D, P, L]) remove(id string) {
 	b.backends.Delete(id)
+	delete(b.marks, descriptor.MarkOf(id))
 	b.refresh()
 }
 
@@ -138,6 +140,7 @@
 	b.shareRetainedUntil = time.Time{}
 	b.owners = owners
 	b.position = position
+	b.gateways = gatewaysOf(owners, b.options)
 	b.terms = b.options.terms(len(owners), position)
 	b.recomputeShares()
 	b.startQueued()
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -96,7 +96,7 @@
 	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unsentUnserved}
 	b.unsentUnserved = 0
 	if b.position >= 0 {
-		b.sendToOwners(m)
+		b.sendByDomain(m)
 		return
 	}
 	if len(b.owners) > 0 {
@@ -105,6 +105,45 @@
 	}
 }
 
+// sendByDomain sends outcomes to the other owners of this failure domain, and to one owner in
+// each other one, which forwards them there: bytes between failure domains are dear.
+func (b *Balancer[E, D, P, L]) sendByDomain(m descriptor.Outcomes) {
+	b.sendToLocalOwners(m)
+	m.Local = true
+	for _, p := range b.gateways {
+		b.emit(descriptor.Send{To: p, Message: m})
+	}
+}
+
+// sendToLocalOwners sends a message to the other owners of this failure domain.
+func (b *Balancer[E, D, P, L]) sendToLocalOwners(m descriptor.Message) {
+	for _, p := range b.owners {
+		if p.ID != b.options.Self && p.Domain == b.options.Domain {
+			b.emit(descriptor.Send{To: p, Message: m})
+		}
+	}
+}
+
+// gatewaysOf returns one owner of each failure domain other than that of this instance.
+// Instances choose different ones, so that each forwards the outcomes of a few.
+func gatewaysOf(owners []descriptor.Member, o Options) []descriptor.Member {
+	chosen := make(map[string]descriptor.Member)
+	weight := func(m descriptor.Member) uint64 { return allocator.Weight(o.Self, m.ID) }
+	for _, m := range owners {
+		best, ok := chosen[m.Domain]
+		if m.Domain != o.Domain && (!ok || weight(m) > weight(best)) {
+			chosen[m.Domain] = m
+		}
+	}
+	var result []descriptor.Member
+	for _, m := range owners {
+		if best, ok := chosen[m.Domain]; ok && best.ID == m.ID {
+			result = append(result, m)
+		}
+	}
+	return result
+}
+
 // relayInstance returns the owner to which a non-owner sends its outcomes. It stays
 // the same while the owners do, so that a non-owner needs only one link.
 func (b *Balancer[E, D, P, L]) relayInstance() descriptor.Member {
@@ -140,11 +179,11 @@
 }
 
 // Leaving returns the backend servers that announced in an answer that they are leaving.
-func (b *Balancer[E, D, P, L]) Leaving() []string {
-	var list []string
+func (b *Balancer[E, D, P, L]) Leaving() []uint64 {
+	var list []uint64
 	for id, s := range b.backends.All {
 		if s.announced {
-			list = append(list, id)
+			list = append(list, descriptor.MarkOf(id))
 		}
 	}
 	return list
@@ -155,8 +194,8 @@
 // recent afterwards.
 func (b *Balancer[E, D, P, L]) HandleSuspicionList(now time.Time, m descriptor.SuspicionList) {
 	b.advance(now)
-	for _, id := range m.Leaving {
-		b.learnLeaving(id)
+	for _, mark := range m.Leaving {
+		b.learnLeaving(mark)
 	}
 	if b.position >= 0 && b.suspicionsReceived {
 		return
@@ -166,7 +205,7 @@
 	if m.Base > 0 {
 		base = min(float64(m.Base), suspicionThreshold)
 	}
-	suspected := make(map[uint32]float64, len(m.List))
+	suspected := make(map[uint64]float64, len(m.List))
 	for _, d := range m.List {
 		suspected[d.Mark] = float64(d.Gray)
 	}
@@ -239,6 +278,10 @@
 // HandleOutcomes applies outcomes reported by another instance.
 func (b *Balancer[E, D, P, L]) HandleOutcomes(now time.Time, m descriptor.Outcomes) {
 	b.advance(now)
+	if m.Local {
+		m.Local = false
+		b.sendToLocalOwners(m)
+	}
 	for range min(m.Unserved, maxOutcomes) {
 		b.recentOutcomes = b.recentOutcomes.WithOutcome(now, true)
 	}
@@ -246,8 +289,13 @@
 		b.unsentUnserved += max(0, m.Unserved)
 	}
 	for _, o := range m.List {
+		if o.Backend == "" {
+			o.Backend = b.marks[o.Mark]
+		} else {
+			o.Mark = descriptor.MarkOf(o.Backend)
+		}
 		if o.Leaving {
-			b.learnLeaving(o.Backend)
+			b.learnLeaving(o.Mark)
 		}
 		p := b.backends.Position(o.Backend)
 		if p < 0 {
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -18,6 +18,9 @@
 	// when it is placed.
 	evaluationPerBackend  = 250 * time.Microsecond
 	maxEvaluationInterval = 200 * time.Millisecond
+	// idleEvaluationInterval replaces it while a large service has no requests at this
+	// instance. The next request evaluates them first.
+	idleEvaluationInterval = time.Second
 	// hedgeQuantile is the quantile of service times after which an open attempt is
 	// hedged.
 	hedgeQuantile = 0.97
@@ -71,14 +74,11 @@
 	large := interval > evaluationInterval
 	scan := evaluated
 	if large {
-		scan = b.now.Sub(b.lastScan) >= min(interval, maxEvaluationInterval)
+		scan = b.now.Sub(b.lastScan) >= b.largeScanInterval(interval)
 	}
 	if scan {
-		b.lastScan = b.now
-		b.updateSpreading()
-		b.updateOtherWork()
-	}
-	if scan || !large {
+		b.scan()
+	} else if !large {
 		b.dropMissing()
 		b.updateModes()
 		b.refresh()
@@ -91,6 +91,31 @@
 	}
 }
 
+func (b *Balancer[E, D, P, L]) largeScanInterval(interval time.Duration) time.Duration {
+	if b.requests.Len() == 0 {
+		return idleEvaluationInterval
+	}
+	return min(interval, maxEvaluationInterval)
+}
+
+// scan evaluates all backend servers.
+func (b *Balancer[E, D, P, L]) scan() {
+	b.lastScan = b.now
+	b.updateSpreading()
+	b.updateOtherWork()
+	b.dropMissing()
+	b.updateModes()
+	b.refresh()
+}
+
+// scanAfterIdleTime evaluates all backend servers if that is overdue because the service had
+// no requests.
+func (b *Balancer[E, D, P, L]) scanAfterIdleTime() {
+	if b.options.PooledOutcomes && b.requests.Len() == 0 && b.now.Sub(b.lastScan) >= maxEvaluationInterval {
+		b.scan()
+	}
+}
+
 // expireQueued refuses requests that have been queued for too long.
 func (b *Balancer[E, D, P, L]) expireQueued() {
 	if b.queued == 0 {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -60,6 +60,7 @@
 		&standinBackendCommand{},
 		&demoCommand{},
 		&loadCommand{},
+		&soakCommand{},
 		&trialCommand{},
 		&capacityCommand{},
 	}
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -34,16 +34,24 @@
 
 // CallersFor returns the instances for the callers of a failure domain: those in
 // the same failure domain, or all instances if it has fewer than
-// minLocalInstances.
+// minLocalInstances. Suspected ones are left out unless no other one is left, because
+// callers would wait for those that are cut off or suspended.
 func (d *Directory) CallersFor(domain string) []Member {
-	var local []Member
+	var all, local []Member
 	for _, m := range d.Callers {
+		if m.State == Suspect {
+			continue
+		}
+		all = append(all, m)
 		if m.Domain == domain {
 			local = append(local, m)
 		}
 	}
-	if len(local) < minLocalInstances {
+	switch {
+	case len(all) == 0:
 		return d.Callers
+	case len(local) < minLocalInstances:
+		return all
 	}
 	return local
 }
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -155,9 +155,14 @@
 // ended.
 type Outcomes struct {
 	Service string
-	List    []BackendOutcomes
+	// List travels as Rows, which need a fifth of the bytes.
+	List []BackendOutcomes `cbor:"-"`
+	Rows []outcomeRow      `cbor:",omitempty" json:",omitempty"`
 	// Relay asks the receiver to forward the outcomes to the other slot owners.
 	Relay bool `cbor:",omitempty"`
+	// Local asks the receiver to forward the message to the other slot owners of its
+	// failure domain.
+	Local bool `cbor:",omitempty"`
 	// Unserved counts the requests that ended at the sender without a response
 	// since its last message.
 	Unserved int `cbor:",omitempty"`
@@ -167,18 +172,60 @@
 // message. Before counts the successes before the first failure, Bad the
 // failures, and After the successes after the last failure.
 type BackendOutcomes struct {
+	// Backend is the ID of the backend server. It is empty in a message that was received,
+	// which names the backend server by Mark; see MarkOf.
 	Backend            string
+	Mark               uint64
 	Before, Bad, After int
 	// Late counts the attempts without a response after a multiple of the median
 	// service time of their class; see lateFactor of package balancer.
-	Late int `cbor:",omitempty"`
+	Late int
 	// Reported is set when the backend server reported its load Age milliseconds
 	// ago. Work is the number of requests of all instances that it had then.
-	Reported bool `cbor:",omitempty"`
-	Work     int  `cbor:",omitempty"`
-	Age      int  `cbor:",omitempty"`
+	Reported  bool
+	Work, Age int
 	// Leaving is set once the backend server announced in an answer that it is leaving.
-	Leaving bool `cbor:",omitempty"`
+	Leaving bool
+}
+
+// outcomeRow is the encoded form of BackendOutcomes, an array without field names.
+type outcomeRow struct {
+	_                  struct{} `cbor:",toarray"`
+	Mark               uint64
+	Before, Bad, After int
+	Late               int
+	// Work is one more than the reported work, or 0 without a report.
+	Work, Age int
+	Leaving   bool
+}
+
+// WithRows returns m with Rows set from List.
+func (m Outcomes) WithRows() Outcomes {
+	m.Rows = make([]outcomeRow, 0, len(m.List))
+	for _, o := range m.List {
+		r := outcomeRow{Mark: o.Mark, Before: o.Before, Bad: o.Bad, After: o.After, Late: o.Late, Age: o.Age, Leaving: o.Leaving}
+		if o.Backend != "" {
+			r.Mark = MarkOf(o.Backend)
+		}
+		if o.Reported {
+			r.Work = o.Work + 1
+		}
+		m.Rows = append(m.Rows, r)
+	}
+	return m
+}
+
+// WithList returns m with List set from Rows.
+func (m Outcomes) WithList() Outcomes {
+	m.List = make([]BackendOutcomes, 0, len(m.Rows))
+	for _, r := range m.Rows {
+		m.List = append(m.List, BackendOutcomes{
+			Mark: r.Mark, Before: r.Before, Bad: r.Bad, After: r.After, Late: r.Late,
+			Reported: r.Work > 0, Work: max(0, r.Work-1), Age: r.Age, Leaving: r.Leaving,
+		})
+	}
+	m.Rows = nil
+	return m
 }
 
 // References lists the documents that its sender holds in the digest buckets
@@ -394,14 +441,14 @@
 	List []Suspicion `cbor:"-"`
 	// Marks holds the hash of the ID of each suspected backend server, and Levels the
 	// probability that it is gray in units of 1/maxLevel.
-	Marks  []uint32 `cbor:",omitempty" json:",omitempty"`
+	Marks  []uint64 `cbor:",omitempty" json:",omitempty"`
 	Levels []byte   `cbor:",omitempty" json:",omitempty"`
 	// Base is the mean probability that a backend server which is not listed is gray; 0
 	// means that it is not known.
 	Base float32 `cbor:",omitempty" json:",omitempty"`
-	// Leaving lists the backend servers that are leaving. The platform's list may not
+	// Leaving lists the marks of the backend servers that are leaving. The platform's list may not
 	// show it yet, or still show it to instances that read an older one.
-	Leaving []string `cbor:",omitempty"`
+	Leaving []uint64 `cbor:",omitempty"`
 }
 
 // maxLevel is the level that stands for a probability of 1.
@@ -409,7 +456,7 @@
 
 // WithMarks returns m with Marks and Levels set from List.
 func (m SuspicionList) WithMarks() SuspicionList {
-	m.Marks = make([]uint32, 0, len(m.List))
+	m.Marks = make([]uint64, 0, len(m.List))
 	m.Levels = make([]byte, 0, len(m.List))
 	for _, s := range m.List {
 		m.Marks = append(m.Marks, s.Mark)
@@ -432,14 +479,14 @@
 
 // Suspicion is the estimated probability that a backend server is gray.
 type Suspicion struct {
-	// Mark identifies the backend server; see MarkOf. Two of one service may have the
-	// same one, and are then suspected together.
-	Mark uint32
+	// Mark identifies the backend server; see MarkOf.
+	Mark uint64
 	Gray float32
 }
 
-// MarkOf returns the mark of the backend server with an ID.
-func MarkOf(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// MarkOf returns the mark of the backend server with an ID, by which messages name it. It is
+// shorter than the ID, and unique for all practical purposes.
+func MarkOf(id string) uint64 { return xxhash.Sum64String(id) }
 
 // Type implements Message.
 func (SuspicionList) Type() MessageType { return TypeSuspicionList }
--- a/loader/result.go
+++ b/loader/result.go
@@ -222,6 +222,9 @@
 // only if no request is unknown (without an answer, or answered with a status of 5xx)
 // and none was poison, since otherwise the two may differ without a fault.
 func (r *Runner) verifyTallies(result *Result) {
+	if r.scenario.Disturbed {
+		return
+	}
 	var served uint64
 	for _, s := range r.deployment.services {
 		report, ok := r.reportOf(s.Name)
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -34,8 +35,11 @@
 	Seed       uint64
 	Instances  int
 	Policy     string
-	Work       []Work
-	Faults     []Fault
+	// Disturbed reports whether instances are killed or cut off from outside. Their last
+	// counts may then be lost, so that the report is not compared with those of callers.
+	Disturbed bool
+	Work      []Work
+	Faults    []Fault
 }
 
 // Work describes callers that send the same kind of work.
@@ -271,6 +275,29 @@
 	return eris.Wrapf(ErrScenario, "%s: fault %s: unknown kind %q", file, f.Name, f.Kind)
 }
 
+// WriteDeclarations writes the embedded declarations of a deployment to a new temporary
+// directory and returns its path.
+func WriteDeclarations(deployment string) (string, error) {
+	files, err := fs.Glob(embedded, "deployments/"+deployment+"/*.ini")
+	if err != nil || len(files) == 0 {
+		return "", eris.Wrapf(ErrScenario, "unknown deployment %q", deployment)
+	}
+	folder, err := os.MkdirTemp("", "declarations-")
+	if err != nil {
+		return "", eris.Wrap(err, "create a directory")
+	}
+	for _, f := range files {
+		data, err := embedded.ReadFile(f)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(folder, path.Base(f)), data, 0o600)
+		}
+		if err != nil {
+			return "", eris.Wrap(err, "write declaration")
+		}
+	}
+	return folder, nil
+}
+
 // declarations reads the embedded declarations of a deployment.
 func declarations(name string) ([]declarer.Service, error) {
 	files, err := fs.Glob(embedded, "deployments/"+name+"/*.ini")
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -78,6 +78,8 @@
 		m = v.WithCapacities()
 	case descriptor.SuspicionList:
 		m = v.WithMarks()
+	case descriptor.Outcomes:
+		m = v.WithRows()
 	}
 	body, err := encMode.Marshal(m)
 	if err != nil {
@@ -131,7 +133,7 @@
 	descriptor.TypeDrain:         decode[descriptor.Drain],
 	descriptor.TypeKeyHandover:   decode[descriptor.KeyHandover],
 	descriptor.TypeFreshness:     decode[descriptor.Freshness],
-	descriptor.TypeOutcomes:      decode[descriptor.Outcomes],
+	descriptor.TypeOutcomes:      decodeOutcomes,
 	descriptor.TypeSuspicionList: decodeSuspicions,
 }
 
@@ -154,6 +156,15 @@
 	return nil, err
 }
 
+// decodeOutcomes sets the list of outcomes, which travels as rows.
+func decodeOutcomes(body cbor.RawMessage) (descriptor.Message, error) {
+	m, err := decode[descriptor.Outcomes](body)
+	if outcomes, ok := m.(descriptor.Outcomes); ok {
+		return outcomes.WithList(), nil
+	}
+	return nil, err
+}
+
 // decodeSuspicions sets the list of suspicions, which travels as marks.
 func decodeSuspicions(body cbor.RawMessage) (descriptor.Message, error) {
 	m, err := decode[descriptor.SuspicionList](body)
--- /dev/null
+++ b/soaker/plan.go
@@ -0,0 +1,135 @@
+// Package soaker runs randomized soaks: the real program as separate processes, with faults
+// injected from outside. The checks are those of package loader, from what callers and
+// backend servers see.
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"monsoonswitch/loader"
+)
+
+// step is one fault of an instance.
+type step struct {
+	at       time.Duration
+	kind     kind
+	instance int
+	span     time.Duration
+}
+
+// kind is a kind of fault that is injected into an instance from outside.
+type kind string
+
+const (
+	// pause stops the process with SIGSTOP.
+	pause kind = "pause"
+	// kill ends the process with SIGKILL and starts it again.
+	kill kind = "kill"
+	// stop ends the process with SIGTERM and starts it again.
+	stop kind = "stop"
+	// reload sends SIGHUP.
+	reload kind = "reload"
+	// reset, delay, silence and oneway are faults of the links that the instance accepted.
+	reset   kind = "reset"
+	delay   kind = "delay"
+	silence kind = "silence"
+	oneway  kind = "oneway"
+	// away breaks the connections of the instance to the store.
+	away kind = "away"
+	// herd kills all instances and starts them again.
+	herd kind = "herd"
+)
+
+var kinds = []kind{pause, kill, stop, reload, reset, delay, silence, oneway, away, herd}
+
+// Limits of a plan.
+const (
+	// leadTime is the time without faults at the start, and tailTime that at the end.
+	leadTime = 2 * time.Second
+	tailTime = 6 * time.Second
+	// minSteps and maxSteps bound the number of faults of instances, and of faults of the
+	// store and of backend servers.
+	minSteps = 3
+	maxSteps = 9
+	// leastServed is the share of each kind of work that must be served.
+	leastServed = 0.5
+)
+
+// plan is all that happens in a soak. The same seed gives the same plan.
+type plan struct {
+	scenario loader.Scenario
+	steps    []step
+}
+
+// newPlan returns the plan of a seed.
+func newPlan(seed uint64, instances int, duration time.Duration) plan {
+	r := rand.New(rand.NewPCG(seed, 0))
+	p := plan{scenario: loader.Scenario{
+		Name:       fmt.Sprintf("soak-%d", seed),
+		Deployment: "pelletier",
+		Duration:   duration,
+		Seed:       seed,
+		Instances:  instances,
+		Policy:     "standard",
+		Disturbed:  true,
+		Work:       work(r),
+	}}
+	moment := func() time.Duration {
+		return leadTime + time.Duration(r.Int64N(int64(duration-leadTime-tailTime)))
+	}
+	for range minSteps + r.IntN(maxSteps-minSteps) {
+		p.steps = append(p.steps, step{
+			at:       moment(),
+			kind:     kinds[r.IntN(len(kinds))],
+			instance: r.IntN(instances),
+			span:     200*time.Millisecond + time.Duration(r.Int64N(int64(4*time.Second))),
+		})
+	}
+	for i := range minSteps + r.IntN(maxSteps-minSteps) {
+		f := surroundings[r.IntN(len(surroundings))]
+		f.Name = fmt.Sprintf("%s-%d", f.Kind, i)
+		f.From = moment()
+		f.To = min(f.From+500*time.Millisecond+time.Duration(r.Int64N(int64(5*time.Second))), duration-tailTime)
+		f.Index = r.IntN(f.Index)
+		p.scenario.Faults = append(p.scenario.Faults, f)
+	}
+	return p
+}
+
+// surroundings are the faults of the store and of backend servers. Index is the number of
+// backend servers of the service, among which one is drawn.
+var surroundings = []loader.Fault{
+	{Kind: loader.FaultStall, Service: "ledger", Index: 11},
+	{Kind: loader.FaultErrors, Service: "billing", Index: 21, Share: 0.5},
+	{Kind: loader.FaultCut, Service: "ledger", Index: 11, Share: 0.3},
+	{Kind: loader.FaultLate, Service: "fieldbook", Index: 6, Time: 300 * time.Millisecond},
+	{Kind: loader.FaultFlap, Service: "billing", Index: 21, Time: time.Second},
+	{Kind: loader.FaultTurn, Service: "billing", Index: 21, Share: 1, Time: time.Second},
+	{Kind: loader.FaultRepeat, Service: "ledger", Index: 11},
+	{Kind: loader.FaultRepeat, Service: "billing", Index: 21},
+	{Kind: loader.FaultOutage, Index: 1},
+	{Kind: loader.FaultSlow, Index: 1, Time: 300 * time.Millisecond},
+	{Kind: loader.FaultLost, Index: 1, Share: 0.3},
+}
+
+// work returns the work of a soak.
+func work(r *rand.Rand) []loader.Work {
+	kind := func(service, class, method, path string, keyed bool) loader.Work {
+		return loader.Work{
+			Name: class, Service: service, Class: class, Method: method, Path: path,
+			Rate: 10 + 50*r.Float64(), PeakFactor: 1, Callers: 20, Size: 256 + r.IntN(20000), Weight: 1,
+			Keyed: keyed, Idempotent: !keyed, Timeout: 5 * time.Second, Least: leastServed,
+		}
+	}
+	list := []loader.Work{
+		kind("ledger", "lookup", "GET", "/lines/7", false),
+		kind("ledger", "note", "POST", "/notes", true),
+		kind("billing", "invoice", "POST", "/invoices", true),
+		kind("fieldbook", "booking", "POST", "/visits", true),
+	}
+	upload := kind("fieldbook", "upload", "PUT", "/photos/1", true)
+	upload.Rate, upload.Body, upload.Weight = 2, 20000+r.IntN(200000), 5
+	return append(list, upload)
+}
--- /dev/null
+++ b/soaker/process.go
@@ -0,0 +1,164 @@
+package soaker
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/assembler"
+)
+
+// ErrSoak reports a soak that could not be started or continued.
+var ErrSoak = eris.New("soak")
+
+// startTimeout bounds the time until a process prints that it listens.
+const startTimeout = 20 * time.Second
+
+// loopback is an address with a free port.
+const loopback = "127.0.0.1:0"
+
+// child is a process that the soak started.
+type child struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// spawn starts the program and returns the child and the first line of its output that
+// contains mark. All output is written to a log file.
+func (s *soak) spawn(name, mark string, args ...string) (*child, string, error) {
+	log, err := os.OpenFile(filepath.Join(s.options.Directory, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, "", eris.Wrap(err, "open log")
+	}
+	cmd := exec.Command(s.options.Program, args...)
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, "", eris.Wrap(err, "open output")
+	}
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return nil, "", eris.Wrap(err, "start "+name)
+	}
+	c := &child{cmd: cmd, done: make(chan struct{})}
+	found := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(out)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			fmt.Fprintln(log, lines.Text())
+			if strings.Contains(lines.Text(), mark) {
+				select {
+				case found <- lines.Text():
+				default:
+				}
+			}
+		}
+		// The exit status of a killed process is of no interest.
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(c.done)
+	}()
+	select {
+	case line := <-found:
+		return c, line, nil
+	case <-c.done:
+		return nil, "", eris.Wrapf(ErrSoak, "%s ended at its start", name)
+	case <-time.After(startTimeout):
+		c.end(syscall.SIGKILL)
+		return nil, "", eris.Wrapf(ErrSoak, "%s did not start within %v", name, startTimeout)
+	}
+}
+
+// signal sends a signal to the process unless it has ended.
+func (c *child) signal(sig syscall.Signal) {
+	select {
+	case <-c.done:
+	default:
+		_ = c.cmd.Process.Signal(sig)
+	}
+}
+
+// end sends a signal to the process, and SIGKILL if it has not ended after graceTime.
+func (c *child) end(sig syscall.Signal) {
+	c.signal(syscall.SIGCONT)
+	c.signal(sig)
+	select {
+	case <-c.done:
+	case <-time.After(graceTime):
+		c.signal(syscall.SIGKILL)
+		<-c.done
+	}
+}
+
+// graceTime is the time that a process has to end after SIGTERM.
+const graceTime = 20 * time.Second
+
+// instance is an entry instance with proxies in front of its inner listener and of the
+// store. It keeps its addresses when it starts again.
+type instance struct {
+	name                     string
+	public, inner, operators string
+	links, store             *toxiproxy.Proxy
+
+	// mu serializes the faults of one instance that replace its process.
+	mu    sync.Mutex
+	child *child
+}
+
+// freeAddress returns a loopback address on which nothing listens.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", eris.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// newInstance chooses the addresses of an instance and starts its proxies.
+func newInstance(name, store string) (*instance, error) {
+	i := &instance{name: name}
+	var err error
+	for _, address := range []*string{&i.public, &i.inner, &i.operators} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	if i.links, err = assembler.NewProxy(name, i.inner); err != nil {
+		return nil, err
+	}
+	i.store, err = assembler.NewProxy(name+"-store", store)
+	return i, err
+}
+
+// settings returns the settings file of the instance.
+func (i *instance) settings(domain string, seeds []string) string {
+	return fmt.Sprintf(`[instance]
+name = %s
+domain = %s
+[callers]
+listen = %s
+header = Caller
+keep = 2s
+[inner]
+listen = %s
+advertise = %s
+key = the-key-of-this-soak
+seeds = %s
+[operators]
+listen = %s
+[platform]
+address = %s
+patience = 1s
+`, i.name, domain, i.public, i.inner, i.links.Listen, strings.Join(seeds, ", "), i.operators, i.store.Listen)
+}
--- /dev/null
+++ b/soaker/soaker.go
@@ -0,0 +1,246 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rotisserie/eris"
+
+	"monsoonswitch/loader"
+)
+
+// Options configure a soak.
+type Options struct {
+	// Program is the path of the program under test.
+	Program string
+	// Directory receives settings and logs.
+	Directory string
+	// Declarations is a directory with the declarations of the deployment.
+	Declarations string
+	Seed         uint64
+	Instances    int
+	Duration     time.Duration
+}
+
+// domains are the failure domains of the instances and backend servers.
+var domains = []string{"worcester", "providence", "portsmouth"}
+
+// services holds the number of backend servers of each service.
+var services = []struct {
+	name  string
+	count int
+}{{"ledger", 11}, {"billing", 21}, {"fieldbook", 6}}
+
+// soak is a running soak.
+type soak struct {
+	options   Options
+	progress  io.Writer
+	store     string
+	instances []*instance
+	// children holds the processes other than instances.
+	children []*child
+}
+
+// Run plays the soak of a seed and returns its result. It returns ErrSoak if a process
+// does not start. It ends only processes that it started.
+func Run(ctx context.Context, o Options, progress io.Writer) (loader.Result, error) {
+	s := &soak{options: o, progress: progress}
+	defer s.close()
+	if err := s.start(ctx); err != nil {
+		return loader.Result{}, err
+	}
+	p := newPlan(o.Seed, o.Instances, o.Duration)
+	remote := loader.Remote{Store: s.store}
+	for _, i := range s.instances {
+		remote.Entries = append(remote.Entries, i.public)
+		remote.Operators = append(remote.Operators, i.operators)
+	}
+	started := time.Now()
+	var faults sync.WaitGroup
+	for _, f := range p.steps {
+		faults.Add(1)
+		go func() {
+			defer faults.Done()
+			time.Sleep(time.Until(started.Add(f.at)))
+			s.apply(f)
+		}()
+	}
+	result, err := loader.RunRemote(ctx, p.scenario, remote, progress)
+	faults.Wait()
+	return result, err
+}
+
+// start starts the stand-ins, applies the declarations and starts the instances.
+func (s *soak) start(ctx context.Context) error {
+	address, err := s.standIn("store", "standin", "store", "--listen", loopback)
+	if err != nil {
+		return err
+	}
+	s.store = address
+	for _, service := range services {
+		for i := range service.count {
+			id := fmt.Sprintf("%s-%d", service.name, i)
+			_, err := s.standIn(id, "standin", "backend", "--store", s.store, "--service", service.name, "--id", id,
+				"--domain", domains[i%len(domains)], "--seed", fmt.Sprint(s.options.Seed+uint64(i)), "--down", "700ms")
+			if err != nil {
+				return err
+			}
+		}
+	}
+	apply := exec.CommandContext(ctx, s.options.Program, "apply", "--store", s.store, s.options.Declarations)
+	if out, err := apply.CombinedOutput(); err != nil {
+		return eris.Wrapf(ErrSoak, "apply: %v: %s", err, out)
+	}
+	return s.startInstances()
+}
+
+// standIn starts a stand-in and returns the address on which it listens.
+func (s *soak) standIn(name string, args ...string) (string, error) {
+	const mark = "listening on "
+	c, line, err := s.spawn(name, mark, args...)
+	if err != nil {
+		return "", err
+	}
+	s.children = append(s.children, c)
+	return strings.TrimPrefix(line, mark), nil
+}
+
+func (s *soak) startInstances() error {
+	var seeds []string
+	for k := range s.options.Instances {
+		i, err := newInstance(fmt.Sprintf("entry-%d", k), s.store)
+		if err != nil {
+			return err
+		}
+		s.instances = append(s.instances, i)
+		if len(seeds) < len(domains) {
+			seeds = append(seeds, i.links.Listen)
+		}
+	}
+	for k, i := range s.instances {
+		text := i.settings(domains[k%len(domains)], seeds)
+		if err := os.WriteFile(s.settingsPath(i), []byte(text), 0o600); err != nil {
+			return eris.Wrap(err, "write settings")
+		}
+		if err := s.serve(i); err != nil {
+			return err
+		}
+	}
+	// The instances learn of each other and of the declarations.
+	time.Sleep(settleTime)
+	return nil
+}
+
+// settleTime is the time between the start of the instances and that of the load.
+const settleTime = 4 * time.Second
+
+func (s *soak) settingsPath(i *instance) string {
+	return filepath.Join(s.options.Directory, i.name+".ini")
+}
+
+// serve starts the process of an instance.
+func (s *soak) serve(i *instance) error {
+	c, _, err := s.spawn(i.name, "instance started", "serve", "--settings", s.settingsPath(i))
+	if err != nil {
+		return err
+	}
+	i.child = c
+	return nil
+}
+
+// apply injects a fault and ends it.
+func (s *soak) apply(f step) {
+	fmt.Fprintf(s.progress, "      %s of instance %d for %v\n", f.kind, f.instance, f.span)
+	i := s.instances[f.instance]
+	switch f.kind {
+	case pause:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.child.signal(syscall.SIGSTOP)
+		time.Sleep(f.span)
+		i.child.signal(syscall.SIGCONT)
+	case kill:
+		s.restart(i, syscall.SIGKILL, f.span)
+	case stop:
+		s.restart(i, syscall.SIGTERM, f.span)
+	case reload:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.child.signal(syscall.SIGHUP)
+	case herd:
+		s.herd(f.span)
+	default:
+		disturb(i, f)
+	}
+}
+
+// restart ends the process of an instance and starts it again after a time.
+func (s *soak) restart(i *instance, sig syscall.Signal, after time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.child.end(sig)
+	time.Sleep(after)
+	if err := s.serve(i); err != nil {
+		fmt.Fprintf(s.progress, "      %s does not start again: %v\n", i.name, err)
+	}
+}
+
+// herd kills all instances at the same time and starts them again.
+func (s *soak) herd(after time.Duration) {
+	var all sync.WaitGroup
+	for _, i := range s.instances {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			s.restart(i, syscall.SIGKILL, after)
+		}()
+	}
+	all.Wait()
+}
+
+// disturb injects a fault of the network of an instance and ends it.
+func disturb(i *instance, f step) {
+	proxy, toxic := i.links, ""
+	switch f.kind {
+	case reset:
+		toxic = `{"name":"soak","type":"reset_peer","stream":"downstream","attributes":{"timeout":0}}`
+	case delay:
+		toxic = `{"name":"soak","type":"latency","stream":"downstream","attributes":{"latency":200,"jitter":150}}`
+	case silence:
+		toxic = `{"name":"soak","type":"timeout","stream":"downstream","attributes":{"timeout":0}}`
+	case oneway:
+		toxic = `{"name":"soak","type":"timeout","stream":"upstream","attributes":{"timeout":0}}`
+	case away:
+		proxy = i.store
+		toxic = `{"name":"soak","type":"reset_peer","stream":"downstream","attributes":{"timeout":0}}`
+	}
+	add(proxy, toxic)
+	time.Sleep(f.span)
+	proxy.Toxics.ResetToxics(context.Background())
+}
+
+// add adds a toxic to a proxy. One that is there already, of an overlapping fault, stays.
+func add(p *toxiproxy.Proxy, toxic string) { _, _ = p.Toxics.AddToxicJson(strings.NewReader(toxic)) }
+
+// close ends all processes and proxies of the soak.
+func (s *soak) close() {
+	for _, i := range s.instances {
+		if i.child != nil {
+			i.child.end(syscall.SIGKILL)
+		}
+		i.links.Stop()
+		i.store.Stop()
+	}
+	for _, c := range s.children {
+		c.end(syscall.SIGKILL)
+	}
+}
