--- a/allocator/index.go
+++ b/allocator/index.go
@@ -127,9 +127,11 @@
 // rank recomputes the serving instances of a service and reports whether they
 // changed.
 func (x *Index) rank(service string, r serviceRecord) bool {
-	serving := x.groups.serving(service, r.count)
+	var serving []descriptor.Member
 	if r.callers {
 		serving = x.groups.callers(service, r.count)
+	} else {
+		serving = x.groups.serving(service, r.count)
 	}
 	changed := !sameMembers(serving, r.serving)
 	r.serving = serving
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -138,14 +139,23 @@
 		return
 	}
 	b.shareRetainedUntil = time.Time{}
+	same := position == b.position && sameIDs(owners, b.owners)
 	b.owners = owners
 	b.position = position
 	b.gateways = gatewaysOf(owners, b.options)
+	if same {
+		return
+	}
 	b.terms = b.options.terms(len(owners), position)
 	b.recomputeShares()
 	b.startQueued()
 }
 
+// sameIDs reports whether two lists hold the same instances in the same order.
+func sameIDs(a, b []descriptor.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y descriptor.Member) bool { return x.ID == y.ID })
+}
+
 // SetRetries sets the bounds on the retries of all instances together.
 func (b *Balancer[E, D, P, L]) SetRetries(bounds retrier.Bounds) {
 	b.options.Retries = bounds
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -112,8 +112,10 @@
 	}
 	f.linked[[2]string{from, to}] = true
 	a, b := f.instances[from].gossiper.Self(), f.instances[to].gossiper.Self()
-	f.step(from, descriptor.LinkOpened{At: f.now, Peer: b})
-	f.step(to, descriptor.LinkOpened{At: f.now, Peer: a})
+	known := func(id string) int { return len(f.instances[id].gossiper.Members()) }
+	knownFrom, knownTo := known(from), known(to)
+	f.step(from, descriptor.LinkOpened{At: f.now, Peer: b, Known: knownTo})
+	f.step(to, descriptor.LinkOpened{At: f.now, Peer: a, Known: knownFrom})
 }
 
 func (f *routedFleet) step(id string, e descriptor.Event) {
--- a/descriptor/actions.go
+++ b/descriptor/actions.go
@@ -57,7 +57,11 @@
 }
 
 // Connect lists the instances that links are to be kept open to.
-type Connect struct{ Peers []Member }
+type Connect struct {
+	Peers []Member
+	// Known is the number of live members that this instance knows.
+	Known int `json:"-"`
+}
 
 // Publish replaces the directory that the traffic goroutines read.
 type Publish struct{ Directory *Directory }
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -107,6 +107,8 @@
 type LinkOpened struct {
 	At   time.Time
 	Peer Member
+	// Known is the number of live members that the peer knows, or 0 if it did not tell.
+	Known int `json:",omitempty"`
 }
 
 // LinkClosed reports that the last link to an instance is closed.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -83,6 +83,8 @@
 	From     Member
 	// Capacity is the capacity of From.
 	Capacity int32 `cbor:",omitempty"`
+	// Known is the number of live members that the sender knows.
+	Known int `cbor:",omitempty"`
 }
 
 // Heartbeat shows that its sender is alive.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -41,6 +41,10 @@
 	// started is sent all records at once. In larger fleets it receives them
 	// bucket by bucket after digests.
 	maxInitialMembers = 512
+	// introducedRatio is the inverse of the part of the members that an instance must know
+	// to be sent only the record of the other end of a new link. It learns of the others
+	// from the changes that spread, and from digests.
+	introducedRatio = 2
 	// minDigestInterval is the minimum time between digests on one link.
 	// digestIntervalPerLink is the minimum mean time between digests over all links
 	// together: the interval on each link is at least this times the number of links.
@@ -229,14 +233,15 @@
 	g.store(g.self, now)
 }
 
-// LinkOpened handles a new link to an instance. If the instance just started and
-// the fleet has at most maxInitialMembers members, it sends all live records, and
-// otherwise only the record of this instance.
+// LinkOpened handles a new link to an instance. If the instance just started, knows few
+// members, and the fleet has at most maxInitialMembers members, it sends all live records,
+// and otherwise only the record of this instance.
 func (g *Gossiper) LinkOpened(e descriptor.LinkOpened) {
 	before, known := g.members.Get(e.Peer.ID)
 	g.links.Put(e.Peer.ID, link{receivedAt: e.At})
 	g.merge(e.Peer, e.At)
-	if known && before.member.Incarnation == e.Peer.Incarnation || g.members.Len() > maxInitialMembers {
+	introduced := e.Known > 0 && e.Known*introducedRatio >= len(g.ring)
+	if known && before.member.Incarnation == e.Peer.Incarnation || introduced || g.members.Len() > maxInitialMembers {
 		g.send(e.Peer.ID, descriptor.Members{Records: []descriptor.Member{g.self}})
 		return
 	}
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -76,7 +76,7 @@
 	for _, id := range unwatched(g, watched) {
 		g.watchedAt.Delete(id)
 	}
-	g.actions = append(g.actions, descriptor.Connect{Peers: peers})
+	g.actions = append(g.actions, descriptor.Connect{Peers: peers, Known: len(g.ring)})
 }
 
 // watchersOf returns the instances that watch the one at position i of a ring of n
--- a/linker/link.go
+++ b/linker/link.go
@@ -34,6 +34,8 @@
 	linker *Linker
 	conn   *websocket.Conn
 	peer   descriptor.Member
+	// peerKnown is the number of live members that the peer knew when the link was opened.
+	peerKnown int
 	// dialed reports whether this instance opened the link.
 	dialed   bool
 	outgoing chan descriptor.Message
@@ -129,7 +131,7 @@
 // ErrProtocol if the peer's hello is not valid.
 func (l *Linker) handshake(ctx context.Context, conn *websocket.Conn, dialed bool) error {
 	conn.SetReadLimit(messenger.MaxFrame)
-	hello := descriptor.Hello{Protocol: messenger.Version, From: l.options.Self()}
+	hello := descriptor.Hello{Protocol: messenger.Version, From: l.options.Self(), Known: l.knownMembers()}
 	if err := l.write(ctx, conn, hello); err != nil {
 		_ = conn.CloseNow()
 		return err
@@ -144,20 +146,29 @@
 		_ = conn.Close(websocket.StatusProtocolError, "bad hello")
 		return eris.Wrapf(ErrProtocol, "hello of %q with version %d", peerHello.From.ID, peerHello.Protocol)
 	}
-	l.start(conn, peerHello.From, dialed)
+	l.start(conn, peerHello, dialed)
 	return nil
 }
 
-func (l *Linker) start(conn *websocket.Conn, peer descriptor.Member, dialed bool) {
+// knownMembers returns the number of live members that this instance knows.
+func (l *Linker) knownMembers() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
+func (l *Linker) start(conn *websocket.Conn, hello descriptor.Hello, dialed bool) {
 	ctx, cancel := context.WithCancel(l.ctx)
 	k := &link{
 		linker:   l,
 		conn:     conn,
-		peer:     peer,
+		peer:     hello.From,
 		dialed:   dialed,
 		outgoing: make(chan descriptor.Message, sendQueueLength),
 		ctx:      ctx,
 		cancel:   cancel,
+
+		peerKnown: max(0, hello.Known),
 	}
 	k.lastUsedNanos.Store(time.Now().UnixNano())
 	l.add(k)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -85,6 +85,8 @@
 	links map[string][]*link
 	// wanted holds the instances to keep links to, by ID.
 	wanted map[string]descriptor.Member
+	// known is the number of live members that this instance knows.
+	known int
 	// dialed holds when each address was last dialed in the background.
 	dialed map[string]time.Time
 	// queued holds the messages for instances that are being dialed, by ID.
@@ -166,9 +168,10 @@
 }
 
 // Connect sets the instances to keep links to.
-func (l *Linker) Connect(peers []descriptor.Member) {
+func (l *Linker) Connect(peers []descriptor.Member, known int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.known = known
 	l.wanted = make(map[string]descriptor.Member, len(peers))
 	for _, m := range peers {
 		l.wanted[m.ID] = m
@@ -311,7 +314,7 @@
 	l.queued[k.peer.ID] = nil
 	l.mu.Unlock()
 	if len(list) == 0 {
-		l.poster.Post(descriptor.LinkOpened{At: time.Now(), Peer: k.peer})
+		l.poster.Post(descriptor.LinkOpened{At: time.Now(), Peer: k.peer, Known: k.peerKnown})
 	}
 	l.notifyMu.Unlock()
 	for _, m := range pending {
--- a/server/server.go
+++ b/server/server.go
@@ -220,7 +220,7 @@
 	case descriptor.Send:
 		s.linker.Send(a.To, a.Message)
 	case descriptor.Connect:
-		s.linker.Connect(a.Peers)
+		s.linker.Connect(a.Peers, a.Known)
 	case descriptor.Publish:
 		s.forwarder.SetDirectory(a.Directory)
 	case descriptor.Probe:
