--- a/loader/run.go
+++ b/loader/run.go
@@ -102,7 +102,9 @@
 	generators.Wait()
 	waitAtMost(&inFlight, finishTimeout)
 	r.monitor.stop()
-	r.fleet.Finish()
+	if !r.scenario.Disturbed {
+		r.fleet.Finish()
+	}
 	return r.result(), nil
 }
 
