A shutdown does not hold requests for unknown routes

Cause: a request for an unknown route waits up to 0.9 s for a confirmation in the forwarder, before the check that refuses what a shutdown may not finish. Both new cases of TestRoutes fail without the change (0.90 s instead of at once).

--- a/forwarder/routed_test.go
+++ b/forwarder/routed_test.go
@@ -83,6 +83,27 @@
 		}()
 		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusTeapot)
 	})
+	t.Run("no route at an instance that is shutting down is refused at once", func(t *testing.T) {
+		directory := routes(time.Now().Add(-time.Minute), "/a/")
+		directory.Leaving = true
+		f.SetDirectory(directory)
+		started := time.Now()
+		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusMisdirectedRequest)
+		asserter.AtMost(t, "wait", time.Since(started), routeUpdateWait/2)
+		asserter.Equal(t, "status of a known route", x.ask("/a/1"), http.StatusTeapot)
+	})
+	t.Run("a shutdown ends the wait for a route", func(t *testing.T) {
+		f.SetDirectory(routes(time.Now().Add(-time.Minute), "/a/"))
+		started := time.Now()
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			directory := routes(time.Now().Add(-time.Minute), "/a/")
+			directory.Leaving = true
+			f.SetDirectory(directory)
+		}()
+		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusMisdirectedRequest)
+		asserter.AtMost(t, "wait", time.Since(started), routeUpdateWait/2)
+	})
 	t.Run("no route, and no confirmation in time", func(t *testing.T) {
 		f.SetDirectory(routes(time.Now().Add(-time.Minute), "/a/"))
 		asserter.Equal(t, "status", x.ask("/b/1"), http.StatusServiceUnavailable)
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -94,6 +94,10 @@
 		if d.Current.After(s.started) {
 			return descriptor.UnknownRoute, false
 		}
+		if d.Leaving {
+			// The process may end before the directory is updated.
+			return descriptor.Misdirected, false
+		}
 		select {
 		case <-d.replaced:
 			d = s.forwarder.snapshot.Load()
