The burst of claims on keys is divided among the instances

Cause: each instance could claim 16 keys at once whatever the size of the fleet: 768 writes of 48 instances to a store that takes 400 a second. The new case of TestCallerMadeKeys had 768 before and has 288 now.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -20,8 +20,10 @@
 	// writes to the store, and fleetClaims that of all instances together.
 	claimRate   = 4.0
 	fleetClaims = 150.0
-	// claimBurst is the maximum number of claims of one instance at once.
+	// claimBurst is the maximum number of claims of one instance at once, and fleetBurst
+	// that of all instances together, as far as each may write one.
 	claimBurst = 16.0
+	fleetBurst = 300.0
 	// maxTakeovers is the maximum number of issuers whose keys are taken over; the
 	// oldest one is dropped.
 	maxTakeovers = 64
@@ -141,10 +143,10 @@
 	holds *container.Table[descriptor.RequestID, held]
 
 	// tokens is the number of claims that may be written now. It grows by rate
-	// per second up to claimBurst and was updated at tokensAt.
-	tokens   float64
-	tokensAt time.Time
-	rate     float64
+	// per second up to burst and was updated at tokensAt.
+	tokens      float64
+	tokensAt    time.Time
+	rate, burst float64
 }
 
 // New returns a keeper without keys.
@@ -159,14 +161,19 @@
 		writes:    container.NewTable[descriptor.WriteID, descriptor.RequestID](),
 		holds:     container.NewTable[descriptor.RequestID, held](),
 		rate:      claimRate,
+		burst:     claimBurst,
 		tokens:    claimBurst,
 		tokensAt:  now,
 	}
 }
 
-// SetFleetSize sets the number of instances that share the store, which bounds the rate
-// of claims of each one.
-func (k *Keeper) SetFleetSize(n int) { k.rate = min(claimRate, fleetClaims/float64(max(1, n))) }
+// SetFleetSize sets the number of instances that share the store, which bounds the claims
+// of each one.
+func (k *Keeper) SetFleetSize(n int) {
+	instances := float64(max(1, n))
+	k.rate = min(claimRate, fleetClaims/instances)
+	k.burst = min(claimBurst, max(1, fleetBurst/instances))
+}
 
 // Waiting returns the number of requests that wait for the answer to a claim.
 func (k *Keeper) Waiting() int { return k.waiting.Len() }
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -366,6 +366,23 @@
 		}
 		asserter.Equal(t, "refused", refused, 100-int(claimBurst))
 	})
+	t.Run("the claims of a fleet at one moment are bounded", func(t *testing.T) {
+		// storeWrites is the number of writes per second that the store of a fleet of
+		// this size takes.
+		const instances, storeWrites = 48, 400
+		p := newCluster(t)
+		k := p.keepers["a"]
+		k.SetFleetSize(instances)
+		admitted := 0
+		for i := range 100 {
+			e := descriptor.Arrived{At: p.now, Request: descriptor.RequestID(1000 + i), Service: "billing", Key: fmt.Sprint(i)}
+			if d, _ := k.Begin(e, false); d.Verdict != Reject {
+				admitted++
+			}
+		}
+		asserter.AtLeast(t, "claims of one instance", admitted, 1)
+		asserter.AtMost(t, "claims of the fleet", admitted*instances, storeWrites)
+	})
 	t.Run("a request without a key is admitted only if allowed", func(t *testing.T) {
 		p := newCluster(t)
 		d, _ := p.keepers["a"].Begin(descriptor.Arrived{At: p.now}, false)
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -35,7 +35,7 @@
 
 // takeToken reports whether a claim may be written now, and takes a token for it.
 func (k *Keeper) takeToken(now time.Time) bool {
-	k.tokens = min(claimBurst, k.tokens+k.rate*now.Sub(k.tokensAt).Seconds())
+	k.tokens = min(k.burst, k.tokens+k.rate*now.Sub(k.tokensAt).Seconds())
 	k.tokensAt = now
 	if k.tokens < 1 {
 		return false
