--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -289,41 +289,53 @@
 		b.unsentUnserved += max(0, m.Unserved)
 	}
 	for _, o := range m.List {
-		if o.Backend == "" {
-			o.Backend = b.marks[o.Mark]
-		} else {
-			o.Mark = descriptor.MarkOf(o.Backend)
-		}
+		o = b.withID(o)
 		if o.Leaving {
 			b.learnLeaving(o.Mark)
 		}
-		p := b.backends.Position(o.Backend)
-		if p < 0 {
-			continue
-		}
-		_, s := b.backends.At(p)
-		// The reported work was sent earlier: by about outcomesInterval for the report
-		// and defaultServiceTime for the work itself.
-		s = s.WithUse(now.Add(-outcomesInterval - defaultServiceTime))
-		if o.Reported && o.Age >= 0 {
-			s = s.WithWork(o.Work, now.Add(-time.Duration(o.Age)*time.Millisecond))
-		}
-		for _, group := range []struct {
-			count  int
-			failed bool
-			base   float64
-		}{{o.Before, false, 0}, {o.Bad, true, 0}, {o.Late, true, lateFailureBase}, {o.After, false, 0}} {
-			for range min(group.count, maxOutcomes) {
-				s = s.WithOutcome(now, group.failed, group.base)
-				b.recentOutcomes = b.recentOutcomes.WithOutcome(now, group.failed)
-			}
-		}
-		if m.Relay {
+		if b.applyOutcomes(o) && m.Relay {
 			b.queueRelayed(o)
 		}
-		b.putBackend(p, s)
 	}
 	if m.Relay {
 		b.publishOutcomes()
 	}
 }
+
+// withID returns received outcomes with both the ID and the mark of their backend server. The
+// ID is empty if the backend server is not known.
+func (b *Balancer[E, D, P, L]) withID(o descriptor.BackendOutcomes) descriptor.BackendOutcomes {
+	if o.Backend == "" {
+		o.Backend = b.marks[o.Mark]
+	} else {
+		o.Mark = descriptor.MarkOf(o.Backend)
+	}
+	return o
+}
+
+// applyOutcomes applies the outcomes at one backend server and reports whether it is known.
+func (b *Balancer[E, D, P, L]) applyOutcomes(o descriptor.BackendOutcomes) bool {
+	p := b.backends.Position(o.Backend)
+	if p < 0 {
+		return false
+	}
+	_, s := b.backends.At(p)
+	// The reported work was sent earlier: by about outcomesInterval for the report
+	// and defaultServiceTime for the work itself.
+	s = s.WithUse(b.now.Add(-outcomesInterval - defaultServiceTime))
+	if o.Reported && o.Age >= 0 {
+		s = s.WithWork(o.Work, b.now.Add(-time.Duration(o.Age)*time.Millisecond))
+	}
+	for _, group := range []struct {
+		count  int
+		failed bool
+		base   float64
+	}{{o.Before, false, 0}, {o.Bad, true, 0}, {o.Late, true, lateFailureBase}, {o.After, false, 0}} {
+		for range min(group.count, maxOutcomes) {
+			s = s.WithOutcome(b.now, group.failed, group.base)
+			b.recentOutcomes = b.recentOutcomes.WithOutcome(b.now, group.failed)
+		}
+	}
+	b.putBackend(p, s)
+	return true
+}
--- a/commander/soak.go
+++ b/commander/soak.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(declarations)
+	defer func() { _ = os.RemoveAll(declarations) }()
 	c.options.Declarations = declarations
 	broken := 0
 	for range c.seeds {
--- /dev/null
+++ b/descriptor/compact.go
@@ -0,0 +1,103 @@
+package descriptor
+
+import "github.com/cespare/xxhash/v2"
+
+// Compact forms of messages. Package messenger sets them before it encodes a message, and sets
+// the values that decisions use after it decoded one.
+
+// MarkOf returns the mark of the backend server with an ID, by which messages name it. It is
+// shorter than the ID, and unique for all practical purposes.
+func MarkOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// WithCapacities returns m with Capacities set from Records.
+func (m Members) WithCapacities() Members {
+	for i, r := range m.Records {
+		if r.Capacity > 0 && m.Capacities == nil {
+			m.Capacities = make([]int32, len(m.Records))
+		}
+		if r.Capacity > 0 {
+			m.Capacities[i] = r.Capacity
+		}
+	}
+	return m
+}
+
+// WithRecordCapacities returns m with the capacities of Records set from Capacities.
+func (m Members) WithRecordCapacities() Members {
+	records := make([]Member, len(m.Records))
+	for i, r := range m.Records {
+		if i < len(m.Capacities) {
+			r.Capacity = max(0, m.Capacities[i])
+		}
+		records[i] = r
+	}
+	m.Records = records
+	m.Capacities = nil
+	return m
+}
+
+// outcomeRow is the encoded form of BackendOutcomes, an array without field names.
+type outcomeRow struct {
+	_                  struct{} `cbor:",toarray"`
+	Mark               uint64
+	Before, Bad, After int
+	Late               int
+	// Work is one more than the reported work, or 0 without a report.
+	Work, Age int
+	Leaving   bool
+}
+
+// WithRows returns m with Rows set from List.
+func (m Outcomes) WithRows() Outcomes {
+	m.Rows = make([]outcomeRow, 0, len(m.List))
+	for _, o := range m.List {
+		r := outcomeRow{Mark: o.Mark, Before: o.Before, Bad: o.Bad, After: o.After, Late: o.Late, Age: o.Age, Leaving: o.Leaving}
+		if o.Backend != "" {
+			r.Mark = MarkOf(o.Backend)
+		}
+		if o.Reported {
+			r.Work = o.Work + 1
+		}
+		m.Rows = append(m.Rows, r)
+	}
+	return m
+}
+
+// WithList returns m with List set from Rows.
+func (m Outcomes) WithList() Outcomes {
+	m.List = make([]BackendOutcomes, 0, len(m.Rows))
+	for _, r := range m.Rows {
+		m.List = append(m.List, BackendOutcomes{
+			Mark: r.Mark, Before: r.Before, Bad: r.Bad, After: r.After, Late: r.Late,
+			Reported: r.Work > 0, Work: max(0, r.Work-1), Age: r.Age, Leaving: r.Leaving,
+		})
+	}
+	m.Rows = nil
+	return m
+}
+
+// maxLevel is the level that stands for a probability of 1.
+const maxLevel = 255
+
+// WithMarks returns m with Marks and Levels set from List.
+func (m SuspicionList) WithMarks() SuspicionList {
+	m.Marks = make([]uint64, 0, len(m.List))
+	m.Levels = make([]byte, 0, len(m.List))
+	for _, s := range m.List {
+		m.Marks = append(m.Marks, s.Mark)
+		m.Levels = append(m.Levels, byte(min(1, max(0, s.Gray))*maxLevel))
+	}
+	return m
+}
+
+// WithList returns m with List set from Marks and Levels.
+func (m SuspicionList) WithList() SuspicionList {
+	m.List = make([]Suspicion, 0, len(m.Marks))
+	for i, mark := range m.Marks {
+		if i < len(m.Levels) {
+			m.List = append(m.List, Suspicion{Mark: mark, Gray: float32(m.Levels[i]) / maxLevel})
+		}
+	}
+	m.Marks, m.Levels = nil, nil
+	return m
+}
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -121,8 +121,8 @@
 	if err != nil {
 		return "", eris.Wrap(err, "find a free port")
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	address := l.Addr().String()
+	return address, eris.Wrap(l.Close(), "find a free port")
 }
 
 // newInstance chooses the addresses of an instance and starts its proxies.
