Ports of the soak's instances are outside of the ephemeral range

Played again six at a time, two of six soaks showed it: 'bind: address already in use'. Cause: a port that was found free was taken by a proxy, a stand-in or an outgoing connection before the instance listened. Ports are now taken one after the other from 12000 to 32000, each once, in blocks by process and seed. The error names the log's last line.

--- a/soaker/process.go
+++ b/soaker/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -72,13 +73,23 @@
 	case line := <-found:
 		return c, line, nil
 	case <-c.done:
-		return nil, "", eris.Wrapf(ErrSoak, "%s ended at its start", name)
+		return nil, "", eris.Wrapf(ErrSoak, "%s ended at its start: %s", name, lastLine(log.Name()))
 	case <-time.After(startTimeout):
 		c.end(syscall.SIGKILL)
 		return nil, "", eris.Wrapf(ErrSoak, "%s did not start within %v", name, startTimeout)
 	}
 }
 
+// lastLine returns the last line of a log file.
+func lastLine(path string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process unless it has ended.
 func (c *child) signal(sig syscall.Signal) {
 	select {
@@ -115,22 +126,45 @@
 	child *child
 }
 
+// Ports of instances. They are below those that systems choose for outgoing connections and
+// for listeners without a port, so that an instance finds its ports free when it starts again.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	// portBlock is the distance between the first ports of two soaks.
+	portBlock = 100
+)
+
+// ports hands out the ports of one soak, each of them once.
+type ports struct{ next int }
+
+// newPorts returns the ports of the soak of a seed in this process. Soaks that run beside
+// each other begin at different ones.
+func newPorts(seed uint64) *ports {
+	block := (uint64(os.Getpid()) + seed) % ((lastPort - firstPort) / portBlock)
+	return &ports{next: firstPort + int(block)*portBlock}
+}
+
 // freeAddress returns a loopback address on which nothing listens.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+func (p *ports) freeAddress() (string, error) {
+	for ; p.next < lastPort; p.next++ {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next))
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		p.next++
+		return address, eris.Wrap(l.Close(), "find a free port")
 	}
-	address := l.Addr().String()
-	return address, eris.Wrap(l.Close(), "find a free port")
+	return "", eris.Wrapf(ErrSoak, "no free port below %d", lastPort)
 }
 
 // newInstance chooses the addresses of an instance and starts its proxies.
-func newInstance(name, store string) (*instance, error) {
+func newInstance(name, store string, free *ports) (*instance, error) {
 	i := &instance{name: name}
 	var err error
 	for _, address := range []*string{&i.public, &i.inner, &i.operators} {
-		if *address, err = freeAddress(); err != nil {
+		if *address, err = free.freeAddress(); err != nil {
 			return nil, err
 		}
 	}
