One loop for rounds of members, one decoder for compact messages, one refusal of the stand-in

What the change had written twice: the rounds over failure domains stood in the ranking by weight and in that of callers; four decoders of compact forms were alike but for the type; the stand-in wrote its refusal in two places. Tests of allocator, messenger, imitator, forwarder, loader and decider pass, the linter has no findings.

--- a/allocator/callers.go
+++ b/allocator/callers.go
@@ -101,19 +101,3 @@
 	}
 	return best
 }
-
-// interleave returns the members of all lists, in rounds of one from each list.
-func interleave(lists [][]weighted) []descriptor.Member {
-	sort.Slice(lists, func(i, j int) bool { return precedes(lists[i][0], lists[j][0]) })
-	var result []descriptor.Member
-	for round, more := 0, true; more; round++ {
-		more = false
-		for _, list := range lists {
-			if round < len(list) {
-				result = append(result, list[round].member)
-				more = true
-			}
-		}
-	}
-	return result
-}
--- a/allocator/group.go
+++ b/allocator/group.go
@@ -102,12 +102,21 @@
 	for _, d := range g.domains.All {
 		domains = append(domains, d.top(hash, n))
 	}
-	sort.Slice(domains, func(i, j int) bool { return precedes(domains[i][0], domains[j][0]) })
-	result := make([]descriptor.Member, 0, n)
-	for round := range n {
-		for _, list := range domains {
-			if round < len(list) && len(result) < n {
+	result := interleave(domains)
+	return result[:min(len(result), n)]
+}
+
+// interleave returns the members of all lists, in rounds of one from each list. No list is
+// empty.
+func interleave(lists [][]weighted) []descriptor.Member {
+	sort.Slice(lists, func(i, j int) bool { return precedes(lists[i][0], lists[j][0]) })
+	var result []descriptor.Member
+	for round, more := 0, true; more; round++ {
+		more = false
+		for _, list := range lists {
+			if round < len(list) {
 				result = append(result, list[round].member)
+				more = true
 			}
 		}
 	}
--- a/balancer/pause_test.go
+++ b/balancer/pause_test.go
@@ -20,7 +20,7 @@
 	return result
 }
 
-// pausedAt returns a balancer whose first requests were refused with a pause by all but
+// pausedBalancer returns a balancer whose first requests were refused with a pause by all but
 // some of its backend servers.
 func pausedBalancer(t *testing.T, backends, free int, pause time.Duration) *pooledBalancer {
 	b := newPooledBalancer(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}}, backendList(backends, 3))
--- a/descriptor/compact.go
+++ b/descriptor/compact.go
@@ -9,6 +9,18 @@
 // shorter than the ID, and unique for all practical purposes.
 func MarkOf(id string) uint64 { return xxhash.Sum64String(id) }
 
+// WithCapacity returns m with Capacity set from From.
+func (m Hello) WithCapacity() Hello {
+	m.Capacity = m.From.Capacity
+	return m
+}
+
+// WithSenderCapacity returns m with the capacity of From set from Capacity.
+func (m Hello) WithSenderCapacity() Hello {
+	m.From.Capacity = max(0, m.Capacity)
+	return m
+}
+
 // WithCapacities returns m with Capacities set from Records.
 func (m Members) WithCapacities() Members {
 	for i, r := range m.Records {
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -368,7 +368,7 @@
 	Sequence    uint64
 	Service     string
 	// List holds the suspicions in the decisions. On the wire they travel as Marks and
-	// Levels, which need a tenth of the bytes.
+	// Levels, which need a fraction of the bytes.
 	List []Suspicion `cbor:"-"`
 	// Marks holds the hash of the ID of each suspected backend server, and Levels the
 	// probability that it is gray in units of 1/maxLevel.
@@ -377,8 +377,8 @@
 	// Base is the mean probability that a backend server which is not listed is gray; 0
 	// means that it is not known.
 	Base float32 `cbor:",omitempty" json:",omitempty"`
-	// Leaving lists the marks of the backend servers that are leaving. The platform's list may not
-	// show it yet, or still show it to instances that read an older one.
+	// Leaving lists the marks of the backend servers that are leaving. The platform's list
+	// may not show it yet, and an instance may have read an older one.
 	Leaving []uint64 `cbor:",omitempty"`
 }
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -57,7 +57,7 @@
 	head := s.forwarder.dialect.ParseHead(response, Expected{ID: t.expectedID, Reused: t.reused.Load()})
 	if fault, ok := head.fault(); ok {
 		if head.Mismatched {
-			// Another request's answer tells nothing about the state of now.
+			// The answer may be old, so its load and health are not used.
 			head = Head{Mismatched: true}
 			s.forwarder.recorder.Mismatch()
 		}
--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -74,11 +74,11 @@
 		if wait > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		}
-		b.refuse(w, r, "turned away")
+		b.refuse(w, r.Header.Get(attemptHeader), "turned away")
 		return
 	}
 	if !b.admit() {
-		b.refuse(w, r, "backlog full or draining")
+		b.refuse(w, r.Header.Get(attemptHeader), fullOrDraining)
 		return
 	}
 	defer b.release()
@@ -98,11 +98,14 @@
 	return id[:max(0, strings.LastIndexByte(id, '.'))]
 }
 
-// refuse answers that a request did not run.
-func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, why string) {
+// fullOrDraining is why a request is refused without a fault that turns it away.
+const fullOrDraining = "backlog full or draining"
+
+// refuse answers that an attempt did not run.
+func (b *Backend) refuse(w http.ResponseWriter, attempt, why string) {
 	b.setStateHeaders(w)
 	w.Header().Set("Backend-Refused", "not-run")
-	w.Header().Set(attemptHeader, r.Header.Get(attemptHeader))
+	w.Header().Set(attemptHeader, attempt)
 	writeProblem(w, http.StatusServiceUnavailable, errors.New(why))
 }
 
@@ -118,10 +121,7 @@
 	b.begin(r.URL.Query().Get(TokenParameter))
 	_, err := io.Copy(io.Discard, r.Body)
 	b.end(err == nil)
-	b.setStateHeaders(w)
-	w.Header().Set("Backend-Refused", "not-run")
-	w.Header().Set(attemptHeader, "an-earlier-attempt")
-	writeProblem(w, http.StatusServiceUnavailable, errors.New("backlog full or draining"))
+	b.refuse(w, "an-earlier-attempt", fullOrDraining)
 	return true
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -72,8 +72,7 @@
 func Encode(m descriptor.Message) ([]byte, error) {
 	switch v := m.(type) {
 	case descriptor.Hello:
-		v.Capacity = v.From.Capacity
-		m = v
+		m = v.WithCapacity()
 	case descriptor.Members:
 		m = v.WithCapacities()
 	case descriptor.SuspicionList:
@@ -114,9 +113,9 @@
 
 // decoders holds the decoding function of each message type.
 var decoders = map[descriptor.MessageType]func(cbor.RawMessage) (descriptor.Message, error){
-	descriptor.TypeHello:         decodeHello,
+	descriptor.TypeHello:         decodeWith(descriptor.Hello.WithSenderCapacity),
 	descriptor.TypeHeartbeat:     decode[descriptor.Heartbeat],
-	descriptor.TypeMembers:       decodeMembers,
+	descriptor.TypeMembers:       decodeWith(descriptor.Members.WithRecordCapacities),
 	descriptor.TypeDigest:        decode[descriptor.Digest],
 	descriptor.TypeReferences:    decode[descriptor.References],
 	descriptor.TypeDocuments:     decode[descriptor.Documents],
@@ -133,45 +132,19 @@
 	descriptor.TypeDrain:         decode[descriptor.Drain],
 	descriptor.TypeKeyHandover:   decode[descriptor.KeyHandover],
 	descriptor.TypeFreshness:     decode[descriptor.Freshness],
-	descriptor.TypeOutcomes:      decodeOutcomes,
-	descriptor.TypeSuspicionList: decodeSuspicions,
+	descriptor.TypeOutcomes:      decodeWith(descriptor.Outcomes.WithList),
+	descriptor.TypeSuspicionList: decodeWith(descriptor.SuspicionList.WithList),
 }
 
-// decodeHello sets the capacity of the sender's record, which travels beside it.
-func decodeHello(body cbor.RawMessage) (descriptor.Message, error) {
-	m, err := decode[descriptor.Hello](body)
-	if hello, ok := m.(descriptor.Hello); ok {
-		hello.From.Capacity = max(0, hello.Capacity)
-		return hello, nil
+// decodeWith returns a decoding function that also expands the compact form of a message.
+func decodeWith[T descriptor.Message](expand func(T) T) func(cbor.RawMessage) (descriptor.Message, error) {
+	return func(body cbor.RawMessage) (descriptor.Message, error) {
+		m, err := decode[T](body)
+		if v, ok := m.(T); ok {
+			return expand(v), nil
+		}
+		return nil, err
 	}
-	return nil, err
-}
-
-// decodeMembers sets the capacities of the records, which travel beside them.
-func decodeMembers(body cbor.RawMessage) (descriptor.Message, error) {
-	m, err := decode[descriptor.Members](body)
-	if members, ok := m.(descriptor.Members); ok {
-		return members.WithRecordCapacities(), nil
-	}
-	return nil, err
-}
-
-// decodeOutcomes sets the list of outcomes, which travels as rows.
-func decodeOutcomes(body cbor.RawMessage) (descriptor.Message, error) {
-	m, err := decode[descriptor.Outcomes](body)
-	if outcomes, ok := m.(descriptor.Outcomes); ok {
-		return outcomes.WithList(), nil
-	}
-	return nil, err
-}
-
-// decodeSuspicions sets the list of suspicions, which travels as marks.
-func decodeSuspicions(body cbor.RawMessage) (descriptor.Message, error) {
-	m, err := decode[descriptor.SuspicionList](body)
-	if list, ok := m.(descriptor.SuspicionList); ok {
-		return list.WithList(), nil
-	}
-	return nil, err
 }
 
 func decode[T descriptor.Message](body cbor.RawMessage) (descriptor.Message, error) {
