Log events of crashes that are recorded for a request, and of those withdrawn

Which instance knew of which crash, and when, could not be told from the logs: the only line was the one of the second crash. 4011 and 4012 name the fingerprint, the backend server, the crashes counted at this instance and where the record comes from.

--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"time"
 
 	"monsoonswitch/descriptor"
@@ -70,15 +71,25 @@
 // recordCrash records a crash and notifies the other owners.
 func (b *Balancer[E, D, P, L]) recordCrash(fingerprint uint64, id string) {
 	b.addCrash(fingerprint, id)
+	b.noteCrash(descriptor.NoteCrash, fingerprint, id, "seen here")
 	b.sendToOwners(descriptor.CrashReport{Service: b.service.Name, Fingerprint: fingerprint, Backend: id})
 }
 
+// noteCrash logs a change of the crashes that are recorded for a request.
+func (b *Balancer[E, D, P, L]) noteCrash(number int, fingerprint uint64, id, source string) {
+	c, _ := b.crashes.Get(fingerprint)
+	b.note(number, id, fmt.Sprintf("%s, crashes %d, %s", fingerprintText(fingerprint), c.count, source))
+}
+
+// fingerprintText returns the form of a fingerprint in logs.
+func fingerprintText(fingerprint uint64) string { return fmt.Sprintf("request %016x", fingerprint) }
+
 func (b *Balancer[E, D, P, L]) addCrash(fingerprint uint64, id string) {
 	c, _ := b.crashes.Get(fingerprint)
 	c = c.WithBackend(id, b.now)
 	b.crashes.Put(fingerprint, c)
 	if c.count >= crashLimit {
-		b.note(descriptor.NotePoison, id, "requests with this fingerprint are refused for 10 min")
+		b.note(descriptor.NotePoison, id, fingerprintText(fingerprint)+" is refused for 10 min")
 	}
 }
 
@@ -92,6 +103,7 @@
 		return
 	}
 	b.crashes.Delete(fingerprint)
+	b.noteCrash(descriptor.NoteCrashWithdrawn, fingerprint, "", "answered")
 	b.sendToOwners(descriptor.CrashReport{Service: b.service.Name, Fingerprint: fingerprint, Cleared: true})
 }
 
@@ -109,6 +121,7 @@
 		} else {
 			b.crashes.Put(fingerprint, c)
 		}
+		b.noteCrash(descriptor.NoteCrashWithdrawn, fingerprint, id, "accepts connections")
 		b.sendToOwners(descriptor.CrashReport{Service: b.service.Name, Fingerprint: fingerprint, Backend: id, Cleared: true})
 	}
 }
@@ -118,6 +131,7 @@
 	b.advance(now)
 	if !m.Cleared {
 		b.addCrash(m.Fingerprint, m.Backend)
+		b.noteCrash(descriptor.NoteCrash, m.Fingerprint, m.Backend, "reported")
 		return
 	}
 	c, ok := b.crashes.Get(m.Fingerprint)
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -29,6 +29,8 @@
 	NotePoison           = 4008
 	NoteTrial            = 4009
 	NotePaused           = 4010
+	NoteCrash            = 4011
+	NoteCrashWithdrawn   = 4012
 	NoteAdmitted         = 6001
 	NoteQueued           = 6002
 	NoteDispatched       = 6003
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -48,6 +48,8 @@
 	descriptor.NoteDrain:            {logrus.InfoLevel, "backend server draining"},
 	descriptor.NotePaused:           {logrus.InfoLevel, "backend server asks for a pause"},
 	descriptor.NotePoison:           {logrus.ErrorLevel, "request crashes backend servers"},
+	descriptor.NoteCrash:            {logrus.WarnLevel, "backend server crashed under a request"},
+	descriptor.NoteCrashWithdrawn:   {logrus.InfoLevel, "crash under a request withdrawn"},
 	descriptor.NoteTrial:            {logrus.InfoLevel, "backend server on trial"},
 	descriptor.NoteAdmitted:         {logrus.InfoLevel, "request admitted"},
 	descriptor.NoteQueued:           {logrus.InfoLevel, "request queued"},
