--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -48,6 +48,8 @@
 	ticks   int
 	// onSend is called for each message that an instance sends, unless it is nil.
 	onSend func(from string, a descriptor.Send)
+	// onAction is called for each action of an instance, unless it is nil.
+	onAction func(id string, a descriptor.Action)
 }
 
 // routedMessage is a message between two instances.
@@ -120,6 +122,9 @@
 
 func (f *routedFleet) step(id string, e descriptor.Event) {
 	for _, a := range append([]descriptor.Action(nil), f.instances[id].Step(e)...) {
+		if f.onAction != nil {
+			f.onAction(id, a)
+		}
 		switch a := a.(type) {
 		case descriptor.Connect:
 			for _, p := range a.Peers {
