Every instance learns which requests crash backend servers

What callers and operators saw: a request under which three backend servers had crashed was sent to others, by one instance after the other. Cause: a crash was reported once, to the slot owners of that moment. Under a routing every instance sends work on, and 42 of 48 are no owners; one that starts later, or was cut off, also counted from zero. The class: knowledge that a decision needs everywhere travels as a message to some, once.

Now the instance that sees the second crash, or the first two owners if others reported it, sends the record along the tree of all instances, and the suspicion list that goes to all each second names the crashes of the last ten minutes. An instance that holds one which the list lacks reports it to the origin. A crash that is listed must not be withdrawn elsewhere, so a successful probe withdraws it only within a second after the connection broke.

New fields of two messages are left out where they are empty; older builds ignore them.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -133,7 +133,7 @@
 	// of the write to the store. It is empty if there was no such reason.
 	refusal string
 	peers   map[string]peerEvidence
-	crashes *container.Generations[uint64, crash]
+	crashes *container.Generations[uint64, crashRecord]
 	// knownLeaving holds the marks of the incarnations that were ever listed as leaving,
 	// or said so.
 	knownLeaving *container.Generations[uint64, bool]
@@ -209,7 +209,7 @@
 		unsentOutcomes: container.NewTable[string, descriptor.BackendOutcomes](),
 		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
 		marks:          make(map[uint64]string),
-		crashes:        container.NewGenerations[uint64, crash](maxCrashes),
+		crashes:        container.NewGenerations[uint64, crashRecord](maxCrashes),
 	}
 	b.terms = o.terms(0, -1)
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
--- a/balancer/floor_test.go
+++ b/balancer/floor_test.go
@@ -197,7 +197,7 @@
 func TestChecksReserveRetries(t *testing.T) {
 	b := newPooledBalancer(Options{Self: "entry-0", Retries: retrier.Bounds{Ratio: 1, Window: time.Second}}, []descriptor.Member{{ID: "entry-0"}}, backendList(3, 3))
 	b.Declare(declarer.Service{Name: "billing", Classes: []declarer.Class{{Name: "read", Target: replayTarget, Idempotent: true, Attempts: 2}}}, 1)
-	b.HandleSuspicionList(epoch, descriptor.SuspicionList{List: []descriptor.Suspicion{{Mark: descriptor.MarkOf("b0"), Gray: 1}, {Mark: descriptor.MarkOf("b1"), Gray: 1}}})
+	b.HandleSuspicionList(epoch, descriptor.Member{}, descriptor.SuspicionList{List: []descriptor.Suspicion{{Mark: descriptor.MarkOf("b0"), Gray: 1}, {Mark: descriptor.MarkOf("b1"), Gray: 1}}})
 	b.budget = retrier.NewBudget(retrier.Terms{Limit: 1})
 	now := epoch.Add(2 * spreadInterval)
 	b.HandleOutcomes(now, descriptor.Outcomes{Service: "billing", List: []descriptor.BackendOutcomes{{Backend: "b2", Before: 1}}})
--- a/balancer/leaving_test.go
+++ b/balancer/leaving_test.go
@@ -76,7 +76,7 @@
 		})
 		t.Run("a non-owner learns of it with the suspicion list", func(t *testing.T) {
 			other := newPooledBalancer(Options{Self: "entry-9"}, members, list)
-			other.HandleSuspicionList(epoch, descriptor.SuspicionList{Service: "billing", Leaving: b.Leaving()})
+			other.HandleSuspicionList(epoch, descriptor.Member{}, descriptor.SuspicionList{Service: "billing", Leaving: b.Leaving()})
 			asserter.Equal(t, "used", useAll(other)[gone], false)
 		})
 		b.SetBackends(epoch, list, time.Time{})
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -189,11 +189,12 @@
 	return list
 }
 
-// HandleSuspicionList applies the suspicion list of the owners. An owner applies the
-// suspicions only of the first one after its start, because its own estimates are more
-// recent afterwards.
-func (b *Balancer[E, D, P, L]) HandleSuspicionList(now time.Time, m descriptor.SuspicionList) {
+// HandleSuspicionList applies the suspicion list of the owners, which the given instance sent.
+// An owner applies the suspicions only of the first one after its start, because its own
+// estimates are more recent afterwards.
+func (b *Balancer[E, D, P, L]) HandleSuspicionList(now time.Time, origin descriptor.Member, m descriptor.SuspicionList) {
 	b.advance(now)
+	b.mergeCrashes(origin, m.Crashes)
 	for _, mark := range m.Leaving {
 		b.learnLeaving(mark)
 	}
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -120,7 +120,7 @@
 	}{{"no body", 0, "remote"}, {"small body", 1200, "remote"}, {"large body", 60000, "local"}, {"body of unknown size", -1, "local"}} {
 		t.Run(c.name, func(t *testing.T) {
 			b := newPooledBalancer(Options{Self: "entry-0", Domain: "local"}, []descriptor.Member{{ID: "entry-0"}}, list)
-			b.HandleSuspicionList(epoch, descriptor.SuspicionList{List: []descriptor.Suspicion{{Mark: descriptor.MarkOf("local"), Gray: 0.12}, {Mark: descriptor.MarkOf("remote"), Gray: 0}}})
+			b.HandleSuspicionList(epoch, descriptor.Member{}, descriptor.SuspicionList{List: []descriptor.Suspicion{{Mark: descriptor.MarkOf("local"), Gray: 0.12}, {Mark: descriptor.MarkOf("remote"), Gray: 0}}})
 			r := nonIdempotent(1, epoch)
 			r.Body, r.Size = c.size != 0, c.size
 			b.Arrive(r)
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -278,11 +278,6 @@
 	}
 }
 
-func (b *Balancer[E, D, P, L]) crashedBefore(fingerprint uint64) bool {
-	c, ok := b.crashes.Get(fingerprint)
-	return ok && c.count > 0
-}
-
 // overdueRequests lists the requests to hedge in order of their IDs.
 func (b *Balancer[E, D, P, L]) overdueRequests() []descriptor.RequestID {
 	var ids []descriptor.RequestID
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -131,7 +131,10 @@
 	// suspicionSequence is the sequence number of the last one.
 	lastSuspicionsAt  time.Time
 	suspicionSequence uint64
-	shutdown          shutdownState
+	// crashSequence is the sequence number of the last crash report that was sent to all
+	// instances.
+	crashSequence uint64
+	shutdown      shutdownState
 
 	actions []descriptor.Action
 	ended   []balancer.Ended
@@ -294,9 +297,14 @@
 	before := len(d.actions)
 	d.actions, d.ended = s.Flush(d.actions, d.ended[:0])
 	kept := d.actions[:before]
+	var spread []descriptor.CrashReport
 	for _, a := range d.actions[before:] {
-		if t, ok := a.(descriptor.TraceEntry); ok {
-			d.recordTrace(t)
+		switch a := a.(type) {
+		case descriptor.TraceEntry:
+			d.recordTrace(a)
+			continue
+		case descriptor.Spread:
+			spread = append(spread, a.Report)
 			continue
 		}
 		d.recordNote(a)
@@ -304,6 +312,9 @@
 	}
 	clear(d.actions[len(kept):])
 	d.actions = kept
+	for _, r := range spread {
+		d.spreadCrash(r)
+	}
 	for _, e := range d.ended {
 		d.requests.Delete(e.Request)
 		d.counter.End(d.now, service, e.Class, e.Reason, e.Outcome, e.Bytes, e.Latency)
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -95,7 +95,20 @@
 		return
 	}
 	d.sendToChildren(m.Origin, m)
-	d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleSuspicionList(d.now, m) })
+	origin, _ := d.gossiper.Member(m.Origin)
+	d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleSuspicionList(d.now, origin, m) })
+}
+
+// handleCrashReport forwards a crash report that is meant for all instances and gives it to the
+// balancer of its service.
+func (d *Decider[E, D, P, L]) handleCrashReport(m descriptor.CrashReport) {
+	if m.Origin != "" {
+		if !d.relayer.Newer("crash/"+m.Origin, m.Incarnation, m.Sequence) {
+			return
+		}
+		d.sendToChildren(m.Origin, m)
+	}
+	d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleCrash(d.now, m) })
 }
 
 func (d *Decider[E, D, P, L]) sendDigest(to descriptor.Member) {
@@ -139,7 +152,7 @@
 	case descriptor.Evidence:
 		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleEvidence(d.now, from.ID, m) })
 	case descriptor.CrashReport:
-		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleCrash(d.now, m) })
+		d.handleCrashReport(m)
 	case descriptor.Drain:
 		d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleDrain(d.now, m) })
 	case descriptor.SlotDemand:
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -162,11 +162,25 @@
 			List:        list,
 			Base:        base,
 			Leaving:     s.Leaving(),
+			Crashes:     s.Crashes(d.now),
 		}
 		d.sendToChildren(m.Origin, m)
 	}
 }
 
+// spreadCrash sends a crash report to all instances. Under a declaration for each service, only
+// the serving instances send its requests on, and they get the report as slot owners.
+func (d *Decider[E, D, P, L]) spreadCrash(m descriptor.CrashReport) {
+	if !d.options.Routing {
+		return
+	}
+	d.crashSequence++
+	m.Origin = d.options.Self.ID
+	m.Incarnation = d.gossiper.Self().Incarnation
+	m.Sequence = d.crashSequence
+	d.sendToChildren(m.Origin, m)
+}
+
 // reportTallies sends changed counts to the instances that write them and writes
 // those that this instance is responsible for.
 func (d *Decider[E, D, P, L]) reportTallies() {
--- a/descriptor/actions.go
+++ b/descriptor/actions.go
@@ -56,6 +56,10 @@
 	Message Message
 }
 
+// Spread sends a crash report to all instances. It does not leave the state machine, which
+// sends the report along a tree.
+type Spread struct{ Report CrashReport }
+
 // Connect lists the instances that links are to be kept open to.
 type Connect struct {
 	Peers []Member
@@ -116,6 +120,7 @@
 func (Refuse) action()           {}
 func (Probe) action()            {}
 func (Send) action()             {}
+func (Spread) action()           {}
 func (Connect) action()          {}
 func (Publish) action()          {}
 func (Write) action()            {}
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -248,6 +248,25 @@
 	// Cleared withdraws earlier reports about the request: those about Backend,
 	// because it was found to be up, or all of them if Backend is empty.
 	Cleared bool
+	// Mark is the mark of Backend, or 0 if Backend gives it. It is set where the sender may
+	// know only the mark.
+	Mark uint64 `cbor:",omitempty" json:",omitempty"`
+	// Age is how long ago the backend server crashed, in milliseconds.
+	Age int64 `cbor:",omitempty" json:",omitempty"`
+	// Origin, Incarnation and Sequence are as in Freshness if the report is forwarded along a
+	// tree of all instances. Otherwise Origin is empty.
+	Origin      string `cbor:",omitempty" json:",omitempty"`
+	Incarnation int64  `cbor:",omitempty" json:",omitempty"`
+	Sequence    uint64 `cbor:",omitempty" json:",omitempty"`
+}
+
+// Crash is a crash of a backend server under a request, in a suspicion list.
+type Crash struct {
+	_ struct{} `cbor:",toarray"`
+	// Fingerprint identifies the request, and Mark the backend server.
+	Fingerprint, Mark uint64
+	// Age is how long ago the backend server crashed, in milliseconds.
+	Age int64
 }
 
 // SlotDemand reports how many slots beyond its share its sender could use now.
@@ -380,6 +399,8 @@
 	// Leaving lists the marks of the backend servers that are leaving. The platform's list
 	// may not show it yet, and an instance may have read an older one.
 	Leaving []uint64 `cbor:",omitempty"`
+	// Crashes lists the newest crashes under requests that are not withdrawn any more.
+	Crashes []Crash `cbor:",omitempty" json:",omitempty"`
 }
 
 // Suspicion is the estimated probability that a backend server is gray.
