A waiting request is refused when it becomes known to crash backend servers

A request was compared with the known crashes at its arrival and before a hedge or a retry of work that ran. One that waited in the queue, for a retry, or was refused by a backend server was sent to the next one all the same. It is now compared at each tick while it waits, and before each attempt.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -313,7 +313,7 @@
 	b.retries = b.retries[:0]
 	for _, id := range queued {
 		r, ok := b.requests.Get(id)
-		if ok && r.queued && !b.start(r) {
+		if ok && r.queued && !b.refusePoisoned(r) && !b.start(r) {
 			b.retries = append(b.retries, id)
 		}
 	}
@@ -364,7 +364,7 @@
 		b.expire(r)
 		return true
 	}
-	if b.start(r) {
+	if b.refusePoisoned(r) || b.start(r) {
 		return true
 	}
 	b.queues[c].PutBack(r.caller, id, newestFirst)
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -48,10 +48,10 @@
 		return
 	}
 	reason := descriptor.BackendFailed
-	if ran && b.poisoned(r.fingerprint) {
+	switch {
+	case b.poisoned(r.fingerprint):
 		reason = descriptor.Poisoned
-	}
-	if e.Fault == descriptor.FaultShed || e.Fault == descriptor.FaultWrongBackend {
+	case e.Fault == descriptor.FaultShed || e.Fault == descriptor.FaultWrongBackend:
 		reason = descriptor.Overloaded
 	}
 	b.refuse(r, reason, r.outcome(), b.waitHint())
@@ -60,13 +60,13 @@
 // mayRetry reports whether a request may be sent to another backend server.
 // Non-idempotent work may only if it is known not to have run.
 func (b *Balancer[E, D, P, L]) mayRetry(r request, e descriptor.Failed, ran bool) bool {
-	if b.exhausted(r) || b.backends.Len() <= int(r.last) {
+	if b.exhausted(r) || b.backends.Len() <= int(r.last) || b.poisoned(r.fingerprint) {
 		return false
 	}
 	if !r.replayable && !e.BodyReplayable {
 		return false
 	}
-	if ran && (!b.classes[r.class].declared.Idempotent || !r.replayable || b.poisoned(r.fingerprint)) {
+	if ran && !b.repeatable(r) {
 		return false
 	}
 	if e.Fault == descriptor.FaultConnect {
--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -97,6 +97,16 @@
 	return r.poisoned(b.now)
 }
 
+// refusePoisoned refuses a waiting request if it became known to crash backend servers while it
+// waited, and reports whether it did.
+func (b *Balancer[E, D, P, L]) refusePoisoned(r request) bool {
+	if !b.poisoned(r.fingerprint) {
+		return false
+	}
+	b.refuse(r, descriptor.Poisoned, r.outcome(), 0)
+	return true
+}
+
 func (b *Balancer[E, D, P, L]) crashedElsewhere(fingerprint uint64, id string) bool {
 	r, _ := b.crashes.Get(fingerprint)
 	return r.count > 1 || r.count == 1 && !r.has(descriptor.MarkOf(id))
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -127,6 +127,9 @@
 			if !ok || !r.queued || r.last > 0 {
 				return true
 			}
+			if b.refusePoisoned(r) {
+				return true
+			}
 			if b.now.Before(r.expires) {
 				return false
 			}
@@ -141,7 +144,7 @@
 	kept := b.retries[:0]
 	for _, id := range b.retries {
 		r, ok := b.requests.Get(id)
-		if !ok || !r.queued {
+		if !ok || !r.queued || b.refusePoisoned(r) {
 			continue
 		}
 		if b.now.Before(r.expires) {
