A request that crashes backend servers is recognised by its path, caller and body

Cause: the fingerprint held the service and the length. The same request counted from zero at each service that a traffic split or a configuration sends it to, and when its body came in chunks instead of with a length; and the answer to another body of the same length cleared it, or that body was refused in its place. The class: an identity with too much and too little in it.

The fingerprint is now a hash of method, host, URI and caller, and all services of an instance share one register of crashes (package quarantiner). The hash of the body is known when an attempt fails, and a crash counts only for the same body. The body of a repeat is read before it is sent on if its fingerprint is suspected; all others are streamed as before. An answer to the same body shows that the crashes before it had another cause, also of a request that is refused, so that one of many equal requests isn't refused because a rack failed.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -57,7 +57,7 @@
 		if !b.options.PooledOutcomes {
 			b.budget = b.budget.WithRequest(b.terms)
 		}
-		b.clearCrash(r.fingerprint)
+		b.recordAnswered(r)
 	}
 	b.emit(descriptor.Deliver{Request: r.id, Attempt: e.Attempt})
 }
--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -24,6 +24,7 @@
 		class:       b.classIndex(e.Class),
 		caller:      e.Caller,
 		fingerprint: e.Fingerprint,
+		content:     e.Content,
 		replayable:  e.Replayable,
 		body:        e.Body,
 		size:        e.Size,
@@ -64,7 +65,7 @@
 		return descriptor.ServiceClosed, 0
 	case b.position < 0 && !b.options.PooledOutcomes:
 		return descriptor.Misdirected, 0
-	case b.poisoned(e.Fingerprint):
+	case b.poisoned(e.Fingerprint, e.Content):
 		return descriptor.Poisoned, 0
 	case b.backends.Len() == 0:
 		return descriptor.NoBackend, retryAfter
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"monsoonswitch/detector"
 	"monsoonswitch/limiter"
 	"monsoonswitch/picker"
+	"monsoonswitch/quarantiner"
 	"monsoonswitch/retrier"
 )
 
@@ -55,6 +56,8 @@
 	// Retries bounds the retries of all instances together. It applies if
 	// PooledOutcomes is set.
 	Retries retrier.Bounds
+	// Crashes is shared by the balancers of an instance. A nil one is replaced by an empty one.
+	Crashes *quarantiner.Register
 }
 
 // budget returns the retry budget of an instance that has just started.
@@ -133,7 +136,7 @@
 	// of the write to the store. It is empty if there was no such reason.
 	refusal string
 	peers   map[string]peerEvidence
-	crashes *container.Generations[uint64, crashRecord]
+	crashes *quarantiner.Register
 	// knownLeaving holds the marks of the incarnations that were ever listed as leaving,
 	// or said so.
 	knownLeaving *container.Generations[uint64, bool]
@@ -198,6 +201,9 @@
 
 // New returns a balancer without backend servers.
 func New[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](s declarer.Service, o Options) *Balancer[E, D, P, L] {
+	if o.Crashes == nil {
+		o.Crashes = quarantiner.NewRegister()
+	}
 	b := &Balancer[E, D, P, L]{
 		options:        o,
 		random:         rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15),
@@ -209,7 +215,7 @@
 		unsentOutcomes: container.NewTable[string, descriptor.BackendOutcomes](),
 		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
 		marks:          make(map[uint64]string),
-		crashes:        container.NewGenerations[uint64, crashRecord](maxCrashes),
+		crashes:        o.Crashes,
 	}
 	b.terms = o.terms(0, -1)
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -14,6 +14,9 @@
 	if !ok {
 		return
 	}
+	if r.content == 0 {
+		r.content = e.Content
+	}
 	b.recordFailure(r, i, e)
 	a := r.attempts[i]
 	b.trace(r, descriptor.NoteAttemptFailed, a.id, a.backend, e.Fault.String(), 0)
@@ -49,7 +52,7 @@
 	}
 	reason := descriptor.BackendFailed
 	switch {
-	case b.poisoned(r.fingerprint):
+	case b.poisoned(r.fingerprint, r.content):
 		reason = descriptor.Poisoned
 	case e.Fault == descriptor.FaultShed || e.Fault == descriptor.FaultWrongBackend:
 		reason = descriptor.Overloaded
@@ -60,7 +63,7 @@
 // mayRetry reports whether a request may be sent to another backend server.
 // Non-idempotent work may only if it is known not to have run.
 func (b *Balancer[E, D, P, L]) mayRetry(r request, e descriptor.Failed, ran bool) bool {
-	if b.exhausted(r) || b.backends.Len() <= int(r.last) || b.poisoned(r.fingerprint) {
+	if b.exhausted(r) || b.backends.Len() <= int(r.last) || b.poisoned(r.fingerprint, r.content) {
 		return false
 	}
 	if !r.replayable && !e.BodyReplayable {
@@ -204,8 +207,8 @@
 // backend server before.
 func (b *Balancer[E, D, P, L]) recordBrokenConnection(s backend[E], r request, a attempt) backend[E] {
 	newBreakdown := b.now.Sub(s.breakdownAt) > crashWindow || b.now.Before(s.verifiedUpUntil)
-	knownCrasher := b.crashedElsewhere(r.fingerprint, a.backend)
-	b.recordCrash(r.fingerprint, a.backend)
+	knownCrasher := b.crashedElsewhere(r, a.backend)
+	b.recordCrash(r, a.backend)
 	if newBreakdown {
 		b.emit(descriptor.Probe{Service: b.service.Name, Backend: s.listed, Suspected: true})
 	}
--- a/balancer/poison_test.go
+++ b/balancer/poison_test.go
@@ -6,6 +6,7 @@
 
 	"monsoonswitch/asserter"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/quarantiner"
 )
 
 // crashing marks a request as the one that crashes backend servers.
@@ -56,3 +57,25 @@
 		x.wantPoisoned(id, descriptor.NotRun)
 	})
 }
+
+// TestCrashingRequestOfTwoServices guards against a request that crashes backend servers counting
+// from zero at each service that its route sends it to.
+func TestCrashingRequestOfTwoServices(t *testing.T) {
+	crashes := quarantiner.NewRegister()
+	members := []descriptor.Member{{ID: "entry-0"}}
+	ledger := newPooledBalancer(Options{Self: "entry-0", Crashes: crashes}, members, backendList(3, 3))
+	billing := newPooledBalancer(Options{Self: "entry-0", Crashes: crashes}, members, backendList(3, 3))
+	send := func(b *pooledBalancer, id descriptor.RequestID) {
+		e := nonIdempotent(id, epoch)
+		crashing(&e)
+		b.Arrive(e)
+	}
+	for id := range descriptor.RequestID(2) {
+		send(ledger, id+1)
+		ledger.Failed(descriptor.Failed{At: epoch, Request: id + 1, Attempt: 1, Fault: descriptor.FaultBroken})
+	}
+	send(billing, 3)
+	list := refusals(billing)
+	asserter.Equal(t, "refused", len(list), 1)
+	asserter.Equal(t, "reason", list[0].Reason, descriptor.Poisoned)
+}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -34,11 +34,13 @@
 	// descriptor.Arrived.
 	caller      string
 	fingerprint uint64
-	replayable  bool
-	body        bool
-	size        int64
-	deadline    time.Time
-	arrived     time.Time
+	// content is a hash of the body, or 0 if it is not known.
+	content    uint64
+	replayable bool
+	body       bool
+	size       int64
+	deadline   time.Time
+	arrived    time.Time
 	// expires is when the request is refused if it is still queued.
 	expires time.Time
 	// attempts holds the open attempts in its first count entries.
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -271,7 +271,7 @@
 			return
 		}
 		r, ok := b.requests.Get(id)
-		if !ok || b.poisoned(r.fingerprint) || b.crashedBefore(r.fingerprint) {
+		if !ok || b.poisoned(r.fingerprint, r.content) || b.crashedBefore(r) {
 			continue
 		}
 		position := b.pickFrom(&b.preferred, r)
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -17,6 +17,7 @@
 	"monsoonswitch/keeper"
 	"monsoonswitch/limiter"
 	"monsoonswitch/picker"
+	"monsoonswitch/quarantiner"
 	"monsoonswitch/relayer"
 	"monsoonswitch/retrier"
 	"monsoonswitch/spreader"
@@ -105,6 +106,10 @@
 	// served holds the balancer of each service that this instance serves, or
 	// whose last requests it finishes.
 	served *container.Table[string, *balancer.Balancer[E, D, P, L]]
+	// crashes holds the crashes of backend servers under requests of all services.
+	crashes *quarantiner.Register
+	// publishedCrashes is the version of crashes in the published directory.
+	publishedCrashes uint64
 	// requests maps each open request to its service.
 	requests *container.Table[descriptor.RequestID, string]
 	// traces holds the trace entries of each open request.
@@ -168,6 +173,7 @@
 		children:  make(map[string][]descriptor.Member),
 		declared:  container.NewTable[string, declaration](),
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
+		crashes:   quarantiner.NewRegister(),
 		requests:  container.NewTable[descriptor.RequestID, string](),
 		traces:    container.NewTable[descriptor.RequestID, []descriptor.TraceEntry](),
 		notes:     container.NewRing[descriptor.Note](maxNotes),
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -225,6 +225,7 @@
 		PooledOutcomes: d.options.Routing,
 		Domain:         d.options.Self.Domain,
 		Retries:        d.options.Retries,
+		Crashes:        d.crashes,
 	})
 	s.Declare(known.service, known.revision)
 	d.counter.InForce(d.now, service, known.revision)
@@ -323,6 +324,15 @@
 		next.Routes = d.routes
 		next.Callers = d.index.Get(callersRole)
 	}
+	if d.publishedCrashes != d.crashes.Version() {
+		d.publishedCrashes = d.crashes.Version()
+		next.Suspected = make(map[uint64]bool, d.crashes.Len())
+		for _, f := range d.crashes.Fingerprints() {
+			next.Suspected[f] = true
+		}
+	} else if d.published != nil {
+		next.Suspected = d.published.Suspected
+	}
 	next.Ready = d.synced
 	next.Leaving = d.shutdown.started
 	next.MembersKnown = d.options.Routing && d.membersKnown
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -241,7 +241,8 @@
 
 // publish hands the traffic goroutines a new directory if anything in it changed.
 func (d *Decider[E, D, P, L]) publish() {
-	if (d.dirty || d.timeDirty) && d.now.Sub(d.lastPublishAt) >= publishInterval {
+	changed := d.dirty || d.timeDirty || d.publishedCrashes != d.crashes.Version()
+	if changed && d.now.Sub(d.lastPublishAt) >= publishInterval {
 		d.publishNow()
 	}
 }
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -26,6 +26,9 @@
 	// Current is the latest time at which the platform's store is known to have
 	// held nothing newer than this snapshot.
 	Current time.Time `json:",omitzero"`
+	// Suspected holds the fingerprints of requests under which backend servers crashed. The
+	// bodies of such requests are compared too.
+	Suspected map[uint64]bool `json:",omitempty"`
 }
 
 // minLocalInstances is the number of instances that a failure domain must have
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -18,8 +18,11 @@
 	Caller string
 	// Key is the idempotency key, or empty.
 	Key string
-	// Fingerprint is a hash that is equal for requests for the same work.
+	// Fingerprint is a hash that is equal for requests for the same work. Their bodies may
+	// differ.
 	Fingerprint uint64
+	// Content is a hash of the body, or 0 if the body is not known yet.
+	Content uint64 `json:",omitempty"`
 	// Replayable reports whether the request can be sent more than once.
 	Replayable bool
 	// Body reports whether the request has a body.
@@ -70,6 +73,8 @@
 	// BodyReplayable reports whether the body of the caller's request can be sent
 	// again from its start.
 	BodyReplayable bool
+	// Content is as in Arrived.
+	Content uint64 `json:",omitempty"`
 	// Load is the load that the backend server reported, for FaultShed.
 	Load Load `json:",omitzero"`
 	// Pause is as in Answered.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -251,6 +251,9 @@
 	// Mark is the mark of Backend, or 0 if Backend gives it. It is set where the sender may
 	// know only the mark.
 	Mark uint64 `cbor:",omitempty" json:",omitempty"`
+	// Content is as in Arrived. If Cleared is set and Backend is empty, it is that of the
+	// request that was answered.
+	Content uint64 `cbor:",omitempty" json:",omitempty"`
 	// Age is how long ago the backend server crashed, in milliseconds.
 	Age int64 `cbor:",omitempty" json:",omitempty"`
 	// Origin, Incarnation and Sequence are as in Freshness if the report is forwarded along a
@@ -263,8 +266,8 @@
 // Crash is a crash of a backend server under a request, in a suspicion list.
 type Crash struct {
 	_ struct{} `cbor:",toarray"`
-	// Fingerprint identifies the request, and Mark the backend server.
-	Fingerprint, Mark uint64
+	// Fingerprint and Content identify the request, and Mark the backend server.
+	Fingerprint, Mark, Content uint64
 	// Age is how long ago the backend server crashed, in milliseconds.
 	Age int64
 }
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonswitch/descriptor"
 )
 
@@ -218,6 +220,7 @@
 		Load:           head.Load,
 		Pause:          head.Pause,
 		BodyReplayable: s.body.replayable(),
+		Content:        s.body.content(),
 	})
 }
 
@@ -276,6 +279,33 @@
 // sourceFailed reports whether reading the caller's body failed.
 func (b *callerBody) sourceFailed() bool { return b != nil && b.failed.Load() }
 
+// content returns a hash of the body, or 0 unless the whole body is buffered.
+func (b *callerBody) content() uint64 {
+	if b == nil {
+		return xxhash.Sum64(nil)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.overflowed || !errors.Is(b.end, io.EOF) {
+		return 0
+	}
+	return xxhash.Sum64(b.buffered)
+}
+
+// readAhead buffers the body until its end, or until it is too long to be buffered, reading fails
+// or the deadline passes. A zero deadline means that there is none.
+func (b *callerBody) readAhead(deadline time.Time) {
+	chunk := buffers.Get().(*[]byte)
+	defer buffers.Put(chunk)
+	for offset := 0; b.replayable() && (deadline.IsZero() || time.Now().Before(deadline)); {
+		n, err := b.readAt(*chunk, offset)
+		if err != nil {
+			return
+		}
+		offset += n
+	}
+}
+
 // readAt reads bytes from offset on, first from the buffer and then from the source.
 // It returns an error if the caller sends nothing for the stall timeout.
 func (b *callerBody) readAt(p []byte, offset int) (int, error) {
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -195,6 +195,10 @@
 // arrived returns the event that describes the request to the control goroutine.
 func (s *session) arrived() descriptor.Arrived {
 	hasBody := s.body != nil
+	fingerprint := s.fingerprint()
+	if hasBody && s.forwarder.snapshot.Load().Suspected[fingerprint] {
+		s.body.readAhead(s.deadline)
+	}
 	return descriptor.Arrived{
 		At:          time.Now(),
 		Request:     s.id,
@@ -202,7 +206,8 @@
 		Class:       s.class.Name,
 		Caller:      s.caller(),
 		Key:         s.r.Header.Get(headerKey),
-		Fingerprint: s.fingerprint(),
+		Fingerprint: fingerprint,
+		Content:     s.body.content(),
 		Replayable:  !hasBody || s.r.ContentLength > 0 && s.r.ContentLength <= maxBufferedBytes,
 		Body:        hasBody,
 		Size:        s.r.ContentLength,
@@ -221,11 +226,12 @@
 	return hostOf(s.r.RemoteAddr)
 }
 
-// fingerprint returns a hash of the service, method, URI, content length and caller. It is
-// equal for repeated requests of one caller; the body is not part of it.
+// fingerprint returns a hash of the method, host, URI and caller. It is equal for repeated
+// requests of one caller, also where a route sends them to different services, or where a body
+// that was sent with a length is sent in chunks. The body is not part of it.
 func (s *session) fingerprint() uint64 {
 	h := xxhash.New()
-	for _, part := range []string{s.service, s.r.Method, s.r.URL.RequestURI(), s.r.Header.Get("Content-Length"), s.caller()} {
+	for _, part := range []string{s.r.Method, s.r.Host, s.r.Header.Get(headerService), s.r.URL.RequestURI(), s.caller()} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
