Many broken connections do not evict the record of a request that is refused

A rack that fails, or resets of many connections, made a new generation twice and the refused request was sent on again. Records with more than one crash have generations of their own. TestManyBrokenConnections: sent on before, refused now.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -117,24 +117,32 @@
 // Register holds the records of one instance by the fingerprint of the request. All services
 // share it, because a request may be sent to more than one. Only one goroutine may use it.
 type Register struct {
-	records *container.Generations[uint64, Record]
+	// single holds the records with one crash, and several the others. Many connections that
+	// break together must not evict a record that refuses a request.
+	single, several *container.Generations[uint64, Record]
 	// version grows with each change.
 	version uint64
 }
 
 // NewRegister returns an empty register.
 func NewRegister() *Register {
-	return &Register{records: container.NewGenerations[uint64, Record](maxRecords)}
+	return &Register{
+		single:  container.NewGenerations[uint64, Record](maxRecords),
+		several: container.NewGenerations[uint64, Record](maxRecords),
+	}
 }
 
 // Get returns the record of a request; it is empty if there is none.
 func (g *Register) Get(fingerprint uint64) Record {
-	r, _ := g.records.Get(fingerprint)
+	if r, ok := g.several.Get(fingerprint); ok {
+		return r
+	}
+	r, _ := g.single.Get(fingerprint)
 	return r
 }
 
 // Len returns the number of records.
-func (g *Register) Len() int { return g.records.Len() }
+func (g *Register) Len() int { return g.single.Len() + g.several.Len() }
 
 // Add records a crash and reports whether that changed the record.
 func (g *Register) Add(fingerprint uint64, c Crash) bool {
@@ -164,10 +172,17 @@
 		return false
 	}
 	g.version++
-	if after.count == 0 {
-		g.records.Delete(fingerprint)
-	} else {
-		g.records.Put(fingerprint, after)
+	if after.count != 1 {
+		g.single.Delete(fingerprint)
+	}
+	if after.count < crashLimit {
+		g.several.Delete(fingerprint)
+	}
+	switch {
+	case after.count >= crashLimit:
+		g.several.Put(fingerprint, after)
+	case after.count > 0:
+		g.single.Put(fingerprint, after)
 	}
 	return true
 }
@@ -176,7 +191,11 @@
 func (g *Register) Version() uint64 { return g.version }
 
 // Fingerprints returns those of all records, in ascending order.
-func (g *Register) Fingerprints() []uint64 { return g.records.Keys() }
+func (g *Register) Fingerprints() []uint64 {
+	list := append(g.single.Keys(), g.several.Keys()...)
+	slices.Sort(list)
+	return list
+}
 
 // Entry is a crash with the fingerprint of its request.
 type Entry struct {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -81,3 +81,15 @@
 	asserter.Equal(t, "listed before", len(g.Settled(after(RefusalTime-time.Second), "ledger", 9)), 2)
 	asserter.Equal(t, "listed after", len(g.Settled(after(RefusalTime), "ledger", 9)), 0)
 }
+
+// TestManyBrokenConnections guards against the record of a request that is refused being dropped
+// because the connections of many others broke.
+func TestManyBrokenConnections(t *testing.T) {
+	g := crashed(7, 7)
+	for i := range uint64(4 * maxRecords) {
+		g.Add(1000+i, Crash{Service: "ledger", Mark: 1, Content: 7, At: after(time.Second)})
+	}
+	asserter.Equal(t, "refused", refused(g, 7, after(time.Second)), true)
+	asserter.AtMost(t, "records", g.Len(), 4*maxRecords)
+	asserter.Equal(t, "fingerprints", len(g.Fingerprints()), g.Len())
+}
