Each crash of a backend server under a request counts, also under the same ID

Crashes were counted by the ID of the backend server. Where a list has no time of the start, a server that starts again keeps its ID, and one server was crashed again and again by one request. A further crash is now recorded under a mark of its own once the one before is settled; instances that know of the same crashes choose the same mark, so that reports of one crash count once.

--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -47,7 +47,7 @@
 // recordCrash records a crash and notifies the owners, and all instances once the request is
 // refused.
 func (b *Balancer[E, D, P, L]) recordCrash(r request, id string) {
-	c := quarantiner.Crash{Service: b.service.Name, Mark: descriptor.MarkOf(id), Content: r.content, At: b.now}
+	c := quarantiner.Crash{Service: b.service.Name, Mark: b.crashMark(r.fingerprint, id), Content: r.content, At: b.now}
 	known := b.poisoned(r.fingerprint, r.content)
 	b.addCrash(r.fingerprint, id, c, "seen here")
 	b.sendToOwners(b.reportOf(r.fingerprint, c))
@@ -56,6 +56,16 @@
 	}
 }
 
+// crashMark returns the mark for a crash of a backend server now. An ID that names an incarnation
+// crashes once.
+func (b *Balancer[E, D, P, L]) crashMark(fingerprint uint64, id string) uint64 {
+	mark := descriptor.MarkOf(id)
+	if s, ok := b.backends.Get(id); ok && s.listed.NamesIncarnation() {
+		return mark
+	}
+	return b.crashes.NextMark(b.now, fingerprint, mark)
+}
+
 // reportedCrash returns a crash that another instance reported.
 func (b *Balancer[E, D, P, L]) reportedCrash(c descriptor.Crash) quarantiner.Crash {
 	at := b.now.Add(-time.Duration(max(0, c.Age)) * time.Millisecond)
--- a/decider/crash_test.go
+++ b/decider/crash_test.go
@@ -41,8 +41,8 @@
 	event descriptor.Event
 }
 
-func newCrashFleet(instances, backends int) *crashFleet {
-	f := &crashFleet{routedFleet: newRoutedFleet(instances), starts: make(map[string]int), downUntil: make(map[string]time.Time)}
+func newCrashFleet(instances, backends int, keepsID bool) *crashFleet {
+	f := &crashFleet{routedFleet: newRoutedFleet(instances), starts: make(map[string]int), downUntil: make(map[string]time.Time), keepsID: keepsID}
 	for i := range backends {
 		f.starts[fmt.Sprintf("b%d", i)] = 1
 	}
@@ -144,7 +144,7 @@
 // those that started later.
 func TestCrashingRequestAtAnyInstance(t *testing.T) {
 	t.Run("at all instances in turn", func(t *testing.T) {
-		f := newCrashFleet(24, 21)
+		f := newCrashFleet(24, 21, false)
 		for i := range 120 {
 			f.repeat(f.order[i%len(f.order)])
 			f.play(100 * time.Millisecond)
@@ -155,7 +155,7 @@
 		}
 	})
 	t.Run("at instances that start again", func(t *testing.T) {
-		f := newCrashFleet(12, 21)
+		f := newCrashFleet(12, 21, false)
 		for i := range 4 {
 			f.repeat(f.order[i])
 			f.play(100 * time.Millisecond)
@@ -171,3 +171,15 @@
 		asserter.AtMost(t, "crashes", len(f.crashes)-before, maxCrashRetries)
 	})
 }
+
+// TestCrashesOfOneBackendServer guards against the crashes of a backend server that starts again
+// under its ID counting as one, so that a request crashes it without end.
+func TestCrashesOfOneBackendServer(t *testing.T) {
+	f := newCrashFleet(6, 1, true)
+	for i := range 60 {
+		f.repeat(f.order[i%len(f.order)])
+		f.play(400 * time.Millisecond)
+	}
+	asserter.AtLeast(t, "crashes", len(f.crashes), 2)
+	asserter.AtMost(t, "crashes", len(f.crashes), 3)
+}
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -32,6 +32,9 @@
 	Leaving bool
 }
 
+// NamesIncarnation reports whether the ID changes with each start of the backend server.
+func (b Backend) NamesIncarnation() bool { return b.Name != "" && b.Name != b.ID }
+
 // Load is the load that a backend server reports in a response.
 type Load struct {
 	// Known reports whether the response carried a load.
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -4,9 +4,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonswitch/container"
 )
 
@@ -71,10 +74,16 @@
 }
 
 // WithoutCrash returns r without the crashes of a backend server that are not settled at now.
+// mark is that of its first crash.
 func (r Record) WithoutCrash(mark uint64, now time.Time) Record {
+	var marks [maxCrashes]uint64
+	for i := range marks {
+		marks[i] = mark
+		mark = nextMark(mark)
+	}
 	result := Record{answered: r.answered, answeredAt: r.answeredAt}
 	for _, c := range r.Crashes() {
-		if c.Mark != mark || c.settled(now) {
+		if c.settled(now) || !slices.Contains(marks[:], c.Mark) {
 			result = result.WithCrash(c)
 		}
 	}
@@ -157,6 +166,27 @@
 	return g.put(fingerprint, before, before.WithoutCrash(mark, now))
 }
 
+// NextMark returns the mark under which a further crash of a backend server is recorded, which
+// starts again under its ID. It is the given one, that of the first crash, until that crash is
+// settled. Instances that know of the same crashes choose the same mark, so that two reports of
+// one crash count once.
+func (g *Register) NextMark(now time.Time, fingerprint, mark uint64) uint64 {
+	r := g.Get(fingerprint)
+	for range maxCrashes {
+		i := slices.IndexFunc(r.Crashes(), func(c Crash) bool { return c.Mark == mark })
+		if i < 0 || !r.crashes[i].settled(now) {
+			break
+		}
+		mark = nextMark(mark)
+	}
+	return mark
+}
+
+// nextMark returns the mark of the crash after the one with the given mark.
+func nextMark(mark uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, mark))
+}
+
 // Answer records that a request with a known content was answered. It reports whether that
 // request was suspected.
 func (g *Register) Answer(now time.Time, fingerprint, content uint64) bool {
