A backend server that starts again crashed under the requests that it had not answered

Only a connection that broke before the head of an answer counted as a crash. A backend server that falls silent, or whose answer breaks off, was crashed by the same request without bound. The list shows the crash when another incarnation appears under its name or address: it then counts for the attempts that are still open there, and for those that ended without an answer in the last 30 s. A backend server that announced its leaving is left out.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -205,6 +205,9 @@
 // uses its age as evidence.
 func (b *Balancer[E, D, P, L]) abandonAttempt(r request, i int) {
 	a := r.attempts[i]
+	if !a.answered {
+		b.rememberUnanswered(r, a)
+	}
 	p := b.backends.Position(a.backend)
 	if p >= 0 && !a.answered && !a.sentAt.IsZero() {
 		_, s := b.backends.At(p)
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -137,6 +137,8 @@
 	refusal string
 	peers   map[string]peerEvidence
 	crashes *quarantiner.Register
+	// unanswered holds the latest attempts that ended without an answer.
+	unanswered *container.Ring[unanswered]
 	// knownLeaving holds the marks of the incarnations that were ever listed as leaving,
 	// or said so.
 	knownLeaving *container.Generations[uint64, bool]
@@ -216,6 +218,7 @@
 		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
 		marks:          make(map[uint64]string),
 		crashes:        o.Crashes,
+		unanswered:     container.NewRing[unanswered](maxUnanswered),
 	}
 	b.terms = o.terms(0, -1)
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -167,7 +167,10 @@
 		s = b.shed(s, e)
 	case descriptor.FaultBroken:
 		s = b.recordBrokenConnection(s, r, a)
-	case descriptor.FaultTruncated, descriptor.FaultStatus:
+	case descriptor.FaultTruncated:
+		b.rememberUnanswered(r, a)
+		s = b.observe(s, r.class, a, true)
+	case descriptor.FaultStatus:
 		s = b.observe(s, r.class, a, true)
 	}
 	b.putBackend(p, s)
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -15,6 +15,7 @@
 // during an outage of the store take a while to be renewed.
 func (b *Balancer[E, D, P, L]) SetBackends(now time.Time, list []descriptor.Backend, restoreDeadline time.Time) {
 	b.advance(now)
+	b.recordRestarts(list)
 	present := make(map[string]bool, len(list))
 	for _, listed := range list {
 		present[listed.ID] = true
--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -14,8 +14,57 @@
 	// crashHeralds is the number of slot owners, in their order, that spread a crash
 	// report of another instance to all instances.
 	crashHeralds = 2
+	// maxUnanswered bounds the attempts that are remembered because they ended without an
+	// answer, and unansweredTime is how long each of them is.
+	maxUnanswered  = 256
+	unansweredTime = 30 * time.Second
 )
 
+// unanswered is an attempt that ended without an answer while its connection was open. Its
+// backend server may have crashed without a sign of it.
+type unanswered struct {
+	request request
+	backend string
+	at      time.Time
+}
+
+// rememberUnanswered remembers an attempt until it is known whether its backend server crashed.
+func (b *Balancer[E, D, P, L]) rememberUnanswered(r request, a attempt) {
+	if !a.sentAt.IsZero() {
+		b.unanswered.Add(unanswered{request: r, backend: a.backend, at: b.now})
+	}
+}
+
+// recordRestarts records the crashes of backend servers that another incarnation has replaced in
+// a new list, by name or by address, under the requests that they did not answer.
+func (b *Balancer[E, D, P, L]) recordRestarts(list []descriptor.Backend) {
+	for _, listed := range list {
+		if b.backends.Has(listed.ID) {
+			continue
+		}
+		for id, s := range b.backends.All {
+			if s.mode != modeLeaving && listed.Replaces(s.listed) {
+				b.recordRestart(id)
+			}
+		}
+	}
+}
+
+func (b *Balancer[E, D, P, L]) recordRestart(id string) {
+	for _, r := range b.requests.All {
+		for _, a := range r.attempts[:r.count] {
+			if a.backend == id && !a.answered {
+				b.recordCrash(r, id)
+			}
+		}
+	}
+	for _, u := range b.unanswered.Slice() {
+		if u.backend == id && b.now.Sub(u.at) < unansweredTime {
+			b.recordCrash(u.request, id)
+		}
+	}
+}
+
 // poisoned reports whether requests with a fingerprint and content are refused.
 func (b *Balancer[E, D, P, L]) poisoned(fingerprint, content uint64) bool {
 	return b.crashes.Get(fingerprint).Refused(content, b.now)
--- a/balancer/poison_test.go
+++ b/balancer/poison_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,3 +80,58 @@
 	asserter.Equal(t, "refused", len(list), 1)
 	asserter.Equal(t, "reason", list[0].Reason, descriptor.Poisoned)
 }
+
+// incarnations returns a list of backend servers that have each started a number of times.
+func incarnations(starts ...int) []descriptor.Backend {
+	list := backendList(len(starts), 3)
+	for i := range list {
+		list[i].Name = list[i].ID
+		list[i].ID = fmt.Sprintf("%s@%d", list[i].Name, starts[i])
+	}
+	return list
+}
+
+// TestSilentCrash guards against a request that crashes backend servers without a broken
+// connection: they are silent until they start again.
+func TestSilentCrash(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// end ends the attempt of a request, or leaves it open.
+		end func(b *pooledBalancer, id descriptor.RequestID, now time.Time)
+	}{
+		{"the attempt is open", func(*pooledBalancer, descriptor.RequestID, time.Time) {}},
+		{"its time is up", func(b *pooledBalancer, _ descriptor.RequestID, now time.Time) { b.Tick(now) }},
+		{"its answer is cut", func(b *pooledBalancer, id descriptor.RequestID, now time.Time) {
+			b.Answered(descriptor.Answered{At: now, Request: id, Attempt: 1, Status: 200})
+			b.Failed(descriptor.Failed{At: now, Request: id, Attempt: 1, Fault: descriptor.FaultTruncated})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			starts := []int{1, 1, 1, 1}
+			b := newPooledBalancer(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}}, incarnations(starts...))
+			now := epoch
+			var list []string
+			for id := range descriptor.RequestID(4) {
+				e := nonIdempotent(id+1, now)
+				e.Deadline = now.Add(time.Second)
+				crashing(&e)
+				b.Arrive(e)
+				list = sentTo(b)
+				if len(list) == 0 {
+					break
+				}
+				c.end(b, id+1, now.Add(1200*time.Millisecond))
+				now = now.Add(3 * time.Second)
+				for i, s := range incarnations(starts...) {
+					if s.ID == list[0] {
+						starts[i]++
+					}
+				}
+				b.SetBackends(now, incarnations(starts...), time.Time{})
+				b.Flush(nil, nil)
+			}
+			asserter.Equal(t, "sent after two crashes", len(list), 0)
+			asserter.Equal(t, "backend servers that started again", starts[0]+starts[1]+starts[2]+starts[3], 6)
+		})
+	}
+}
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -35,6 +35,11 @@
 // NamesIncarnation reports whether the ID changes with each start of the backend server.
 func (b Backend) NamesIncarnation() bool { return b.Name != "" && b.Name != b.ID }
 
+// Replaces reports whether b is another incarnation than x that has the name or address of x.
+func (b Backend) Replaces(x Backend) bool {
+	return b.ID != x.ID && (b.Name != "" && b.Name == x.Name || b.Address == x.Address)
+}
+
 // Load is the load that a backend server reports in a response.
 type Load struct {
 	// Known reports whether the response carried a load.
