A later slot owner is told which requests crash backend servers

Where each service has a declaration of its own, there are no suspicion lists, and an instance that became a slot owner sent on what the others refused. Each owner now reports its crashes to the new ones. TestLaterOwner fails without that: no report is sent.

--- a/balancer/list.go
+++ b/balancer/list.go
@@ -141,6 +141,7 @@
 	}
 	b.shareRetainedUntil = time.Time{}
 	same := position == b.position && sameIDs(owners, b.owners)
+	b.reportCrashesTo(newIn(owners, b.owners))
 	b.owners = owners
 	b.position = position
 	b.gateways = gatewaysOf(owners, b.options)
@@ -152,6 +153,17 @@
 	b.startQueued()
 }
 
+// newIn returns the instances of list that are not in the earlier one.
+func newIn(list, earlier []descriptor.Member) []descriptor.Member {
+	var result []descriptor.Member
+	for _, m := range list {
+		if positionOf(earlier, m.ID) < 0 {
+			result = append(result, m)
+		}
+	}
+	return result
+}
+
 // sameIDs reports whether two lists hold the same instances in the same order.
 func sameIDs(a, b []descriptor.Member) bool {
 	return slices.EqualFunc(a, b, func(x, y descriptor.Member) bool { return x.ID == y.ID })
--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -218,6 +218,19 @@
 	}
 }
 
+// reportCrashesTo sends the crashes under requests of this service to instances that have become
+// slot owners. Under a routing, suspicion lists do so too.
+func (b *Balancer[E, D, P, L]) reportCrashesTo(members []descriptor.Member) {
+	for _, m := range members {
+		if m.ID == b.options.Self {
+			continue
+		}
+		for _, c := range b.crashes.Settled(b.now, b.service.Name, maxListedCrashes) {
+			b.emit(descriptor.Send{To: m, Message: b.reportOf(c.Fingerprint, c.Crash)})
+		}
+	}
+}
+
 // Crashes returns the newest crashes that are not withdrawn any more, for a suspicion list.
 func (b *Balancer[E, D, P, L]) Crashes(now time.Time) []descriptor.Crash {
 	var list []descriptor.Crash
--- a/balancer/poison_test.go
+++ b/balancer/poison_test.go
@@ -135,3 +135,25 @@
 		})
 	}
 }
+
+// TestLaterOwner guards against an instance that becomes a slot owner sending on a request that is
+// refused by the others.
+func TestLaterOwner(t *testing.T) {
+	x := newFixture(t, 2, 6, 3)
+	x.reportCrashes("b1", "b2")
+	x.now = x.now.Add(2 * time.Second)
+	x.b.SetOwners(x.now, []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}, {ID: "entry-2"}})
+	x.take()
+	later := newFixture(t, 3, 6, 3)
+	later.now = x.now
+	for _, a := range x.actions {
+		if s, ok := a.(descriptor.Send); ok {
+			m, isCrash := s.Message.(descriptor.CrashReport)
+			asserter.True(t, "a crash report", isCrash)
+			asserter.Equal(t, "to", s.To.ID, "entry-2")
+			later.b.HandleCrash(later.now, m)
+		}
+	}
+	id, _ := later.arrive("booking", crashing)
+	later.wantPoisoned(id, descriptor.NotRun)
+}
