Test with processes: a request that crashes backend servers comes to all instances

Eight serve processes before twenty stand-ins that crash, and start again a second later with another time of start.

--- a/standin_test.go
+++ b/standin_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -172,8 +173,17 @@
 	serviceTime time.Duration
 	// last is the start of the last request that ran.
 	last time.Time
+	// crashPath is the path of the requests that crash the backend server, or empty. It calls
+	// onCrash then, and is down for crashDowntime.
+	crashPath string
+	onCrash   func(*platformBackend)
+	// starts counts the starts of the backend server.
+	starts int
 }
 
+// crashDowntime is how long a crashed backend server is down.
+const crashDowntime = time.Second
+
 // newPlatformBackend starts the n-th backend server of a service.
 func newPlatformBackend(service string, n int) *platformBackend {
 	b := &platformBackend{id: fmt.Sprintf("i-%s-%d", service, n), service: service, runs: make(map[string]int), serviceTime: 5 * time.Millisecond}
@@ -185,8 +195,27 @@
 func (b *platformBackend) entry(state string) map[string]any {
 	return map[string]any{
 		"service": b.service, "address": strings.TrimPrefix(b.server.URL, "http://"), "zone": "a",
-		"version": "v1", "slots": 3, "state": state, "cold_remaining_s": 0, "sequence": 1, "born": 1,
+		"version": "v1", "slots": 3, "state": state, "cold_remaining_s": 0, "sequence": 1, "born": 1 + b.starts,
+	}
+}
+
+// crash closes the listener and all connections, and starts again at the same address after
+// crashDowntime. It must not be called by the server's own goroutine.
+func (b *platformBackend) crash() {
+	address := b.server.Listener.Addr().String()
+	b.server.CloseClientConnections()
+	b.server.Close()
+	time.Sleep(crashDowntime)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.starts++
+	b.server = httptest.NewUnstartedServer(b)
+	b.server.Listener = l
+	b.server.Start()
 }
 
 // signature is the header value that marks responses as those of a backend server.
@@ -203,6 +232,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if b.crashPath != "" && r.URL.Path == b.crashPath {
+		go b.onCrash(b)
+		panic(http.ErrAbortHandler)
+	}
 	b.mu.Lock()
 	gray, shed, serviceTime := b.gray, b.shed, b.serviceTime
 	if !shed {
