Read, log and dump the limits that backend servers name

Event 4013 and the state of an instance show which limit it knows, from where, and what part of it is its own.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -72,6 +72,7 @@
 	_, s := b.backends.At(p)
 	s = s.WithAnswer().WithLoad(e.Load, e.At)
 	s = b.recordPause(s, e.Pause)
+	s = b.recordLimit(s, e.Limit, a.sentAt)
 	if e.Health == descriptor.HealthDraining {
 		s = b.recordDraining(s)
 	}
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -5,6 +5,7 @@
 
 	"monsoonswitch/descriptor"
 	"monsoonswitch/detector"
+	"monsoonswitch/limiter"
 )
 
 // mode is the state of a backend server. It decides which work it may get.
@@ -121,6 +122,8 @@
 	drainUntil time.Time
 	// pausedUntil is until when the backend server wants no requests of this instance.
 	pausedUntil time.Time
+	// allowance is the part of the backend server's own limit that this instance may send.
+	allowance limiter.Allowance
 	// probeAt is the time of the next probe while the backend server is down.
 	// probeWait is the wait before it.
 	probeAt   time.Time
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -154,6 +154,8 @@
 	recentOutcomes window
 	// lastPauseEnd is the end of the pause that ends last; see recordPause.
 	lastPauseEnd time.Time
+	// lastLimitAt is when a backend server last named a limit.
+	lastLimitAt time.Time
 	// spreading is set when too few of the probably healthy backend servers are in
 	// use.
 	spreading bool
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -59,6 +59,9 @@
 		Fleet:    s.fleetScore,
 		Avoided:  s.avoided,
 	}
+	if s.allowance.Active(now) {
+		d.Limit, d.LimitRate = s.allowance.Limit, s.allowance.Rate
+	}
 	if now.Before(s.leasedInUntil) {
 		d.Borrowed = s.leasedIn
 	}
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -164,7 +164,7 @@
 	case descriptor.FaultWrongBackend:
 		s = b.markDraining(s)
 	case descriptor.FaultShed:
-		s = b.shed(s, e)
+		s = b.shed(s, a, e)
 	case descriptor.FaultBroken:
 		s = b.recordBrokenConnection(s, r, a)
 	case descriptor.FaultTruncated:
@@ -179,8 +179,9 @@
 // shed handles work that a backend server refused. If outcomes are pooled, a refusal
 // with free slots by its own report is a failure. Otherwise the backend server is
 // taken to be full.
-func (b *Balancer[E, D, P, L]) shed(s backend[E], e descriptor.Failed) backend[E] {
+func (b *Balancer[E, D, P, L]) shed(s backend[E], a attempt, e descriptor.Failed) backend[E] {
 	s = s.WithLoad(e.Load, e.At)
+	s = b.recordLimit(s, e.Limit, a.sentAt)
 	if e.Pause > 0 || e.Health == descriptor.HealthDraining {
 		// It turns work away on purpose, which is no sign of a fault.
 		return s
--- a/descriptor/dump.go
+++ b/descriptor/dump.go
@@ -89,6 +89,10 @@
 	// Avoided reports whether the instance prefers other backend servers,
 	// without an ejection.
 	Avoided bool
+	// Limit is how many requests a second the backend server takes from all instances, and
+	// LimitRate those of them that this instance may send; 0 without a limit.
+	Limit     float64 `json:",omitempty"`
+	LimitRate float64 `json:",omitempty"`
 }
 
 // KeyDump counts the idempotency keys of an instance: keys held, requests that
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -52,6 +52,9 @@
 	Load    Load `json:",omitzero"`
 	// Pause is how long the backend server wants no requests of this instance.
 	Pause time.Duration `json:",omitzero"`
+	// Limit is how many requests a second the backend server takes from all instances
+	// together; 0 means that it named no limit.
+	Limit float64 `json:",omitzero"`
 }
 
 // Finished reports that the whole response was sent to the caller. Bytes is the
@@ -77,8 +80,9 @@
 	Content uint64 `json:",omitempty"`
 	// Load is the load that the backend server reported, for FaultShed.
 	Load Load `json:",omitzero"`
-	// Pause is as in Answered.
+	// Pause and Limit are as in Answered. They are known only for FaultShed.
 	Pause time.Duration `json:",omitzero"`
+	Limit float64       `json:",omitzero"`
 }
 
 // Probed reports the result of the connection check requested by Probe.
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -31,6 +31,7 @@
 	NotePaused           = 4010
 	NoteCrash            = 4011
 	NoteCrashWithdrawn   = 4012
+	NoteLimit            = 4013
 	NoteAdmitted         = 6001
 	NoteQueued           = 6002
 	NoteDispatched       = 6003
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -76,6 +76,7 @@
 		Health:  head.Health,
 		Load:    head.Load,
 		Pause:   head.Pause,
+		Limit:   head.Limit,
 	})
 }
 
@@ -219,6 +220,7 @@
 		Health:         head.Health,
 		Load:           head.Load,
 		Pause:          head.Pause,
+		Limit:          head.Limit,
 		BodyReplayable: s.body.replayable(),
 		Content:        s.body.content(),
 	})
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -65,7 +65,10 @@
 	Mismatched bool
 	// Pause is how long the backend server wants no requests of this instance; 0 means
 	// that it did not ask for a pause.
-	Pause  time.Duration
+	Pause time.Duration
+	// Limit is how many requests a second the backend server takes from all instances
+	// together; 0 means that it named no limit.
+	Limit  float64
 	Health descriptor.Health
 	Load   descriptor.Load
 }
@@ -111,9 +114,28 @@
 		Pause:      ParsePause(response),
 		Health:     descriptor.ParseHealth(response.Header.Get(headerState)),
 		Load:       loadOf(response.Header.Get(headerLoad)),
+		Limit:      ParseLimit(response.Header.Get(headerLimit)),
 	}
 }
 
+// minLimit and maxLimit bound the limit that a backend server can name, in requests a second. A
+// lower one would not show when it ends, and a higher one limits nothing.
+const (
+	minLimit = 0.1
+	maxLimit = 1e6
+)
+
+// ParseLimit returns how many requests a second the backend server takes from all instances
+// together. It returns 0, which is no limit, if the value is empty, malformed or over maxLimit. A
+// lower limit than minLimit counts as minLimit.
+func ParseLimit(value string) float64 {
+	v, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+	if err != nil || !(v >= 0) || v > maxLimit {
+		return 0
+	}
+	return max(v, minLimit)
+}
+
 // maxPause bounds the pause that a backend server can ask for.
 const maxPause = time.Minute
 
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -22,6 +22,7 @@
 	// headerState, headerLoad and headerRefused are set by backend servers.
 	headerState   = "Backend-State"
 	headerLoad    = "Backend-Load"
+	headerLimit   = "Backend-Limit"
 	headerRefused = "Backend-Refused"
 	// headerAttempt is the identifier of one attempt, which the backend server repeats
 	// in its answer.
