Failing test: backend servers get more than the limit that they named

Replays of eight instances before eight backend servers, most or all of which name a limit for 30 s, with and without owners that come and go.

--- a/balancer/replay_test.go
+++ b/balancer/replay_test.go
@@ -54,6 +54,12 @@
 	backends, slots int
 	// instances is the number of instances; 0 means owners.
 	instances int
+	// limit is the limit on requests a second that a backend server names at a time, or 0. Nil
+	// means that none names one.
+	limit func(backend int, at time.Duration) float64
+	// member reports whether an instance is a slot owner at a time; nil means that all are. Work
+	// arrives only at slot owners.
+	member func(instance int, at time.Duration) bool
 }
 
 // tally counts how requests ended.
@@ -77,6 +83,9 @@
 	lossWindows int
 	// longest is the longest wait of a request that was refused.
 	longest time.Duration
+	// limitedArrivals counts the attempts at limited backend servers, and overLimit those of
+	// them that exceeded what the operators allow; see limitWatch.
+	limitedArrivals, overLimit int
 }
 
 const (
@@ -114,6 +123,9 @@
 	lastSentAt, ownFailureAt, lossPossibleAt []time.Duration
 	// ends holds the requests that ended in the last floorWindow.
 	ends []replayEnd
+	// watches holds a watch of the limit of each backend server.
+	watches []limitWatch
+	members []descriptor.Member
 }
 
 // replayEnd describes how a request ended.
@@ -139,13 +151,14 @@
 	}
 	f := &simulation[P]{load: l, random: rand.New(rand.NewPCG(7, 9+l.seed)), requests: make(map[descriptor.RequestID]*replayed), busy: make([]int, l.backends)}
 	for range l.backends {
+		f.watches = append(f.watches, newLimitWatch())
 		f.lastSentAt, f.ownFailureAt, f.lossPossibleAt = append(f.lastSentAt, -lossExclusion), append(f.ownFailureAt, -lossExclusion), append(f.lossPossibleAt, -lossExclusion)
 	}
 	f.tally.used = make(map[int]time.Duration)
-	var members []descriptor.Member
 	for i := range l.instances {
-		members = append(members, descriptor.Member{ID: fmt.Sprintf("entry-%d", i)})
+		f.members = append(f.members, descriptor.Member{ID: fmt.Sprintf("entry-%d", i)})
 	}
+	members := f.members
 	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{
 		{Name: "read", Target: replayTarget, Timeout: replayTimeout, Idempotent: true, Attempts: 3},
 		{Name: "once", Target: replayTarget, Timeout: replayTimeout, Attempts: 1},
@@ -161,6 +174,7 @@
 	}
 	f.arrivals()
 	f.schedule(floorWindow, f.watchFloor)
+	f.schedule(0, f.updateOwners)
 	for i := range f.instances {
 		f.tick(i)
 	}
@@ -202,6 +216,9 @@
 		if f.random.Float64() < f.load.idempotent {
 			class = "read"
 		}
+		for l := f.load; l.member != nil && !l.member(instance, at); {
+			instance = f.random.IntN(l.instances)
+		}
 		f.schedule(at, func() { f.arrive(request, instance, class) })
 	}
 }
@@ -253,6 +270,12 @@
 	f.tally.arrivals++
 	f.tally.used[backend] = f.now
 	f.lastSentAt[backend] = f.now
+	if limit := f.limitOf(backend); limit > 0 {
+		f.tally.limitedArrivals++
+		if f.watches[backend].exceeds(f.now, instance, limit) {
+			f.tally.overLimit++
+		}
+	}
 	if f.random.Float64() < f.load.shedShare(f.now) {
 		f.schedule(f.now+quickFailure, func() {
 			f.instances[instance].Failed(descriptor.Failed{
@@ -292,8 +315,12 @@
 func (f *simulation[P]) answer(instance, backend int, d descriptor.Dispatch, status int) {
 	f.busy[backend]--
 	b := f.instances[instance]
+	limit := f.limitOf(backend)
+	if limit > 0 {
+		f.watches[backend].tell(f.now, instance)
+	}
 	b.Answered(descriptor.Answered{
-		At: f.time(), Request: d.Request, Attempt: d.Attempt, Status: status,
+		At: f.time(), Request: d.Request, Attempt: d.Attempt, Status: status, Limit: limit,
 		Load: descriptor.Load{Known: true, Running: f.busy[backend] + 1, Slots: f.load.slots},
 	})
 	actions, ended := b.Flush(nil, nil)
