The limit of a backend server is divided among a few slot owners

Cause: the header was not read; a limited backend server got the work of any other, and more, since it looked idle. The class: a bound on a sum that no instance sees, as the retry budget.

At most one and two owners for each request a second of the limit share it, chosen by backend server; each saves at most one request, so that what all saved stays small against the bound, however many owners there are. Others send nothing, instances that are no owners a fiftieth. Shares start empty, so owners that come and go don't add up. The limit, and its end, travel with outcomes and suspicion lists. Placement, spreading, checks, canaries, retries and hedges all go through the one place that counts a request. A request that the limits leave no room for before it would be too late is refused at once.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -93,7 +93,7 @@
 		b.refuse(r, descriptor.Expired, descriptor.NotRun, 0)
 		return
 	}
-	if wait, ok := b.pausedBeyond(expires); ok {
+	if wait, ok := b.turnedAwayBeyond(r.class, expires); ok {
 		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, wait)
 		return
 	}
@@ -109,6 +109,15 @@
 	b.startQueued()
 }
 
+// turnedAwayBeyond reports whether the backend servers themselves, by pauses or limits, leave no
+// request for one of class c before expires. It also returns the wait to ask its caller for.
+func (b *Balancer[E, D, P, L]) turnedAwayBeyond(c int, expires time.Time) (time.Duration, bool) {
+	if wait, ok := b.pausedBeyond(expires); ok {
+		return wait, true
+	}
+	return b.limitedBeyond(c, expires)
+}
+
 // queueState describes the queue of a class for the limiter.
 func (b *Balancer[E, D, P, L]) queueState(c int) limiter.QueueState {
 	declared := b.classes[c].declared
@@ -207,8 +216,7 @@
 	b.trace(r, descriptor.NoteDispatched, r.last, id, "", 0)
 	b.requests.Put(r.id, r)
 	b.classes[r.class] = b.classes[r.class].WithInFlight(1)
-	s.lastSentAt = b.now
-	b.putBackend(position, s.WithUse(b.now).WithStart(long))
+	b.putBackend(position, s.WithRequest(b.now).WithStart(long))
 	b.emit(descriptor.Dispatch{Request: r.id, Attempt: r.last, Backend: s.listed})
 }
 
@@ -281,7 +289,7 @@
 func (b *Balancer[E, D, P, L]) putBackend(position int, s backend[E]) {
 	b.backends.SetAt(position, s)
 	free := s.inFlight < b.limit(s)
-	risky := s.avoided || s.mode == modeTrial
+	risky := s.avoided || s.mode == modeTrial || b.position < 0 && s.allowance.Active(b.now)
 	b.preferred.Set(position, free && !risky)
 	b.lastResort.Set(position, free && risky)
 }
--- a/balancer/backend.go
+++ b/balancer/backend.go
@@ -349,9 +349,21 @@
 	return b
 }
 
+// accepts reports whether b takes a request of this instance at now by what it said itself.
+func (b backend[E]) accepts(now time.Time) bool {
+	return !b.paused(now) && b.allowance.Open(now)
+}
+
+// WithRequest returns b after this instance sent a request there at now.
+func (b backend[E]) WithRequest(now time.Time) backend[E] {
+	b.lastSentAt = now
+	b.allowance = b.allowance.WithRequest(now)
+	return b.WithUse(now)
+}
+
 // limit returns how many attempts may be in flight at now.
 func (b backend[E]) limit(now time.Time) int {
-	if b.paused(now) {
+	if !b.accepts(now) {
 		return 0
 	}
 	switch b.mode {
@@ -381,7 +393,7 @@
 // pooledLimit returns how many attempts may be in flight at now if the slots are not
 // divided among instances. Shares, leases, ramps and trials do not limit them.
 func (b backend[E]) pooledLimit(now time.Time) int {
-	if b.paused(now) {
+	if !b.accepts(now) {
 		return 0
 	}
 	switch b.mode {
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -137,7 +137,7 @@
 	if !r.deadline.IsZero() && r.deadline.Before(expires) {
 		expires = r.deadline
 	}
-	if wait, ok := b.pausedBeyond(expires); ok {
+	if wait, ok := b.turnedAwayBeyond(r.class, expires); ok {
 		b.refuse(r, descriptor.Overloaded, r.outcome(), wait)
 		return
 	}
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -205,7 +205,7 @@
 func (b *Balancer[E, D, P, L]) recomputeShares() {
 	for i := range b.backends.Len() {
 		_, s := b.backends.At(i)
-		b.backends.SetAt(i, s.WithShare(b.shareOf(s.listed)))
+		b.backends.SetAt(i, b.withLimitPart(s.WithShare(b.shareOf(s.listed))))
 	}
 	b.deleteFormerOwners()
 	b.refresh()
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -93,7 +93,7 @@
 	for _, o := range list {
 		b.unsentOutcomes.Delete(o.Backend)
 	}
-	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unsentUnserved}
+	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unsentUnserved, Limits: b.limitsOf(list)}
 	b.unsentUnserved = 0
 	if b.position >= 0 {
 		b.sendByDomain(m)
@@ -195,6 +195,7 @@
 func (b *Balancer[E, D, P, L]) HandleSuspicionList(now time.Time, origin descriptor.Member, m descriptor.SuspicionList) {
 	b.advance(now)
 	b.mergeCrashes(origin, m.Crashes)
+	b.applyLimits(m.Limits)
 	for _, mark := range m.Leaving {
 		b.learnLeaving(mark)
 	}
@@ -286,6 +287,7 @@
 	for range min(m.Unserved, maxOutcomes) {
 		b.recentOutcomes = b.recentOutcomes.WithOutcome(now, true)
 	}
+	b.applyLimits(m.Limits)
 	if m.Relay {
 		b.unsentUnserved += max(0, m.Unserved)
 	}
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -163,6 +163,7 @@
 			Base:        base,
 			Leaving:     s.Leaving(),
 			Crashes:     s.Crashes(d.now),
+			Limits:      s.Limits(d.now),
 		}
 		d.sendToChildren(m.Origin, m)
 	}
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -137,6 +137,19 @@
 	// Unserved counts the requests that ended at the sender without a response
 	// since its last message.
 	Unserved int `cbor:",omitempty"`
+	// Limits holds the limits that backend servers in List named or dropped lately.
+	Limits []BackendLimit `cbor:",omitempty" json:",omitempty"`
+}
+
+// BackendLimit is the limit of a backend server on the requests of all instances together.
+type BackendLimit struct {
+	_ struct{} `cbor:",toarray"`
+	// Mark identifies the backend server; see MarkOf.
+	Mark uint64
+	// Limit is in requests a second; 0 means that the backend server dropped its limit.
+	Limit float64
+	// Age is how long ago the backend server answered so, in milliseconds.
+	Age int64
 }
 
 // BackendOutcomes counts how requests at one backend server ended since the last
@@ -404,6 +417,8 @@
 	Leaving []uint64 `cbor:",omitempty"`
 	// Crashes lists the newest crashes under requests that are not withdrawn any more.
 	Crashes []Crash `cbor:",omitempty" json:",omitempty"`
+	// Limits is as in Outcomes, for all backend servers.
+	Limits []BackendLimit `cbor:",omitempty" json:",omitempty"`
 }
 
 // Suspicion is the estimated probability that a backend server is gray.
