A planned stop takes no request late in a long grace time that may outlast it

A report of another operator: requests that came late in the grace were taken, passed on, and cut at its end, among them some that may not be repeated (LOST). Here requests were taken whatever their deadline until half of the grace time, which is 5 s of 10 on the large site, and cut at its end if they ran on; operators accept a cut only of work that was sent 3 s after the signal at the latest. From then on a request is now taken only if its deadline passes before the process ends; others are refused at once as not run. Sites with 6 s of grace already had this bound.

--- a/decider/leave.go
+++ b/decider/leave.go
@@ -16,10 +16,13 @@
 	tallyTimeout = 5 * time.Second
 	// usableGraceShare is the share of the grace time that a shutdown may use.
 	usableGraceShare = 0.93
-	// lateArrivalShare is the share of the grace time after which a request is taken only
-	// if its deadline passes lateArrivalMargin before the process ends. Callers with an
-	// old address may still come then, and their requests would be cut.
+	// lateArrivalShare is the share of the grace time, and lateArrivalTime the time, after
+	// which a request is taken only if its deadline passes lateArrivalMargin before the
+	// process ends. Callers with an old address may still come then, and their requests
+	// would be cut. Operators accept that for work that began lateArrivalTime after the
+	// signal at the latest.
 	lateArrivalShare  = 0.5
+	lateArrivalTime   = 3 * time.Second
 	lateArrivalMargin = 200 * time.Millisecond
 	// finalSendTime is how long the last messages have to be sent.
 	finalSendTime = 300 * time.Millisecond
@@ -63,7 +66,8 @@
 // answered before the process ends.
 func (d *Decider[E, D, P, L]) arrivesTooLate(e descriptor.Arrived) bool {
 	exit := d.exitTime()
-	if exit.IsZero() || d.now.Sub(d.shutdown.at) < time.Duration(lateArrivalShare*float64(d.options.Grace)) {
+	late := min(lateArrivalTime, time.Duration(lateArrivalShare*float64(d.options.Grace)))
+	if exit.IsZero() || d.now.Sub(d.shutdown.at) < late {
 		return false
 	}
 	return e.Deadline.IsZero() || e.Deadline.Add(lateArrivalMargin).After(exit)
