A request that comes after the end of a planned stop was decided is refused

Once an instance had no open request and had handed over, it closed idle connections for up to a second. A request that came on a kept connection just then was taken, passed on, and cut when that second was over. TestRequestsOfShutdown: sent on before, refused as not run now.

--- a/decider/leave.go
+++ b/decider/leave.go
@@ -65,6 +65,10 @@
 // arrivesTooLate reports whether a request arrives so late in a shutdown that it may not be
 // answered before the process ends.
 func (d *Decider[E, D, P, L]) arrivesTooLate(e descriptor.Arrived) bool {
+	if d.shutdown.done {
+		// Only requests that are open now are waited for.
+		return true
+	}
 	exit := d.exitTime()
 	late := min(lateArrivalTime, time.Duration(lateArrivalShare*float64(d.options.Grace)))
 	if exit.IsZero() || d.now.Sub(d.shutdown.at) < late {
--- a/decider/leave_test.go
+++ b/decider/leave_test.go
@@ -75,4 +75,14 @@
 			asserter.True(t, "sent on or answered", answered)
 		}
 	})
+	t.Run("after its end was decided", func(t *testing.T) {
+		f := newStoppingFleet(6 * time.Second)
+		f.stop()
+		for !f.complete {
+			f.run(routedTick)
+		}
+		asserter.AtMost(t, "time until the end", f.now.Sub(f.started), 3500*time.Millisecond)
+		asserter.True(t, "refused", f.arrive(1, time.Second))
+		asserter.Equal(t, "sent on", len(f.dispatched), 0)
+	})
 }
