A stopped process ends before the platform kills it

Cause: at 0.93 of the grace time a shutdown ends whatever is open, but then waited up to a second for the connections of exactly those requests. TestPlatformStopWithinGrace: exit 6.59 s after the signal with a grace time of 6 s before; that wait is now bounded by 0.03 of the grace time.

--- a/server/server.go
+++ b/server/server.go
@@ -28,8 +28,13 @@
 	"monsoonswitch/storer"
 )
 
-// closeTime bounds the time for closing idle connections at the end of a shutdown.
-const closeTime = time.Second
+const (
+	// closeTime bounds the time for closing idle connections at the end of a shutdown.
+	closeTime = time.Second
+	// closeGraceShare is the share of the grace time that it may take: the platform kills the
+	// process at the end of that, and decisions use most of it.
+	closeGraceShare = 0.03
+)
 
 // Server is a running entry instance.
 type Server struct {
@@ -281,15 +286,25 @@
 func (s *Server) Shutdown() {
 	s.controller.Post(descriptor.ShutdownRequested{At: time.Now()})
 	<-s.exitAllowed
-	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	ctx, cancel := context.WithTimeout(context.Background(), s.closeTime())
 	defer cancel()
-	// Only idle connections and requests that were refused with the addresses of
-	// other instances are still open now.
+	// Only idle connections, requests that were refused with the addresses of other
+	// instances, and those that outlast the grace time are still open now.
 	_ = s.callers.Shutdown(ctx)
 	s.Close()
 	s.log.Event(descriptor.NoteStopped, "", s.self.ID, "")
 }
 
+// closeTime returns the time that closing connections at the end of a shutdown may take.
+func (s *Server) closeTime() time.Duration {
+	s.reloadMu.Lock()
+	defer s.reloadMu.Unlock()
+	if grace := s.settings.Limits.Grace; grace > 0 {
+		return min(closeTime, time.Duration(closeGraceShare*float64(grace)))
+	}
+	return closeTime
+}
+
 // Close stops the instance immediately.
 func (s *Server) Close() {
 	s.load.close()
