The end of a limit is noticed, and tests of shares, reports and divided slots

A backend server that dropped its limit got no work at low load, because spreading left out limited ones, so that its end was not seen for up to a minute. Spreading now leaves out only those whose allowance is used up.

--- a/balancer/limit_test.go
+++ b/balancer/limit_test.go
@@ -128,3 +128,89 @@
 		})
 	}
 }
+
+// TestLimitAtOtherInstances guards against a limit, or its end, that only the instances learn that
+// get answers of the backend server.
+func TestLimitAtOtherInstances(t *testing.T) {
+	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}}
+	first := newPooledBalancer(Options{Self: "entry-0"}, members, backendList(2, 3))
+	answer := func(id descriptor.RequestID, now time.Time, limit float64) descriptor.Outcomes {
+		e := nonIdempotent(id, now)
+		e.Deadline = now.Add(time.Second)
+		first.Arrive(e)
+		now = now.Add(100 * time.Millisecond)
+		first.Answered(descriptor.Answered{At: now, Request: id, Attempt: 1, Status: 200, Limit: limit})
+		first.Finished(descriptor.Finished{At: now, Request: id, Attempt: 1})
+		first.Tick(now.Add(outcomesInterval))
+		var last descriptor.Outcomes
+		actions, _ := first.Flush(nil, nil)
+		for _, a := range actions {
+			if s, ok := a.(descriptor.Send); ok {
+				last, _ = s.Message.(descriptor.Outcomes)
+			}
+		}
+		return last
+	}
+	limits := func(b *pooledBalancer) (sum float64) {
+		for _, s := range b.backends.All {
+			sum += s.allowance.Limit
+		}
+		return sum
+	}
+	owner := newPooledBalancer(Options{Self: "entry-1"}, members, backendList(2, 3))
+	other := newPooledBalancer(Options{Self: "entry-9"}, members, backendList(2, 3))
+	for _, c := range []struct {
+		name  string
+		limit float64
+		at    time.Duration
+	}{{"named", 4, 0}, {"ended", 0, 30 * time.Second}} {
+		t.Run(c.name, func(t *testing.T) {
+			now := epoch.Add(c.at)
+			id := descriptor.RequestID(10 + c.at.Seconds())
+			var m descriptor.Outcomes
+			// The limited backend server is one of two.
+			for i := range descriptor.RequestID(20) {
+				m = answer(id+20*i, now, c.limit)
+				now = now.Add(time.Second)
+				owner.HandleOutcomes(now, m)
+				other.HandleSuspicionList(now, descriptor.Member{}, descriptor.SuspicionList{Limits: first.Limits(now)})
+			}
+			asserter.Equal(t, "at a slot owner", limits(owner), limits(first))
+			asserter.Equal(t, "at an instance that is none", limits(other), limits(first))
+			asserter.Equal(t, "limited", limits(first) > 0, c.limit > 0)
+		})
+	}
+}
+
+// TestNamedLimitDivided guards against more requests than a backend server's limit where the slots
+// are divided among the instances that serve a service.
+func TestNamedLimitDivided(t *testing.T) {
+	const limit = 3
+	var instances []*fixture
+	members := []descriptor.Member{{ID: "entry-0"}, {ID: "entry-1"}, {ID: "entry-2"}}
+	for _, m := range members {
+		x := newFixture(t, 3, 1, 6)
+		x.b.options.Self = m.ID
+		x.b.SetOwners(x.now, members)
+		instances = append(instances, x)
+	}
+	sent := 0
+	for step := range 1200 {
+		for _, x := range instances {
+			x.now = x.now.Add(10 * time.Millisecond)
+			x.b.Tick(x.now)
+			x.take()
+			_, p := x.arrive("visit", nil)
+			if p == nil {
+				continue
+			}
+			if step >= 300 {
+				sent++
+			}
+			x.b.Answered(descriptor.Answered{At: x.now, Request: p.Request, Attempt: p.Attempt, Status: 200, Limit: limit})
+			x.b.Finished(descriptor.Finished{At: x.now, Request: p.Request, Attempt: p.Attempt})
+		}
+	}
+	asserter.AtMost(t, "requests in 9 s", sent, 9*limit+3)
+	asserter.AtLeast(t, "requests in 9 s", sent, 9*limit/2)
+}
--- a/balancer/spread.go
+++ b/balancer/spread.go
@@ -134,7 +134,7 @@
 	}
 	expected, used := 0.0, 0.0
 	for _, s := range b.backends.All {
-		if s.mode != modeReady || b.failedRecently(s) || s.allowance.Active(b.now) {
+		if s.mode != modeReady || b.failedRecently(s) || !s.allowance.Open(b.now) {
 			continue
 		}
 		probability := 1.0
