--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -86,9 +86,27 @@
 	if err != nil {
 		return result, err
 	}
+	fmt.Fprintf(progress, "      judged %d of %d seconds; in the others all instances were down or recovering\n", s.judged(started), int(o.Duration.Seconds()))
 	return s.verifyServed(result, started), nil
 }
 
+// judged returns the number of seconds of the load that are in no outage of all instances.
+func (s *soak) judged(started time.Time) int {
+	n := 0
+	for i := range int(s.options.Duration.Seconds()) {
+		if s.counts(started, i) {
+			n++
+		}
+	}
+	return n
+}
+
+// counts reports whether a second of the load is in no outage of all instances.
+func (s *soak) counts(started time.Time, second int) bool {
+	at := started.Add(time.Duration(second) * time.Second)
+	return !s.inOutage(at) && !s.inOutage(at.Add(time.Second))
+}
+
 // verifyServed adds a violation if too little was served in the seconds that are in no
 // outage of all instances. The work is driven by the load alone, so that its seconds count
 // from its start.
@@ -96,7 +114,7 @@
 	var served, all uint64
 	for _, w := range r.Work {
 		for i, second := range w.Seconds {
-			if at := started.Add(time.Duration(i) * time.Second); s.inOutage(at) || s.inOutage(at.Add(time.Second)) {
+			if !s.counts(started, i) {
 				continue
 			}
 			served += second.Served
