One crash of a backend server counts once, whether the body was known or not

A crash that one instance recorded with the hash of the body and another without, because it had not all of it, counted as two, and the request was refused after one crash. TestRequestsThatLookAlike: refused before, sent on now.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -106,16 +106,17 @@
 }
 
 // Suspected returns the number of crashes, up to RefusalTime before now, that a request with
-// the given content may have caused.
+// the given content may have caused. One that is recorded with and without its content counts
+// once.
 func (r Record) Suspected(content uint64, now time.Time) int {
-	n := 0
+	marks := make([]uint64, 0, maxCrashes)
 	for _, c := range r.Crashes() {
 		answered := content != 0 && content == r.answered && c.At.Before(r.answeredAt)
-		if c.matches(content) && !answered && now.Sub(c.At) < RefusalTime {
-			n++
+		if c.matches(content) && !answered && now.Sub(c.At) < RefusalTime && !slices.Contains(marks, c.Mark) {
+			marks = append(marks, c.Mark)
 		}
 	}
-	return n
+	return len(marks)
 }
 
 // Refused reports whether a request with the given content is refused at now.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -42,6 +42,12 @@
 		asserter.Equal(t, "refused", refused(crashed(7, 7), 0, epoch), true)
 		asserter.Equal(t, "refused", refused(crashed(7, 0), 7, epoch), true)
 	})
+	t.Run("one crash counts once, whether the body was known or not", func(t *testing.T) {
+		g := crashed(7)
+		g.Add(request, Crash{Service: "ledger", Mark: 1, Content: 0, At: epoch})
+		asserter.Equal(t, "refused", refused(g, 7, epoch), false)
+		asserter.Equal(t, "refused if unknown", refused(g, 0, epoch), false)
+	})
 	t.Run("the answer to another body clears nothing", func(t *testing.T) {
 		g := crashed(7)
 		asserter.Equal(t, "cleared", g.Answer(after(time.Second), request, 8), false)
