--- a/decider/crash_test.go
+++ b/decider/crash_test.go
@@ -52,6 +52,17 @@
 	return f
 }
 
+// newKnownCrashFleet returns a fleet that knows of crashes under the request.
+func newKnownCrashFleet() *crashFleet {
+	f := newCrashFleet(12, 21, false)
+	for i := range 4 {
+		f.repeat(f.order[i])
+		f.play(100 * time.Millisecond)
+	}
+	f.play(crashSettled)
+	return f
+}
+
 // list puts the present incarnations of the backend servers into the store.
 func (f *crashFleet) list() {
 	f.backends = nil
@@ -155,12 +166,7 @@
 		}
 	})
 	t.Run("at instances that start again", func(t *testing.T) {
-		f := newCrashFleet(12, 21, false)
-		for i := range 4 {
-			f.repeat(f.order[i])
-			f.play(100 * time.Millisecond)
-		}
-		f.play(crashSettled)
+		f := newKnownCrashFleet()
 		before := len(f.crashes)
 		for _, id := range f.order {
 			f.restart(id)
@@ -171,12 +177,7 @@
 		asserter.AtMost(t, "crashes", len(f.crashes)-before, maxCrashRetries)
 	})
 	t.Run("at instances as soon as they are ready", func(t *testing.T) {
-		f := newCrashFleet(12, 21, false)
-		for i := range 4 {
-			f.repeat(f.order[i])
-			f.play(100 * time.Millisecond)
-		}
-		f.play(crashSettled)
+		f := newKnownCrashFleet()
 		before := len(f.crashes)
 		for _, id := range f.order {
 			f.restart(id)
--- a/forwarder/cut_test.go
+++ b/forwarder/cut_test.go
@@ -7,28 +7,15 @@
 	"net/http"
 	"strings"
 	"testing"
-
-	"monsoonswitch/asserter"
 )
 
 // cutBackend answers each request with the given bytes and closes the connection.
 func cutBackend(t *testing.T, answer string) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	asserter.NoError(t, "listen", err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = fmt.Fprint(conn, answer)
-			}
-			_ = conn.Close()
+	return listenRaw(t, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = fmt.Fprint(conn, answer)
 		}
-	}()
-	return l.Addr().String()
+	})
 }
 
 // TestCutHead guards against an answer that breaks off in its head, or in a framed body, and
--- a/forwarder/repeat_test.go
+++ b/forwarder/repeat_test.go
@@ -12,9 +12,8 @@
 	"monsoonswitch/descriptor"
 )
 
-// rawBackend serves HTTP by hand on each connection. answer returns the bytes written for
-// the n-th request of a connection, counted from 0.
-func rawBackend(t *testing.T, answer func(n int, r *http.Request) string) string {
+// listenRaw handles each connection to a loopback address, which it returns, and closes it then.
+func listenRaw(t *testing.T, handle func(net.Conn)) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	asserter.NoError(t, "listen", err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -26,22 +25,30 @@
 			}
 			go func() {
 				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				for n := 0; ; n++ {
-					r, err := http.ReadRequest(reader)
-					if err != nil {
-						return
-					}
-					if _, err := fmt.Fprint(conn, answer(n, r)); err != nil {
-						return
-					}
-				}
+				handle(conn)
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// rawBackend serves HTTP by hand on each connection. answer returns the bytes written for
+// the n-th request of a connection, counted from 0.
+func rawBackend(t *testing.T, answer func(n int, r *http.Request) string) string {
+	return listenRaw(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for n := 0; ; n++ {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			if _, err := fmt.Fprint(conn, answer(n, r)); err != nil {
+				return
+			}
+		}
+	})
+}
+
 // TestRepeatedRefusal guards against a backend server that writes an earlier refusal once
 // more on a kept connection, as the answer to work that it runs. The work must not count as
 // not run: its caller would be told so, or it would run at a second backend server.
