The log of a refused request names the fingerprint of its crashes

From the identifier of a poisoned request there was no way to the crashes that caused its refusal. The cause in event 6006 now ends with the fingerprint, which stands in the 4011 lines.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -321,7 +321,11 @@
 
 // refuse ends a request and reports the reason to its caller.
 func (b *Balancer[E, D, P, L]) refuse(r request, reason descriptor.Reason, outcome descriptor.Outcome, retry time.Duration) {
-	b.trace(r, descriptor.NoteRefused, 0, "", reason.String()+" "+outcome.String(), 0)
+	cause := reason.String() + " " + outcome.String()
+	if reason == descriptor.Poisoned {
+		cause += " " + fingerprintText(r.fingerprint)
+	}
+	b.trace(r, descriptor.NoteRefused, 0, "", cause, 0)
 	b.emit(descriptor.Refuse{Request: r.id, Reason: reason, Outcome: outcome, Retry: retry})
 	if r.callerGone {
 		reason = descriptor.Abandoned
--- a/balancer/poison_test.go
+++ b/balancer/poison_test.go
@@ -157,3 +157,24 @@
 	id, _ := later.arrive("booking", crashing)
 	later.wantPoisoned(id, descriptor.NotRun)
 }
+
+// TestRefusalNamesFingerprint guards against a refusal of which the logs do not tell the crashes
+// that caused it.
+func TestRefusalNamesFingerprint(t *testing.T) {
+	b := newPooledBalancer(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}}, backendList(3, 3))
+	for _, id := range []string{"b0", "b1"} {
+		b.HandleCrash(epoch, descriptor.CrashReport{Fingerprint: 99, Backend: id})
+	}
+	b.Flush(nil, nil)
+	e := nonIdempotent(1, epoch)
+	crashing(&e)
+	b.Arrive(e)
+	actions, _ := b.Flush(nil, nil)
+	var causes []string
+	for _, a := range actions {
+		if t, ok := a.(descriptor.TraceEntry); ok && t.Number == descriptor.NoteRefused {
+			causes = append(causes, t.Cause)
+		}
+	}
+	asserter.Equal(t, "causes", causes, []string{"poisoned not-run request 0000000000000063"})
+}
