A crash that was reported is logged from the second one on

Each slot owner wrote a line for each request whose connection broke at another instance: a rack that fails breaks hundreds. Such a first crash is now written only where it was seen. TestCrashesAreLoggedOnce: 500 lines before, none now.

--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -18,6 +18,8 @@
 	// answer, and unansweredTime is how long each of them is.
 	maxUnanswered  = 256
 	unansweredTime = 30 * time.Second
+	// seenHere is the source of crashes that this instance saw itself, in logs.
+	seenHere = "seen here"
 )
 
 // unanswered is an attempt that ended without an answer while its connection was open. Its
@@ -98,7 +100,7 @@
 func (b *Balancer[E, D, P, L]) recordCrash(r request, id string) {
 	c := quarantiner.Crash{Service: b.service.Name, Mark: b.crashMark(r.fingerprint, id), Content: r.content, At: b.now}
 	known := b.poisoned(r.fingerprint, r.content)
-	b.addCrash(r.fingerprint, id, c, "seen here")
+	b.addCrash(r.fingerprint, id, c, seenHere)
 	b.sendToOwners(b.reportOf(r.fingerprint, c))
 	if !known && b.poisoned(r.fingerprint, r.content) {
 		b.spreadRecord(r.fingerprint)
@@ -144,13 +146,17 @@
 // fingerprintText returns the form of a fingerprint in logs.
 func fingerprintText(fingerprint uint64) string { return fmt.Sprintf("request %016x", fingerprint) }
 
-// addCrash records a crash. The ID of the backend server is empty if it is not known here.
+// addCrash records a crash. The ID of the backend server is empty if it is not known here. The
+// first crash under a request is logged only where it was seen, since a rack that fails crashes
+// under many requests.
 func (b *Balancer[E, D, P, L]) addCrash(fingerprint uint64, id string, c quarantiner.Crash, source string) {
 	known := b.poisoned(fingerprint, c.Content)
 	if !b.crashes.Add(fingerprint, c) {
 		return
 	}
-	b.noteCrash(descriptor.NoteCrash, fingerprint, id, source)
+	if source == seenHere || len(b.crashes.Get(fingerprint).Crashes()) > 1 {
+		b.noteCrash(descriptor.NoteCrash, fingerprint, id, source)
+	}
 	if !known && b.poisoned(fingerprint, c.Content) {
 		b.note(descriptor.NotePoison, id, fingerprintText(fingerprint)+" is refused for 10 min")
 	}
--- a/balancer/poison_test.go
+++ b/balancer/poison_test.go
@@ -178,3 +178,25 @@
 	}
 	asserter.Equal(t, "causes", causes, []string{"poisoned not-run request 0000000000000063"})
 }
+
+// TestCrashesAreLoggedOnce guards against a line at every instance for each request whose connection
+// broke when a rack failed.
+func TestCrashesAreLoggedOnce(t *testing.T) {
+	x := newFixture(t, 2, 6, 3)
+	lines := func() int {
+		x.take()
+		n := 0
+		for _, a := range x.actions {
+			if note, ok := a.(descriptor.Note); ok && note.Number == descriptor.NoteCrash {
+				n++
+			}
+		}
+		return n
+	}
+	for f := range uint64(500) {
+		x.b.HandleCrash(x.now, descriptor.CrashReport{Fingerprint: 1000 + f, Backend: "b1"})
+	}
+	asserter.Equal(t, "lines of first crashes that were reported", lines(), 0)
+	x.reportCrashes("b1", "b2")
+	asserter.Equal(t, "lines of second crashes", lines(), 1)
+}
