--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -1,6 +1,6 @@
 // Package limiter decides how requests share the slots of a service: in which
 // order queued requests start, how long they may wait, and how many slots long
-// requests hold.
+// requests hold. It also divides the limits that backend servers name.
 package limiter
 
 import "time"
