Ports of the tests' instances are outside of the ephemeral range

Traced: six copies of the test beside each other, three plays each, failed once with the log of the instance, which a failed test now prints: 'bind: address already in use'. A port that was found free was taken by an outgoing connection before the instance listened, the cause that the soak had. All tests with processes now take their ports as the soak does.

--- a/platform_test.go
+++ b/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,7 @@
 	"time"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/soaker"
 )
 
 // platformFleet is a fleet of serve processes that read their routes from a stand-in
@@ -36,12 +36,14 @@
 	cmd                          *exec.Cmd
 }
 
+// testPorts are outside of the ephemeral range: an outgoing connection of another process could
+// take a port of that range before the instance listens on it.
+var testPorts = soaker.NewPorts(0)
+
 // freeAddress returns a loopback address on which no process listens.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	asserter.NoError(t, "listen", err)
-	address := l.Addr().String()
-	asserter.NoError(t, "close", l.Close())
+	address, err := testPorts.FreeAddress()
+	asserter.NoError(t, "free address", err)
 	return address
 }
 
@@ -126,8 +128,21 @@
 
 // start starts the process of an instance.
 func (f *platformFleet) start(p *platformInstance) {
+	log, err := os.OpenFile(p.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	asserter.NoError(f.t, "open log", err)
 	p.cmd = exec.Command(binary, "serve", "--settings", p.settings)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
 	asserter.NoError(f.t, "start", p.cmd.Start())
+	asserter.NoError(f.t, "close log", log.Close())
+}
+
+// lastLines returns the end of the log of an instance.
+func (p *platformInstance) lastLines() string {
+	data, err := os.ReadFile(p.settings + ".log")
+	if err != nil {
+		return err.Error()
+	}
+	return string(data[max(0, len(data)-1000):])
 }
 
 // kill kills a process and waits until it exits.
@@ -146,6 +161,11 @@
 func (f *platformFleet) waitServed() {
 	f.t.Helper()
 	for _, p := range f.instances {
+		f.t.Cleanup(func() {
+			if f.t.Failed() {
+				f.t.Logf("log of %s: %s", p.name, p.lastLines())
+			}
+		})
 		asserter.Eventually(f.t, p.name+" serves", waitLimit, func() bool {
 			status, _ := f.get(p, "/resolve?name=ledger.example&zone=a")
 			served, _ := f.send(p, "GET", "ledger.example", "/safe/x", "")
--- a/soaker/process.go
+++ b/soaker/process.go
@@ -135,18 +135,18 @@
 	portBlock = 100
 )
 
-// ports hands out the ports of one soak, each of them once.
-type ports struct{ next int }
+// Ports hands out the ports of one soak, each of them once.
+type Ports struct{ next int }
 
-// newPorts returns the ports of the soak of a seed in this process. Soaks that run beside
+// NewPorts returns the ports of the soak of a seed in this process. Soaks that run beside
 // each other begin at different ones.
-func newPorts(seed uint64) *ports {
+func NewPorts(seed uint64) *Ports {
 	block := (uint64(os.Getpid()) + seed) % ((lastPort - firstPort) / portBlock)
-	return &ports{next: firstPort + int(block)*portBlock}
+	return &Ports{next: firstPort + int(block)*portBlock}
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func (p *ports) freeAddress() (string, error) {
+// FreeAddress returns a loopback address on which nothing listens.
+func (p *Ports) FreeAddress() (string, error) {
 	for ; p.next < lastPort; p.next++ {
 		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(p.next))
 		l, err := net.Listen("tcp", address)
@@ -160,11 +160,11 @@
 }
 
 // newInstance chooses the addresses of an instance and starts its proxies.
-func newInstance(name, store string, free *ports) (*instance, error) {
+func newInstance(name, store string, free *Ports) (*instance, error) {
 	i := &instance{name: name}
 	var err error
 	for _, address := range []*string{&i.public, &i.inner, &i.operators} {
-		if *address, err = free.freeAddress(); err != nil {
+		if *address, err = free.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -180,7 +180,7 @@
 
 func (s *soak) startInstances() error {
 	var seeds []string
-	free := newPorts(s.options.Seed)
+	free := NewPorts(s.options.Seed)
 	for k := range s.options.Instances {
 		i, err := newInstance(fmt.Sprintf("entry-%d", k), s.store, free)
 		if err != nil {
