One loop reports crashes to an instance

Three functions sent the settled crashes of a service to an instance with a filter each: to a later slot owner, to an instance that starts, and to the origin of a list that lacks some. They share reportSettled now, and the time of a refusal is not exported, since nothing else uses it.

--- a/balancer/poison.go
+++ b/balancer/poison.go
@@ -228,11 +228,18 @@
 // slot owners. Under a routing, suspicion lists do so too.
 func (b *Balancer[E, D, P, L]) reportCrashesTo(members []descriptor.Member) {
 	for _, m := range members {
-		if m.ID == b.options.Self {
-			continue
+		if m.ID != b.options.Self {
+			b.reportSettled(m, func(quarantiner.Entry) bool { return true })
 		}
-		for _, c := range b.crashes.Settled(b.now, b.service.Name, maxListedCrashes) {
-			b.emit(descriptor.Send{To: m, Message: b.reportOf(c.Fingerprint, c.Crash)})
+	}
+}
+
+// reportSettled sends the crashes of this service that are not withdrawn any more to an instance,
+// those that keep selects.
+func (b *Balancer[E, D, P, L]) reportSettled(to descriptor.Member, keep func(quarantiner.Entry) bool) {
+	for _, c := range b.crashes.Settled(b.now, b.service.Name, maxListedCrashes) {
+		if keep(c) {
+			b.emit(descriptor.Send{To: to, Message: b.reportOf(c.Fingerprint, c.Crash)})
 		}
 	}
 }
@@ -241,11 +248,7 @@
 // which gets requests before the next suspicion list.
 func (b *Balancer[E, D, P, L]) ReportRefused(now time.Time, to descriptor.Member) {
 	b.advance(now)
-	for _, c := range b.crashes.Settled(now, b.service.Name, maxListedCrashes) {
-		if b.poisoned(c.Fingerprint, c.Content) {
-			b.emit(descriptor.Send{To: to, Message: b.reportOf(c.Fingerprint, c.Crash)})
-		}
-	}
+	b.reportSettled(to, func(c quarantiner.Entry) bool { return b.poisoned(c.Fingerprint, c.Content) })
 }
 
 // Crashes returns the newest crashes that are not withdrawn any more, for a suspicion list.
@@ -269,9 +272,5 @@
 	if origin.ID == "" || len(list) == maxListedCrashes {
 		return
 	}
-	for _, c := range b.crashes.Settled(b.now, b.service.Name, maxListedCrashes) {
-		if !listed[key{c.Fingerprint, c.Mark, c.Content}] {
-			b.emit(descriptor.Send{To: origin, Message: b.reportOf(c.Fingerprint, c.Crash)})
-		}
-	}
+	b.reportSettled(origin, func(c quarantiner.Entry) bool { return !listed[key{c.Fingerprint, c.Mark, c.Content}] })
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -21,8 +21,8 @@
 	// maxCrashes bounds the crashes of a record. Requests with one fingerprint may differ in
 	// their content.
 	maxCrashes = 6
-	// RefusalTime is how long a crash counts.
-	RefusalTime = 10 * time.Minute
+	// refusalTime is how long a crash counts.
+	refusalTime = 10 * time.Minute
 	// settleTime is the time after a broken connection in which the backend server can be
 	// found to be up. A probe that succeeds later may reach its next incarnation.
 	settleTime = time.Second
@@ -105,14 +105,14 @@
 	return slices.ContainsFunc(r.Crashes(), func(c Crash) bool { return c.Mark == mark })
 }
 
-// Suspected returns the number of crashes, up to RefusalTime before now, that a request with
+// Suspected returns the number of crashes, up to refusalTime before now, that a request with
 // the given content may have caused. One that is recorded with and without its content counts
 // once.
 func (r Record) Suspected(content uint64, now time.Time) int {
 	marks := make([]uint64, 0, maxCrashes)
 	for _, c := range r.Crashes() {
 		answered := content != 0 && content == r.answered && c.At.Before(r.answeredAt)
-		if c.matches(content) && !answered && now.Sub(c.At) < RefusalTime && !slices.Contains(marks, c.Mark) {
+		if c.matches(content) && !answered && now.Sub(c.At) < refusalTime && !slices.Contains(marks, c.Mark) {
 			marks = append(marks, c.Mark)
 		}
 	}
@@ -239,7 +239,7 @@
 	var list []Entry
 	for _, fingerprint := range g.Fingerprints() {
 		for _, c := range g.Get(fingerprint).Crashes() {
-			if c.Service == service && c.settled(now) && now.Sub(c.At) < RefusalTime {
+			if c.Service == service && c.settled(now) && now.Sub(c.At) < refusalTime {
 				list = append(list, Entry{fingerprint, c})
 			}
 		}
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -82,10 +82,10 @@
 
 func TestRefusalEnds(t *testing.T) {
 	g := crashed(7, 7)
-	asserter.Equal(t, "refused before", refused(g, 7, after(RefusalTime-time.Second)), true)
-	asserter.Equal(t, "refused after", refused(g, 7, after(RefusalTime)), false)
-	asserter.Equal(t, "listed before", len(g.Settled(after(RefusalTime-time.Second), "ledger", 9)), 2)
-	asserter.Equal(t, "listed after", len(g.Settled(after(RefusalTime), "ledger", 9)), 0)
+	asserter.Equal(t, "refused before", refused(g, 7, after(refusalTime-time.Second)), true)
+	asserter.Equal(t, "refused after", refused(g, 7, after(refusalTime)), false)
+	asserter.Equal(t, "listed before", len(g.Settled(after(refusalTime-time.Second), "ledger", 9)), 2)
+	asserter.Equal(t, "listed after", len(g.Settled(after(refusalTime), "ledger", 9)), 0)
 }
 
 // TestManyBrokenConnections guards against the record of a request that is refused being dropped
