Review case 1: a refused upload ends the process in a burst

Cause: a request with a body is refused before the body was read, and its connection is kept. net/http starts a background read at the end of the drained body; if the next request came in with that end, the attempt that reads its body panics in the goroutine that writes to the backend server. Nothing outside of review/ changes.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/standin ] && [ -x ../../target/monsoonswitch ] || exit 2
-exec timeout --kill-after=5 110 ../bin/standin crashed-upload "$(cd ../.. && pwd)" "$PWD"
+exec timeout --kill-after=5 110 ../bin/standin burst "$(cd ../.. && pwd)" "$PWD"
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -298,9 +298,47 @@
 		return fmt.Errorf("start %s: %w", p.name, err)
 	}
 	f.record.line("instance %s serves callers on %s", p.name, p.front)
+	go f.watch(p, p.cmd)
 	return nil
 }
 
+// restartDelay is the time until the platform starts a process again that ended.
+const restartDelay = time.Second
+
+// watch waits for the end of a process, and starts it again if it ended by itself.
+func (f *fleet) watch(p *instance, cmd *exec.Cmd) {
+	err := cmd.Wait()
+	select {
+	case <-f.done:
+		return
+	default:
+	}
+	f.record.line("instance %s ended by itself: %v: %s", p.name, err, lastPanic(p.settings+".log"))
+	time.Sleep(restartDelay)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case <-f.done:
+	default:
+		_ = f.startInstance(p)
+	}
+}
+
+// lastPanic returns the last line of a log that tells of a panic that ended the process.
+func lastPanic(path string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	found := ""
+	for _, line := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			found = line
+		}
+	}
+	return found
+}
+
 // startInstances starts n instances and waits until they are ready.
 func (f *fleet) startInstances(n int) error {
 	for range n {
@@ -323,12 +361,13 @@
 
 // close ends all processes.
 func (f *fleet) close() {
+	f.mu.Lock()
 	close(f.done)
+	f.mu.Unlock()
 	for _, p := range f.instances {
 		if p.cmd != nil && p.cmd.Process != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
 			_ = p.cmd.Process.Kill()
-			_ = p.cmd.Wait()
 		}
 	}
 	for _, s := range f.servers {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 // the disruption.
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"crashed-upload": crashedUpload,
+	"burst":          burst,
 	"refused-upload": refusedUpload,
 }
 
