Review case 4: a planned stop resets answers of pipelining clients

Cause: after a SIGTERM an answer announces the close of its connection, which is closed as soon as the answer is written. Requests that the client sent behind lie unread, so that the connection is reset and the rest of the answer is lost.

--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -41,6 +41,8 @@
 	slots int
 	queue int
 	work  time.Duration
+	// answer is the least length of the body of an answer.
+	answer int
 
 	mu      sync.Mutex
 	shed    float64
@@ -57,6 +59,7 @@
 	flags.StringVar(&b.id, "id", "", "ID in the store")
 	flags.IntVar(&b.slots, "slots", 3, "requests that run at the same time")
 	flags.IntVar(&b.queue, "queue", 12, "requests that may wait")
+	flags.IntVar(&b.answer, "answer", 0, "least length of the body of an answer")
 	flags.DurationVar(&b.work, "work", 200*time.Millisecond, "time that a request takes")
 	if err := flags.Parse(arguments); err != nil {
 		return fmt.Errorf("backend: %w", err)
@@ -149,12 +152,10 @@
 	<-b.running
 	h.Set("Backend-Load", b.load())
 	h.Set("Server-Signature", signature(seen.ID))
-	if r.Method == http.MethodDelete {
-		// What was deleted has no representation.
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	fmt.Fprintf(w, "%s %d %s", b.id, seen.Length, seen.Sum)
+	text := fmt.Sprintf("%s %d %s", b.id, seen.Length, seen.Sum)
+	text += strings.Repeat(".", max(0, b.answer-len(text)))
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text)
 }
 
 // refuse turns a request away before its body is read, and reads the body afterwards, so
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -143,12 +143,13 @@
 }
 
 // addServer starts a backend server and registers it.
-func (f *fleet) addServer(service, id, address string, work time.Duration) (*server, error) {
+func (f *fleet) addServer(service, id, address string, work time.Duration, options ...string) (*server, error) {
 	if address == "" {
 		address = f.ports.free(f.ports.ip(100))
 	}
 	s := &server{id: id, address: address, service: service, slots: 3, born: time.Now().UnixMilli()}
-	s.cmd = exec.Command(os.Args[0], "backend", "--listen", address, "--id", id, "--work", work.String())
+	options = append([]string{"backend", "--listen", address, "--id", id, "--work", work.String()}, options...)
+	s.cmd = exec.Command(os.Args[0], options...)
 	in, err := s.cmd.StdinPipe()
 	if err != nil {
 		return nil, fmt.Errorf("backend: %w", err)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"crashed-upload": crashedUpload,
 	"burst":          burst,
+	"planned-stop":   plannedStop,
 	"refused-upload": refusedUpload,
 }
 
