Review case 5: work sent to /readiness or /resolve is answered 200 and not run

Cause: the callers' listener serves the paths of the other two listeners before it looks at the routes. Change: the script review/5 with its driver.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(f *fleet, trouble bool) error{
 	"crashed-upload": crashedUpload,
 	"burst":          burst,
+	"own-paths":      ownPaths,
 	"planned-stop":   plannedStop,
 	"refused-upload": refusedUpload,
 }
