Close connections whose request body was not read before the answer

A stalled caller kept its connection without a bound after a refusal, and bytes behind a malformed chunked body were run as a request. Cause: with full duplex net/http doesn't look for the end of the body before the answer's head. It reads the rest after the handler, starts a background read at the body's end, and the next request's body is read beside it. No code held who reads the connection after an early answer. When the request ends, its body is released: no further read begins, one in progress is waited for, and the rest is discarded for at most a second.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -66,7 +67,7 @@
 	controller := http.NewResponseController(s.w)
 	copyHeader(s.w.Header(), response.Header)
 	s.forwarder.dialect.AddAnswerHeaders(s.w.Header())
-	s.closeIfLeaving()
+	s.limitConnection()
 	announceTrailers(s.w.Header(), response)
 	s.w.WriteHeader(response.StatusCode)
 	buffer := buffers.Get().(*[]byte)
@@ -93,10 +94,11 @@
 	}
 }
 
-// closeIfLeaving closes the caller's connection after the answer if this instance is
-// shutting down, so that the caller's next request goes to another instance.
-func (s *session) closeIfLeaving() {
-	if s.forwarder.snapshot.Load().Leaving {
+// limitConnection closes the caller's connection after the answer in two cases: this instance
+// is shutting down, so that the caller's next request goes to another instance; or the request's
+// body was not read to its end, so that what follows on the connection can't be told from it.
+func (s *session) limitConnection() {
+	if s.forwarder.snapshot.Load().Leaving || s.r.ProtoMajor == 1 && s.body.unread() {
 		s.w.Header().Set("Connection", "close")
 	}
 }
@@ -149,6 +151,7 @@
 // stream to the caller, so that the answer can't be taken for a complete one.
 func (s *session) abortAnswer(reason descriptor.Reason, bytes uint64) {
 	s.forwarder.recorder.End(s.endReason(reason), time.Since(s.started), bytes)
+	s.body.release(0)
 	panic(http.ErrAbortHandler)
 }
 
@@ -173,10 +176,18 @@
 	if a.Reason == descriptor.Misdirected && s.entry != nil {
 		body.Addresses = addresses(s.currentEntry(), s.forwarder.options.Domain, s.caller())
 	}
-	s.closeIfLeaving()
+	data, err := json.Marshal(body)
+	if err != nil {
+		// Can't happen: no field is of a type that JSON lacks.
+		data = nil
+	}
+	s.limitConnection()
+	s.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if s.forwarder.dialect.Refuse(s.w, s.r, a) {
-		_ = json.NewEncoder(s.w).Encode(body)
+		_, _ = s.w.Write(data)
 	}
+	// An error means that the caller left.
+	_ = http.NewResponseController(s.w).Flush()
 }
 
 // endReason returns why the request ended, given the reason if the caller did not leave.
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -157,7 +157,7 @@
 func (StandardDialect) AddAnswerHeaders(h http.Header) { h.Set("Via", via) }
 
 // Refuse implements Dialect.
-func (StandardDialect) Refuse(w http.ResponseWriter, r *http.Request, a descriptor.Refuse) bool {
+func (StandardDialect) Refuse(w http.ResponseWriter, _ *http.Request, a descriptor.Refuse) bool {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set(headerReason, a.Reason.String())
@@ -165,10 +165,6 @@
 	if a.Retry > 0 {
 		h.Set("Retry-After", wholeSeconds(a.Retry))
 	}
-	if r.ContentLength != 0 {
-		// The rest of the body is not read, so the connection can't be reused.
-		h.Set("Connection", "close")
-	}
 	w.WriteHeader(statusOf(a.Reason))
 	return true
 }
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -135,14 +135,15 @@
 
 // run serves the request until it ends.
 func (s *session) run() {
-	if reason, ok := s.precheck(); ok {
-		s.refuse(descriptor.Refuse{Reason: reason})
-		return
-	}
 	s.body = newCallerBody(s)
 	if s.body != nil {
 		// The answer may begin before the caller has sent the whole body.
 		_ = http.NewResponseController(s.w).EnableFullDuplex()
+		defer s.body.release(unreadBodyTimeout)
+	}
+	if reason, ok := s.precheck(); ok {
+		s.refuse(descriptor.Refuse{Reason: reason})
+		return
 	}
 	actions := s.forwarder.control.Open(s.arrived())
 	defer s.forwarder.control.Release(s.id)
@@ -277,12 +278,19 @@
 	}()
 }
 
-// stopAttempts cancels all attempts and waits for their goroutines, because they read
-// the caller's body.
-func (s *session) stopAttempts() {
+// cancelAttempts cancels all attempts.
+func (s *session) cancelAttempts() {
 	for _, t := range s.attempts {
 		t.cancel()
 	}
+}
+
+// stopAttempts cancels all attempts and waits for their goroutines, because they read
+// the caller's body. The answer is written before: an attempt ends only when the read in
+// progress does, which may wait for a caller that sends nothing.
+func (s *session) stopAttempts() {
+	s.cancelAttempts()
+	s.body.release(unreadBodyTimeout)
 	s.running.Wait()
 	for _, t := range s.attempts {
 		t.close()
