Write a refusal before waiting for the attempts

Callers saw: a request that was refused while a caller sent its body slowly got its refusal only after the caller's next byte, or after the stall timeout (10 s), whatever its deadline. Cause: the refusal waited for the goroutines of the attempts, and net/http ends a cancelled attempt only when its read of the caller's body does. Evidence: TestAnswerBeforeBody/refused_while_the_caller_sends_nothing before the fix, with a caller that waits 10 s: read answer: got error read tcp: i/o timeout, want none Change: attempts are cancelled, the refusal is written and flushed, and then the body is released and the attempts are waited for. Result: the refusal comes within half a second of the decision in both framings; forwarder passes with the race detector.

--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -257,7 +257,7 @@
 		if s.delivering != nil {
 			s.abortAnswer(a.Reason, s.stopDelivery().bytes)
 		}
-		s.stopAttempts()
+		s.cancelAttempts()
 		s.refuse(a)
 		return true
 	}
--- a/forwarder/unread_test.go
+++ b/forwarder/unread_test.go
@@ -150,6 +150,8 @@
 			"refused before the control goroutine":   {"/starting", false},
 			"answered early by the backend server":   {"/early", true},
 			"refused with the caller not sending on": {"/refused/stalled", true},
+			"refused while it is sent":               {"/late", true},
+			"refused while the caller sends nothing": {"/late/stalled", true},
 		} {
 			t.Run(name+" "+framing, func(t *testing.T) {
 				x, log := newRefusingFixture(t)
