Serve questions to the instance on their own listener under a routing

Cause: the callers' listener gave each request to the dialect's own paths before a route was looked up. Related: net/http answers "OPTIONS *" with 200 by itself, and the product's own dialect answered work that names a service. The tests of the platform now ask on the listener for questions, as the platform does; they check the same answers.

--- a/configurer/callers.go
+++ b/configurer/callers.go
@@ -13,7 +13,8 @@
 	// Advertise is the address that is advertised to callers; empty means Listen.
 	Advertise string
 	// Questions lists additional addresses to listen on. They serve only requests to the
-	// instance itself: whether it is ready, and which addresses to use.
+	// instance itself: whether it is ready, and which addresses to use. Under a routing
+	// they are required.
 	Questions []string
 	// Header names the request header that identifies a caller; if it is empty, callers
 	// are identified by their IP address.
--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -43,6 +43,7 @@
 		{"duration out of range", "keep = 30s", "keep = 30h", "[callers] keep"},
 		{"bad number", "headbytes = 65536", "headbytes = many", "[limits] headbytes"},
 		{"number out of range", "headbytes = 65536", "headbytes = 1", "[limits] headbytes"},
+		{"no listener for questions under a routing", "source = declarations", "source = routing", "[callers] questions"},
 		{"bad choice", "level = info", "level = loud", "[log] level"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -75,6 +75,9 @@
 			return s, err
 		}
 	}
+	if s.Platform.Source == SourceRouting && len(s.Callers.Questions) == 0 {
+		return s, eris.Wrapf(ErrInvalid, "%s: [callers] questions: required with [platform] source = %s, since all paths of listen belong to routes", file, SourceRouting)
+	}
 	return s, nil
 }
 
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -13,6 +13,9 @@
 // Dialect maps HTTP headers and statuses of callers and backend servers to the terms
 // of the fleet. It encodes and decodes only and makes no decisions.
 type Dialect interface {
+	// Reserved reports whether the path is reserved for the instance itself on the
+	// listener for callers, whose work then can't use it.
+	Reserved(path string) bool
 	// ServeLocal answers a request that is addressed to the instance itself. It
 	// reports whether the request was one.
 	ServeLocal(w http.ResponseWriter, r *http.Request, d *descriptor.Directory) bool
@@ -80,6 +83,9 @@
 // NewStandardDialect returns the dialect of a forwarder with the given options.
 func NewStandardDialect(o Options) StandardDialect { return StandardDialect{options: o} }
 
+// Reserved implements Dialect. No route that is declared may have such a path.
+func (StandardDialect) Reserved(path string) bool { return isLocalPath(path) }
+
 // ServeLocal implements Dialect.
 func (p StandardDialect) ServeLocal(w http.ResponseWriter, r *http.Request, d *descriptor.Directory) bool {
 	if !isLocalPath(r.URL.Path) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -178,9 +178,10 @@
 	}
 }
 
-// ServeHTTP serves one request of a caller.
+// ServeHTTP serves one request of a caller. A path that the dialect doesn't reserve belongs to
+// the callers' work, whatever the instance serves on its other listeners.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.dialect.ServeLocal(w, r, f.snapshot.Load().Directory) {
+	if f.dialect.Reserved(r.URL.Path) && f.dialect.ServeLocal(w, r, f.snapshot.Load().Directory) {
 		return
 	}
 	f.recorder.Begin()
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -113,6 +113,8 @@
 	s.ReadHeaderTimeout = o.HeaderTimeout
 	s.IdleTimeout = o.IdleTimeout
 	s.MaxHeaderBytes = o.HeaderBytes
+	// net/http would answer "OPTIONS *" with 200 by itself, as if a backend server had run it.
+	s.DisableGeneralOptionsHandler = true
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(o.UnencryptedHTTP2)
--- a/platform_stop_test.go
+++ b/platform_stop_test.go
@@ -23,11 +23,11 @@
 	f.store.set("op/config", config)
 	time.Sleep(time.Second)
 	p := f.instances[0]
-	go f.do(p, "POST", "ledger.example", "/once/a", "work", 60000)
+	go f.do(p.front, "POST", "ledger.example", "/once/a", "work", 60000)
 	time.Sleep(200 * time.Millisecond)
 	started := time.Now()
 	asserter.NoError(t, "signal", p.cmd.Process.Signal(syscall.SIGTERM))
-	go f.do(p, "POST", "ledger.example", "/once/b", "work", 60000)
+	go f.do(p.front, "POST", "ledger.example", "/once/b", "work", 60000)
 	asserter.NoError(t, "exit", p.cmd.Wait())
 	t.Logf("exit after %v", time.Since(started))
 	asserter.AtMost(t, "time until the exit", time.Since(started), grace)
--- a/platform_test.go
+++ b/platform_test.go
@@ -32,8 +32,8 @@
 // platformInstance is one serve process, which can be restarted with the same
 // settings file and addresses.
 type platformInstance struct {
-	name, front, inner, settings string
-	cmd                          *exec.Cmd
+	name, front, questions, inner, settings string
+	cmd                                     *exec.Cmd
 }
 
 // testPorts are outside of the ephemeral range: an outgoing connection of another process could
@@ -92,13 +92,14 @@
 
 // add writes the settings of the i-th instance.
 func (f *platformFleet) add(i int) {
-	p := &platformInstance{name: fmt.Sprintf("entry-%d", i), front: freeAddress(f.t), inner: freeAddress(f.t)}
+	p := &platformInstance{name: fmt.Sprintf("entry-%d", i), front: freeAddress(f.t), questions: freeAddress(f.t), inner: freeAddress(f.t)}
 	f.seeds = append(f.seeds, p.inner)
 	text := fmt.Sprintf(`[instance]
 name = %s
 domain = a
 [callers]
 listen = %s
+questions = %s
 keep = 2s
 [inner]
 listen = %s
@@ -120,7 +121,7 @@
 ratio = 0.2
 extra = 1000
 window = 10
-`, p.name, p.front, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address)
+`, p.name, p.front, p.questions, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address)
 	p.settings = filepath.Join(f.t.TempDir(), p.name+".ini")
 	asserter.NoError(f.t, "write settings", os.WriteFile(p.settings, []byte(text), 0o600))
 	f.instances = append(f.instances, p)
@@ -174,9 +175,9 @@
 	}
 }
 
-// get sends a GET request without a host to an instance.
+// get sends a GET request to the listener for questions of an instance.
 func (f *platformFleet) get(p *platformInstance, path string) (int, string) {
-	return f.do(p, "GET", "", path, "", 2000)
+	return f.do(p.questions, "GET", "", path, "", 2000)
 }
 
 // requests counts the requests sent, to give each its own identifier.
@@ -187,17 +188,17 @@
 
 // send sends a request with a deadline of 2 s and returns the status and the body.
 func (f *platformFleet) send(p *platformInstance, method, host, path, body string) (int, string) {
-	return f.do(p, method, host, path, body, 2000)
+	return f.do(p.front, method, host, path, body, 2000)
 }
 
-// do sends a request with an identifier of its own and a deadline in milliseconds. It
-// returns the status and the body, or 0 and the error.
-func (f *platformFleet) do(p *platformInstance, method, host, path, body string, deadlineMillis int) (int, string) {
+// do sends a request to an address, with an identifier of its own and a deadline in
+// milliseconds. It returns the status and the body, or 0 and the error.
+func (f *platformFleet) do(address, method, host, path, body string, deadlineMillis int) (int, string) {
 	requests.mu.Lock()
 	requests.n++
 	id := fmt.Sprintf("id%d", requests.n)
 	requests.mu.Unlock()
-	r, err := http.NewRequest(method, "http://"+p.front+path, strings.NewReader(body))
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	asserter.NoError(f.t, "request", err)
 	r.Host = host
 	r.Header.Set("Request-Id", id)
@@ -383,7 +384,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			status, _ := f.do(leaving, "POST", "ledger.example", "/once/a", "work", 30000)
+			status, _ := f.do(leaving.front, "POST", "ledger.example", "/once/a", "work", 30000)
 			mu.Lock()
 			defer mu.Unlock()
 			if status != 200 {
@@ -417,7 +418,7 @@
 		t.Helper()
 		status := make(chan int, 1)
 		go func() {
-			s, _ := f.do(f.instances[0], "POST", "ledger.example", "/once/a", "work", 5000)
+			s, _ := f.do(f.instances[0].front, "POST", "ledger.example", "/once/a", "work", 5000)
 			status <- s
 		}()
 		time.Sleep(100 * time.Millisecond)
