--- a/forwarder/own.go
+++ b/forwarder/own.go
@@ -53,9 +53,6 @@
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		writeJSON(w, http.StatusMethodNotAllowed, problem{"method"})
-	case r.Header.Get(headerService) != "":
-		// Work for a service can't use a reserved path; a success would look as if it ran.
-		writeJSON(w, http.StatusNotFound, problem{"path"})
 	case r.URL.Path == ReadyPath && directory.Ready && !directory.Leaving:
 		writeJSON(w, http.StatusOK, problem{"ready"})
 	case r.URL.Path == ReadyPath:
