Locate a request again when its route moves before it is decided upon

Cause: a traffic goroutine locates a request in the directory of one version; when the control goroutine gets it, a later one may be in force, in which the route belongs to another service. The class was retired at the first service and the request refused as an unknown route.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -15,7 +15,7 @@
 // again.
 const retryAfter = time.Second
 
-// Arrive admits or refuses a new request.
+// Arrive admits or refuses a new request. Its class must be one that the balancer takes.
 func (b *Balancer[E, D, P, L]) Arrive(e descriptor.Arrived) {
 	b.advance(e.At)
 	r := request{
@@ -31,11 +31,6 @@
 		deadline:    e.Deadline,
 		arrived:     e.At,
 	}
-	if r.class < 0 || b.classes[r.class].retired {
-		b.emit(descriptor.Refuse{Request: r.id, Reason: descriptor.UnknownRoute})
-		b.ended = append(b.ended, Ended{Request: r.id, Class: e.Class, Reason: descriptor.UnknownRoute})
-		return
-	}
 	if b.options.PooledOutcomes {
 		b.budget = b.budget.WithTime(e.At, b.terms).WithRequest(b.terms)
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -249,6 +249,13 @@
 	b.revision = revision
 }
 
+// Takes reports whether the declaration in force has a class, so that new requests of it are
+// taken.
+func (b *Balancer[E, D, P, L]) Takes(class string) bool {
+	c := b.classIndex(class)
+	return c >= 0 && !b.classes[c].retired
+}
+
 // Service returns the declaration in force.
 func (b *Balancer[E, D, P, L]) Service() declarer.Service { return b.service }
 
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -221,6 +221,8 @@
 		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Failed(e) })
 	case descriptor.CallerGone:
 		d.callerGone(e)
+	case descriptor.Unlocated:
+		d.traceUnlocated(e)
 	case descriptor.Probed:
 		d.onService(e.Service, func(s *balancer.Balancer[E, D, P, L]) { s.Probed(e) })
 	case descriptor.Ticked:
@@ -346,10 +348,15 @@
 func (d *Decider[E, D, P, L]) arrive(e descriptor.Arrived) {
 	known, ok := d.declared.Get(e.Service)
 	if !ok {
-		d.emit(descriptor.Refuse{Request: e.Request, Reason: descriptor.UnknownService})
+		d.emit(descriptor.Relocate{Request: e.Request})
 		return
 	}
 	declared := known.service
+	if s, ok := d.served.Get(e.Service); ok && !s.Takes(e.Class) {
+		// A newer declaration came between the look-up and this event.
+		d.emit(descriptor.Relocate{Request: e.Request})
+		return
+	}
 	d.counter.Receive(e.At, e.Service)
 	if d.arrivesTooLate(e) {
 		d.refuse(e, descriptor.Misdirected, descriptor.NotRun, 0)
@@ -394,12 +401,17 @@
 	switch s.Decision.Verdict {
 	case keeper.Proceed:
 		e.At = d.now
-		if service, ok := d.served.Get(e.Service); ok {
+		service, ok := d.served.Get(e.Service)
+		if ok && service.Takes(e.Class) {
 			d.admit(e, service)
 			return
 		}
+		reason := descriptor.Misdirected
+		if ok {
+			reason = descriptor.Starting
+		}
 		d.emitAll(d.keeper.End(e.Request, descriptor.NotRun))
-		d.refuse(e, descriptor.Misdirected, descriptor.NotRun, 0)
+		d.refuse(e, reason, descriptor.NotRun, 0)
 	case keeper.Reject:
 		d.refuse(e, s.Decision.Reason, s.Decision.Outcome, 0)
 	}
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -360,3 +360,58 @@
 		})
 	}
 }
+
+// TestMovedRoute guards against a request being refused as unknown because its route moved to
+// another service after the request was located.
+func TestMovedRoute(t *testing.T) {
+	f := newRoutedFleet(1)
+	f.routing = func(version uint64) declarer.Routing {
+		r := routingOf(1)
+		r.Version = version
+		switch version {
+		case 2:
+			r.Routes[0].Parts = []declarer.Part{{Service: "billing", Weight: 1}}
+		case 3:
+			r.Routes[0].Parts = []declarer.Part{{Service: "billing", Weight: 1}, {Service: "ledger", Weight: 1}}
+		case 4:
+			r.Routes = nil
+		}
+		return r
+	}
+	var actions []descriptor.RequestAction
+	f.onAction = func(_ string, a descriptor.Action) {
+		if r, ok := a.(descriptor.RequestAction); ok {
+			actions = append(actions, r)
+		}
+	}
+	id := f.order[0]
+	for i, c := range []struct {
+		name, service string
+		version       uint64
+		relocated     bool
+	}{
+		{"the service that has the route", "ledger", 1, false},
+		{"the service that had it", "ledger", 2, true},
+		{"the service that got it", "billing", 2, false},
+		{"a part of its split", "ledger", 3, false},
+		{"a service of a route that is gone", "billing", 4, true},
+		{"a service that is not known", "audit", 4, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f.read(id, c.version)
+			actions = nil
+			request := descriptor.RequestID(1 + i)
+			f.step(id, descriptor.Arrived{At: f.now, Request: request, Service: c.service, Class: "r0", Caller: "c", Deadline: f.now.Add(time.Second)})
+			relocated := false
+			for _, a := range actions {
+				_, ok := a.(descriptor.Relocate)
+				relocated = relocated || ok
+				if r, ok := a.(descriptor.Refuse); ok {
+					asserter.True(t, "no refusal as unknown", r.Reason != descriptor.UnknownRoute && r.Reason != descriptor.UnknownService)
+				}
+			}
+			asserter.Equal(t, "relocated", relocated, c.relocated)
+			asserter.Equal(t, "a relocated request is open", relocated && f.instances[id].requests.Has(request), false)
+		})
+	}
+}
--- a/decider/trace.go
+++ b/decider/trace.go
@@ -1,6 +1,8 @@
 package decider
 
 import (
+	"fmt"
+
 	"monsoonswitch/balancer"
 	"monsoonswitch/descriptor"
 )
@@ -16,6 +18,26 @@
 	}
 }
 
+// traceUnlocated emits the trace of a request that was refused before it was passed on.
+func (d *Decider[E, D, P, L]) traceUnlocated(e descriptor.Unlocated) {
+	d.emit(descriptor.RequestTrace{
+		At:              e.At,
+		Request:         e.Request,
+		Label:           e.Label,
+		Revision:        e.Version,
+		ConfirmationAge: d.now.Sub(d.relayer.Current(d.options.kinds())),
+		Reason:          e.Reason,
+		Outcome:         descriptor.NotRun,
+		Latency:         e.Latency,
+		Entries: []descriptor.TraceEntry{{
+			At:      e.At,
+			Number:  descriptor.NoteRefused,
+			Request: e.Request,
+			Cause:   fmt.Sprintf("%v by routing %d", e.Reason, e.Version),
+		}},
+	})
+}
+
 // emitTrace emits the request trace of an ended request.
 func (d *Decider[E, D, P, L]) emitTrace(service string, e balancer.Ended) {
 	entries, ok := d.traces.Get(e.Request)
--- a/descriptor/actions.go
+++ b/descriptor/actions.go
@@ -102,6 +102,11 @@
 // Watch starts or stops the watch of this instance on the platform's store.
 type Watch struct{ Active bool }
 
+// Relocate asks the traffic goroutine of a request to look up its service and class again,
+// because the directory that they were taken from is no longer in force. Nothing was decided
+// about the request yet.
+type Relocate struct{ Request RequestID }
+
 // Note is a numbered log event. docs/EVENTS.md lists the numbers.
 type Note struct {
 	Number  int
@@ -115,6 +120,7 @@
 type ShutdownComplete struct{}
 
 func (Dispatch) action()         {}
+func (Relocate) action()         {}
 func (Deliver) action()          {}
 func (Cancel) action()           {}
 func (Refuse) action()           {}
@@ -133,6 +139,9 @@
 // ForRequest implements RequestAction.
 func (a Dispatch) ForRequest() RequestID { return a.Request }
 
+// ForRequest implements RequestAction.
+func (a Relocate) ForRequest() RequestID { return a.Request }
+
 // ForRequest implements RequestAction.
 func (a Deliver) ForRequest() RequestID { return a.Request }
 
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -102,6 +102,20 @@
 	Request RequestID
 }
 
+// Unlocated reports that a request was refused before it was passed on, because no service or
+// class was found for it in the directory.
+type Unlocated struct {
+	At      time.Time
+	Request RequestID
+	// Label is the caller's identifier of the request.
+	Label  string
+	Reason Reason
+	// Version is the version of the routing in the directory that was used, or 0.
+	Version uint64
+	// Latency is the time since the request arrived.
+	Latency time.Duration
+}
+
 // Ticked is the periodic timer event.
 type Ticked struct{ At time.Time }
 
@@ -219,6 +233,9 @@
 // When implements Event.
 func (e Failed) When() time.Time { return e.At }
 
+// When implements Event.
+func (e Unlocated) When() time.Time { return e.At }
+
 // When implements Event.
 func (e CallerGone) When() time.Time { return e.At }
 
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -26,8 +26,13 @@
 	body      *callerBody
 	// label is the caller's identifier of the request.
 	label string
-	// deadline is when the caller stops waiting; zero means that there is no deadline.
-	deadline time.Time
+	// located is the directory from which the service and the class were taken, and
+	// relocations is how often they were taken from a newer one.
+	located     *snapshot
+	relocations int
+	// callerDeadline is when the caller stops waiting; zero means that there is no deadline.
+	// deadline is that or the end of the route's timeout, whichever is earlier.
+	callerDeadline, deadline time.Time
 	// callerDone is closed when the caller disconnects. It is nil once this was
 	// posted, and callerLeft is set then.
 	callerDone <-chan struct{}
@@ -53,7 +58,8 @@
 	}
 	s.label = f.dialect.Label(r)
 	if p := f.dialect.CallerTimeout(r); p > 0 {
-		s.deadline = s.started.Add(p)
+		s.callerDeadline = s.started.Add(p)
+		s.deadline = s.callerDeadline
 	}
 	return s
 }
@@ -64,6 +70,7 @@
 	if directory.Routes != nil {
 		return s.locateRoute(directory)
 	}
+	s.located = directory
 	s.service = serviceName(s.r)
 	entry, ok := directory.Services[s.service]
 	if !ok {
@@ -81,7 +88,9 @@
 func (s *session) locateRoute(d *snapshot) (descriptor.Reason, bool) {
 	timer := time.NewTimer(routeUpdateWait)
 	defer timer.Stop()
+	s.deadline = s.callerDeadline
 	for {
+		s.located = d
 		if route, ok := d.Routes.Match(s.r.Host, s.r.URL.EscapedPath()); ok {
 			s.service = route.ChooseService(s.forwarder.countRoute(route.Class.Name))
 			s.class = route.Class
@@ -109,6 +118,34 @@
 	}
 }
 
+// relocate finds the service and the class of the request anew, in a newer directory than
+// the one they were taken from. It returns the reason Starting if none comes within
+// routeUpdateWait, or after maxRelocations.
+func (s *session) relocate() (descriptor.Reason, bool) {
+	s.relocations++
+	s.forwarder.recorder.Relocate()
+	if s.callerLeft {
+		return descriptor.Abandoned, false
+	}
+	if s.relocations > maxRelocations {
+		return descriptor.Starting, false
+	}
+	timer := time.NewTimer(routeUpdateWait)
+	defer timer.Stop()
+	select {
+	case <-s.located.replaced:
+		return s.locate()
+	case <-timer.C:
+		return descriptor.Starting, false
+	case <-s.callerDone:
+		return descriptor.Abandoned, false
+	}
+}
+
+// maxRelocations bounds how often a request is located anew. More than one needs a
+// declaration for each time the control goroutine takes the request.
+const maxRelocations = 8
+
 // routeUpdateWait bounds the wait for an update of the directory when a route is
 // unknown. The update arrives with the next freshness announcement of an instance that
 // watches the store.
@@ -142,7 +179,7 @@
 		defer s.body.release(unreadBodyTimeout)
 	}
 	if reason, ok := s.precheck(); ok {
-		s.refuse(descriptor.Refuse{Reason: reason})
+		s.refuseUnlocated(reason)
 		return
 	}
 	actions := s.forwarder.control.Open(s.arrived())
@@ -151,6 +188,14 @@
 	for {
 		select {
 		case a := <-actions:
+			if _, ok := a.(descriptor.Relocate); ok {
+				if reason, ok := s.relocate(); !ok {
+					s.refuseUnlocated(reason)
+					return
+				}
+				actions = s.forwarder.control.Open(s.arrived())
+				continue
+			}
 			if s.apply(a) {
 				return
 			}
@@ -169,6 +214,16 @@
 	}
 }
 
+// refuseUnlocated refuses a request for which no service or class was found.
+func (s *session) refuseUnlocated(reason descriptor.Reason) {
+	s.refuse(descriptor.Refuse{Reason: reason})
+	event := descriptor.Unlocated{At: time.Now(), Request: s.id, Label: s.label, Reason: reason, Latency: time.Since(s.started)}
+	if s.located != nil && s.located.Routes != nil {
+		event.Version = s.located.Routes.Routing().Version
+	}
+	s.forwarder.control.Post(event)
+}
+
 // recordCallerGone records that the caller disconnected and posts this to the control
 // goroutine. Only the first call has an effect.
 func (s *session) recordCallerGone(now time.Time) {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -32,7 +32,10 @@
 	faults   metrics.Counter
 	// mismatches counts the answers that belonged to other requests.
 	mismatches metrics.Counter
-	bytes      metrics.Counter
+	// relocations counts how often a request was located anew, because the configuration
+	// changed before it was decided upon.
+	relocations metrics.Counter
+	bytes       metrics.Counter
 }
 
 // New returns a recorder whose metrics are zero.
@@ -43,12 +46,14 @@
 	r.attempts = metrics.NewCounter()
 	r.faults = metrics.NewCounter()
 	r.mismatches = metrics.NewCounter()
+	r.relocations = metrics.NewCounter()
 	r.bytes = metrics.NewCounter()
 	r.register("served", r.served)
 	r.register("open", r.open)
 	r.register("attempts", r.attempts)
 	r.register("faults", r.faults)
 	r.register("mismatches", r.mismatches)
+	r.register("relocations", r.relocations)
 	r.register("bytes", r.bytes)
 	for _, reason := range descriptor.Reasons() {
 		c := metrics.NewCounter()
@@ -92,6 +97,9 @@
 // Mismatch counts an answer that belonged to another request than the one waiting.
 func (r *Recorder) Mismatch() { r.mismatches.Inc(1) }
 
+// Relocate counts a request that is located anew.
+func (r *Recorder) Relocate() { r.relocations.Inc(1) }
+
 // quantiles are the written quantiles of the latency of served requests.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
