--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -77,7 +77,7 @@
 	case position < 0:
 		return o.Retries.NonOwnerTerms()
 	}
-	return o.Retries.OwnerTerms(instances)
+	return o.Retries.OwnerTerms(instances, 1)
 }
 
 // Balancer holds the state of one service. Only one goroutine may use it.
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -94,11 +94,18 @@
 
 // spendRetry takes one retry from the budget and reports whether there was one.
 func (b *Balancer[E, D, P, L]) spendRetry() bool {
+	draw := 1.0
+	if b.terms.Limit <= 1 {
+		draw = b.draw()
+	}
 	var ok bool
-	b.budget, ok = b.budget.WithRetry()
+	b.budget, ok = b.budget.WithRetry(b.terms, draw)
 	return ok
 }
 
+// draw returns a random number from 0 to 1.
+func (b *Balancer[E, D, P, L]) draw() float64 { return float64(b.random.Uint64()>>11) / (1 << 53) }
+
 // returnRetry adds the retry that is reserved for r to the budget again.
 func (b *Balancer[E, D, P, L]) returnRetry(r request) {
 	if r.reserved {
--- a/balancer/pause.go
+++ b/balancer/pause.go
@@ -66,6 +66,6 @@
 
 // spreadWait returns a wait with a random addition, so that callers do not return together.
 func (b *Balancer[E, D, P, L]) spreadWait(wait time.Duration) time.Duration {
-	part := float64(b.random.Uint64()>>11) / (1 << 53)
+	part := b.draw()
 	return wait + time.Duration(part*pauseSpread*float64(wait))
 }
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -275,7 +275,7 @@
 			continue
 		}
 		position := b.pickFrom(&b.preferred, r)
-		if position >= 0 && (r.reserved || b.spendRetry()) {
+		if position >= 0 && (r.reserved || b.budget.Left >= 1 && b.spendRetry()) {
 			b.dispatch(r.WithReserved(false), position)
 		}
 	}
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -34,6 +34,9 @@
 	// partitioned holds the instances whose messages are dropped while their links
 	// stay open.
 	partitioned map[string]bool
+	// cut reports whether messages between two instances are dropped while their links stay
+	// open. Nil means that none are.
+	cut func(from, to string) bool
 	// storeDown reports whether the store is unavailable.
 	storeDown bool
 	// refused lists the refused requests.
@@ -180,6 +183,9 @@
 	pending := f.pending
 	f.pending = nil
 	for _, m := range pending {
+		if f.cut != nil && f.cut(m.from, m.to) {
+			continue
+		}
 		if f.instances[m.to] != nil && !f.partitioned[m.from] && !f.partitioned[m.to] {
 			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message})
 		}
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -1,7 +1,10 @@
 // Package retrier bounds retries and hedges to a share of recent requests.
 package retrier
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of a budget where no bounds for the whole fleet are set.
 const (
@@ -30,10 +33,15 @@
 // usedBurstShare as saved retries and usedRefillShare as retries earned in each Window,
 // by all instances together. The rest is a margin for instances that do not know of each
 // other, and for requests that fall into different windows at different observers.
+//
+// Non-owners have no part of Extra, however many there are. They earn passingRatioShare of
+// Ratio and lose what they saved in about a Window, so that all of them together send no more
+// in a Window than Ratio allows for its requests and those of the Window before.
 const (
-	usedRatioShare  = 0.9
-	usedBurstShare  = 0.25
-	usedRefillShare = 0.6
+	usedRatioShare    = 0.9
+	usedBurstShare    = 0.25
+	usedRefillShare   = 0.6
+	passingRatioShare = usedRatioShare / 2
 )
 
 // Terms are the rates at which a budget grows, and its limit.
@@ -41,8 +49,13 @@
 	// PerRequest is the number of retries earned by one request, and PerSecond the
 	// number earned per second regardless of requests.
 	PerRequest, PerSecond float64
-	// Limit is the largest number of saved retries; it is positive.
+	// Limit is the largest number of saved retries; it is positive. Where it is 1 or less, a
+	// part of a retry is spent as a whole one with that probability: an instance that rarely
+	// has more would never retry, and a limit raised to a whole one for each of many instances
+	// would exceed the bounds.
 	Limit float64
+	// Decay is the time in which saved retries fall to 1/e; 0 means that they are kept.
+	Decay time.Duration
 }
 
 // minAssumedInstances is the least number of instances that are assumed to share
@@ -54,18 +67,25 @@
 func StandardTerms() Terms { return Terms{PerRequest: retriesPerSuccess, Limit: maxSavedRetries} }
 
 // OwnerTerms returns the terms of one slot owner, where the given number of instances
-// share b.
-func (b Bounds) OwnerTerms(instances int) Terms {
-	n := float64(max(minAssumedInstances, instances))
-	return Terms{
-		PerRequest: b.Ratio * usedRatioShare,
-		PerSecond:  b.Extra * usedRefillShare / b.Window.Seconds() / n,
-		Limit:      max(1, b.Extra*usedBurstShare/n),
+// share b. heard is the share of the fleet that the owner hears of, over 0 and at most 1. The
+// rest may be on the other side of a cut, with owners of its own. An owner whose part of Extra
+// saves less than one retry loses what it saved, as a non-owner does.
+func (b Bounds) OwnerTerms(instances int, heard float64) Terms {
+	n := float64(max(minAssumedInstances, instances)) / heard
+	perSecond := b.Extra * usedRefillShare / b.Window.Seconds() / n
+	limit := b.Extra * usedBurstShare / n
+	if limit <= 1 {
+		t := b.NonOwnerTerms()
+		t.PerSecond = perSecond / 2
+		return t
 	}
+	return Terms{PerRequest: b.Ratio * usedRatioShare, PerSecond: perSecond, Limit: limit}
 }
 
-// NonOwnerTerms returns the terms of a non-owner, which has no share of Extra.
-func (b Bounds) NonOwnerTerms() Terms { return Terms{PerRequest: b.Ratio * usedRatioShare, Limit: 1} }
+// NonOwnerTerms returns the terms of a non-owner.
+func (b Bounds) NonOwnerTerms() Terms {
+	return Terms{PerRequest: b.Ratio * passingRatioShare, Limit: 1, Decay: b.Window}
+}
 
 // Budget is the number of retries that may be sent now.
 type Budget struct {
@@ -85,8 +105,11 @@
 
 // WithTime returns b with the retries earned until now.
 func (b Budget) WithTime(now time.Time, t Terms) Budget {
-	if elapsed := now.Sub(b.At).Seconds(); !b.At.IsZero() && elapsed > 0 {
-		b.Left += t.PerSecond * elapsed
+	if elapsed := now.Sub(b.At); !b.At.IsZero() && elapsed > 0 {
+		if t.Decay > 0 {
+			b.Left *= math.Exp(-elapsed.Seconds() / t.Decay.Seconds())
+		}
+		b.Left += t.PerSecond * elapsed.Seconds()
 	}
 	b.At = now
 	b.Left = min(t.Limit, b.Left)
@@ -105,11 +128,18 @@
 	return b
 }
 
-// WithRetry returns b after one retry and reports whether the budget allowed it.
-func (b Budget) WithRetry() (Budget, bool) {
-	if b.Left < 1 {
+// WithRetry returns b after one retry and reports whether the budget allowed it. draw is a
+// random number from 0 to 1, which decides about a part of a retry; see Terms.Limit.
+func (b Budget) WithRetry(t Terms, draw float64) (Budget, bool) {
+	if b.Left >= 1 {
+		b.Left--
+		return b, true
+	}
+	if t.Limit > 1 {
 		return b, false
 	}
-	b.Left--
-	return b, true
+	// The part is used up in any case, so that many draws yield as many retries as were earned.
+	ok := draw < b.Left
+	b.Left = 0
+	return b, ok
 }
--- a/retrier/budget_test.go
+++ b/retrier/budget_test.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -31,7 +32,7 @@
 
 // simulate returns the numbers of requests and retries in each second.
 func simulate(bounds Bounds, instances int, load func(int) int) (requests, retries []int) {
-	terms := bounds.OwnerTerms(instances)
+	terms := bounds.OwnerTerms(instances, 1)
 	budgets := make([]Budget, instances)
 	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
 	for second := range 90 {
@@ -43,7 +44,7 @@
 		for k := range budgets {
 			budgets[k] = budgets[k].WithTime(now.Add(time.Second), terms)
 			for ok := true; ok; {
-				if budgets[k], ok = budgets[k].WithRetry(); ok {
+				if budgets[k], ok = budgets[k].WithRetry(terms, 1); ok {
 					spent++
 				}
 			}
@@ -61,3 +62,28 @@
 	}
 	return n
 }
+
+// TestPartOfRetry guards against instances with less than a whole retry that never retry, or
+// that send more retries than they earn.
+func TestPartOfRetry(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	terms := Bounds{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}.NonOwnerTerms()
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	const requests = 10_000
+	b, sent := NewEmptyBudget(), 0
+	for range requests {
+		now = now.Add(time.Second)
+		b = b.WithTime(now, terms).WithRequest(terms)
+		var ok bool
+		if b, ok = b.WithRetry(terms, random.Float64()); ok {
+			sent++
+		}
+	}
+	earned := terms.PerRequest * requests
+	asserter.AtMost(t, "retries for those earned", float64(sent), 1.1*earned)
+	asserter.AtLeast(t, "retries for those earned", float64(sent), 0.9*earned)
+	t.Run("what was saved is lost in time", func(t *testing.T) {
+		full := Budget{Left: 1, At: now}
+		asserter.AtMost(t, "left after a window", full.WithTime(now.Add(10*time.Second), terms).Left, 0.37)
+	})
+}
