Divide the retry bounds by the share of the fleet that is heard of

Cause: in a cut each side takes its own slot owners, and the parts of each side add up to the whole bounds.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -69,15 +69,16 @@
 }
 
 // terms returns how the retry budget of one of a number of owners grows. position is
-// its index among them, or -1 for a non-owner.
-func (o Options) terms(instances, position int) retrier.Terms {
+// its index among them, or -1 for a non-owner. heard is the share of the fleet that this
+// instance hears of.
+func (o Options) terms(instances, position int, heard float64) retrier.Terms {
 	switch {
 	case !o.PooledOutcomes:
 		return retrier.StandardTerms()
 	case position < 0:
 		return o.Retries.NonOwnerTerms()
 	}
-	return o.Retries.OwnerTerms(instances, 1)
+	return o.Retries.OwnerTerms(instances, heard)
 }
 
 // Balancer holds the state of one service. Only one goroutine may use it.
@@ -116,6 +117,8 @@
 	requests           *container.Table[descriptor.RequestID, request]
 	budget             retrier.Budget
 	terms              retrier.Terms
+	// heard is the share of the fleet that this instance hears of; see SetHeard.
+	heard float64
 	// listReceived is set once a list of backend servers was applied. Backend servers
 	// that are new in later lists are taken as just started.
 	listReceived bool
@@ -222,7 +225,8 @@
 		crashes:        o.Crashes,
 		unanswered:     container.NewRing[unanswered](maxUnanswered),
 	}
-	b.terms = o.terms(0, -1)
+	b.heard = 1
+	b.terms = o.terms(0, -1, b.heard)
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
 	b.Declare(s, 0)
 	return b
--- a/decider/budget_test.go
+++ b/decider/budget_test.go
@@ -126,7 +126,17 @@
 	return worst
 }
 
-// TestRetriesOfFleet guards against retries of all instances together that exceed the bounds.
+// half cuts the fleet into two halves that don't hear of each other.
+func (f *budgetFleet) half(from, to string) bool {
+	first := make(map[string]bool)
+	for _, id := range f.order[:len(f.order)/2] {
+		first[id] = true
+	}
+	return first[from] != first[to]
+}
+
+// TestRetriesOfFleet guards against retries of all instances together that exceed the bounds:
+// by instances that callers are no longer sent to, and by instances that don't hear of each other.
 func TestRetriesOfFleet(t *testing.T) {
 	// 48 instances, of which 6 own slots.
 	bounds := retrier.Bounds{Ratio: 0.2, Extra: 64, Window: 10 * time.Second}
@@ -137,6 +147,16 @@
 	}{
 		{"callers with old addresses", 30, 0.5, func(f *budgetFleet) { f.play(45*time.Second, 30, 0.5) }},
 		{"only callers with old addresses", 30, 0, func(f *budgetFleet) { f.play(bounds.Window, 60, 1) }},
+		{"instances that hear of no other", 30, 0.4, func(f *budgetFleet) {
+			for _, id := range f.order[10:30] {
+				f.partitioned[id] = true
+			}
+			f.play(8*time.Second, 30, 0.4)
+		}},
+		{"two halves", 30, 0.1, func(f *budgetFleet) {
+			f.cut = f.half
+			f.play(8*time.Second, 30, 0.1)
+		}},
 		{"all started again", 30, 0.4, func(f *budgetFleet) {
 			for _, id := range f.order {
 				f.restart(id)
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -91,7 +91,11 @@
 	counter   *counter.Counter
 	writer    *counter.Writer
 	index     *allocator.Index
-	relayer   *relayer.Relayer
+	// census counts the instances that this one doesn't hear of, and heard is the share of
+	// the fleet that it does.
+	census  *allocator.Census
+	heard   float64
+	relayer *relayer.Relayer
 	// routes is nil unless a routing is in force.
 	routes *declarer.RouteIndex
 	// fullyRead holds the kinds of which all documents were read from the store.
@@ -168,6 +172,8 @@
 		spreader:  spreader.New(),
 		counter:   counter.New(o.Self),
 		index:     allocator.NewIndex(),
+		census:    allocator.NewCensus(),
+		heard:     1,
 		relayer:   relayer.New(),
 		fullyRead: container.NewTable[descriptor.Kind, bool](),
 		children:  make(map[string][]descriptor.Member),
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -228,6 +228,7 @@
 		Crashes:        d.crashes,
 	})
 	s.Declare(known.service, known.revision)
+	s.SetHeard(d.heard)
 	d.counter.InForce(d.now, service, known.revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
 		s.SetBackends(d.now, list.Backends, time.Time{})
@@ -269,6 +270,7 @@
 			d.lastMemberAt = d.now
 		}
 		d.noteMember(c)
+		d.countAbsent(c.After)
 		for _, service := range d.reindex(c.After) {
 			d.updateServing(service)
 		}
@@ -278,6 +280,27 @@
 	}
 }
 
+// countAbsent keeps the census of the fleet after a change of a member.
+func (d *Decider[E, D, P, L]) countAbsent(m descriptor.Member) {
+	if m.State == descriptor.Dead {
+		d.census.Lose(m.ID, d.now)
+		return
+	}
+	d.census.Return(m.ID)
+}
+
+// updateHeard tells the balancers which share of the fleet this instance hears of.
+func (d *Decider[E, D, P, L]) updateHeard() {
+	heard := d.census.Heard(d.index.Members(), d.now)
+	if heard == d.heard {
+		return
+	}
+	d.heard = heard
+	for _, s := range d.served.All {
+		s.SetHeard(heard)
+	}
+}
+
 func (d *Decider[E, D, P, L]) reindex(m descriptor.Member) []string {
 	if m.Ready && m.State < descriptor.Dead {
 		return d.index.Put(m)
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -38,6 +38,7 @@
 		d.removeFinished()
 		d.updateWatching()
 		d.sendSuspicions()
+		d.updateHeard()
 	}
 	if d.now.Sub(d.lastTallyAt) >= tallyInterval {
 		d.lastTallyAt = d.now
