Bound what the caller's client reads of an answer

Report of other operators: a backend server sent bytes without end, and the machine that had called it kept them all and ran out of memory. Cause: not at instances, which copy answers through buffers of 32 KiB and bound heads. The client of package caller read each answer to its end.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -199,7 +199,7 @@
 	if response.StatusCode != http.StatusOK {
 		return got, eris.Wrapf(ErrNoAddress, "status %d", response.StatusCode)
 	}
-	return got, eris.Wrap(json.NewDecoder(response.Body).Decode(&got), "decode addresses")
+	return got, eris.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxAddressBytes)).Decode(&got), "decode addresses")
 }
 
 // Do sends a request and returns its response or its refusal. A misdirected request
@@ -312,10 +312,13 @@
 		return sendError(err)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return eris.Wrapf(ErrBroken, "%v", err)
 	}
+	if len(data) > maxAnswerBytes {
+		return eris.Wrapf(ErrBroken, "answer of more than %d bytes", maxAnswerBytes)
+	}
 	result.Status = response.StatusCode
 	result.Body = data
 	result.Reason = response.Header.Get("Monsoon-Reason")
@@ -323,6 +326,13 @@
 	return nil
 }
 
+// maxAnswerBytes bounds the body of an answer in bytes. A longer one counts as broken off, since
+// it may have no end.
+const maxAnswerBytes = 64 << 20
+
+// maxAddressBytes bounds a list of addresses in bytes.
+const maxAddressBytes = 1 << 20
+
 // sendError returns errDial if the connection could not be established, and
 // ErrBroken otherwise.
 func sendError(err error) error {
