Keep a caller's body whole for each attempt that reads it

Cause: net/http goes on sending the body to the server that refused while the next attempt reads it. Whichever passed 1 MiB gave up the buffer that both share; an offset beyond it was taken for the place at which the caller is. TestRelocation waits for the event that follows a refusal: it failed once, as the event is posted after the refusal is written.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -23,6 +23,8 @@
 	backend descriptor.Backend
 	ctx     context.Context
 	cancel  context.CancelFunc
+	// body is what the attempt sends of the caller's body, or nil.
+	body *attemptBody
 	// response is set before Answered is posted.
 	response *http.Response
 	// expectedID is the identifier that the answer repeats, or "" if there is none.
@@ -123,7 +125,8 @@
 	}
 	switch {
 	case s.body != nil:
-		r.Body = &attemptBody{callerBody: s.body, attempt: t}
+		t.body = &attemptBody{bodyReader: bodyReader{body: s.body}, attempt: t}
+		r.Body = t.body
 	case !s.class.Idempotent:
 		r.ContentLength = 0
 		r.Body = emptyOnceBody{}
@@ -208,8 +211,13 @@
 	return descriptor.FaultBroken
 }
 
+// post posts a failed attempt. The attempt reads no more of the caller's body then, so that
+// whether the body can be sent again doesn't change.
 func (t *attempt) post(fault descriptor.Fault, head Head) {
 	s := t.session
+	if t.body != nil {
+		t.body.stop()
+	}
 	s.forwarder.control.Post(descriptor.Failed{
 		At:             time.Now(),
 		Request:        s.id,
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -14,43 +14,58 @@
 	"monsoonswitch/descriptor"
 )
 
-// maxBufferedBytes bounds the bytes of a request body that are buffered for retries.
-const maxBufferedBytes = 1 << 20
+const (
+	// maxBufferedBytes bounds the bytes of a request body that are buffered for retries. A
+	// read in progress when an attempt ends may add one more part.
+	maxBufferedBytes = 1 << 20
+	// unreadBodyTimeout bounds the time for which the rest of a body is read after the answer.
+	unreadBodyTimeout = time.Second
+)
+
+// Errors of reading a caller's body.
+var (
+	// errBodyReleased reports that the request whose body is read has ended.
+	errBodyReleased = eris.New("request has ended")
+	// errAttemptEnded reports that the attempt that reads has ended.
+	errAttemptEnded = eris.New("attempt has ended")
+	// errBodyGone reports that bytes of the body were read by another attempt and not kept.
+	errBodyGone = eris.New("body can't be sent again")
+)
 
 // callerBody is the body of a caller's request. It buffers up to maxBufferedBytes, so
-// that work that did not run at one backend server can be sent to another. A nil
-// callerBody means that the request has no body.
+// that work that did not run at one backend server can be sent to another. Each reader
+// gets the body from its first byte without a gap, or an error. A nil callerBody means
+// that the request has no body.
 type callerBody struct {
-	source       io.ReadCloser
+	source       io.Reader
 	controller   *http.ResponseController
 	stallTimeout time.Duration
 
 	// whole is set once the end of the body was read. The caller's connection can carry
 	// another request only then.
 	whole atomic.Bool
+	// failed is set when reading the source failed before its end.
+	failed atomic.Bool
 
 	// deadlineMu guards released and the read deadline of the caller's connection.
 	deadlineMu sync.Mutex
 	// released is set when the request ends. The body is not read any more then.
 	released bool
 
-	// mu guards the fields below. Attempts read one after the other.
+	// reading is held while the source is read. It is taken before mu.
+	reading sync.Mutex
+	// mu guards the fields below and ended of all readers. It is not held while the source
+	// is read, so that what it guards is known at once.
 	mu sync.Mutex
-	// buffered holds all bytes read so far, unless overflowed is set.
+	// consumed is the number of bytes read from the source.
+	consumed int
+	// buffered holds all of them, unless overflowed is set.
 	buffered   []byte
 	overflowed bool
 	// end is the error with which the source ended; nil until then.
 	end error
-	// failed is set when reading the source failed before its end.
-	failed atomic.Bool
 }
 
-// unreadBodyTimeout bounds the time for which the rest of a body is read after the answer.
-const unreadBodyTimeout = time.Second
-
-// errBodyReleased reports that the request whose body is read has ended.
-var errBodyReleased = eris.New("request has ended")
-
 func newCallerBody(s *session) *callerBody {
 	if s.r.Body == nil || s.r.Body == http.NoBody || s.r.ContentLength == 0 {
 		return nil
@@ -62,7 +77,8 @@
 	}
 }
 
-// replayable reports whether the body can be sent again from its start.
+// replayable reports whether the body can be sent again from its start. It stays so until a
+// reader that has not ended reads on.
 func (b *callerBody) replayable() bool {
 	if b == nil {
 		return true
@@ -93,48 +109,14 @@
 func (b *callerBody) readAhead(deadline time.Time) {
 	chunk := buffers.Get().(*[]byte)
 	defer buffers.Put(chunk)
-	for offset := 0; b.replayable() && (deadline.IsZero() || time.Now().Before(deadline)); {
-		n, err := b.readAt(*chunk, offset)
-		if err != nil {
+	ahead := bodyReader{body: b}
+	for b.replayable() && (deadline.IsZero() || time.Now().Before(deadline)) {
+		if _, err := ahead.Read(*chunk); err != nil {
 			return
 		}
-		offset += n
 	}
 }
 
-// readAt reads bytes from offset on, first from the buffer and then from the source.
-// It returns an error if the caller sends nothing for the stall timeout.
-func (b *callerBody) readAt(p []byte, offset int) (int, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if offset < len(b.buffered) {
-		return copy(p, b.buffered[offset:]), nil
-	}
-	if b.end != nil {
-		return 0, b.end
-	}
-	if !b.setDeadline(time.Now().Add(b.stallTimeout)) {
-		return 0, errBodyReleased
-	}
-	n, err := b.source.Read(p)
-	switch {
-	case errors.Is(err, io.EOF):
-		b.end = err
-		b.whole.Store(true)
-		b.setDeadline(time.Time{})
-	case err != nil:
-		b.end = err
-		b.failed.Store(true)
-	}
-	if !b.overflowed && len(b.buffered)+n <= maxBufferedBytes {
-		b.buffered = append(b.buffered, p[:n]...)
-		return n, err
-	}
-	b.overflowed = true
-	b.buffered = nil
-	return n, err
-}
-
 // setDeadline sets the read deadline of the caller's connection; zero means none. It reports
 // false, and changes nothing, once the body was released.
 func (b *callerBody) setDeadline(t time.Time) bool {
@@ -158,19 +140,99 @@
 	b.deadlineMu.Lock()
 	b.released = true
 	b.deadlineMu.Unlock()
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
 }
 
 // unread reports whether the end of the body was not read yet.
 func (b *callerBody) unread() bool { return b != nil && !b.whole.Load() }
 
+// bodyReader reads a caller's body from its first byte.
+type bodyReader struct {
+	body *callerBody
+	// offset is the number of bytes read.
+	offset int
+	// ended is set when the attempt that reads has ended. It is guarded by mu of the body.
+	ended bool
+}
+
+// stop ends the reading. What a read in progress takes from the source is kept for other
+// readers.
+func (r *bodyReader) stop() {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	r.ended = true
+}
+
+// Read implements io.Reader. It returns an error if the caller sends nothing for the stall
+// timeout, or if bytes that this reader didn't get were not kept.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if n, err := r.readBuffered(p); n > 0 || err != nil {
+		return n, err
+	}
+	b := r.body
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// Another reader may have read on meanwhile.
+	if n, err := r.readBuffered(p); n > 0 || err != nil {
+		return n, err
+	}
+	if !b.setDeadline(time.Now().Add(b.stallTimeout)) {
+		return 0, errBodyReleased
+	}
+	n, err := b.source.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		b.whole.Store(true)
+		b.setDeadline(time.Time{})
+	case err != nil:
+		b.failed.Store(true)
+	}
+	r.record(p[:n], err)
+	return n, err
+}
+
+// readBuffered reads from the buffer. It returns 0 and nil if the source must be read.
+func (r *bodyReader) readBuffered(p []byte) (int, error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case r.ended:
+		return 0, errAttemptEnded
+	case r.offset < len(b.buffered):
+		n := copy(p, b.buffered[r.offset:])
+		r.offset += n
+		return n, nil
+	case r.offset < b.consumed:
+		return 0, errBodyGone
+	}
+	return 0, b.end
+}
+
+// record keeps what was read from the source, unless it is too much. A reader that has ended
+// doesn't cause the buffer to be given up: another one may have been promised it.
+func (r *bodyReader) record(data []byte, err error) {
+	b := r.body
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end = err
+	b.consumed += len(data)
+	r.offset = b.consumed
+	if b.overflowed {
+		return
+	}
+	if len(b.buffered)+len(data) > maxBufferedBytes && !r.ended {
+		b.overflowed, b.buffered = true, nil
+		return
+	}
+	b.buffered = append(b.buffered, data...)
+}
+
 // attemptBody is the caller's body as read by one attempt.
 type attemptBody struct {
-	*callerBody
+	bodyReader
 	attempt *attempt
-	// offset is the number of bytes read by this attempt.
-	offset int
 	// sent is set once the end of the body was posted.
 	sent atomic.Bool
 }
@@ -181,8 +243,7 @@
 	if err := b.attempt.ctx.Err(); err != nil {
 		return 0, err
 	}
-	n, err := b.readAt(p, b.offset)
-	b.offset += n
+	n, err := b.bodyReader.Read(p)
 	if errors.Is(err, io.EOF) && !b.sent.Swap(true) {
 		s := b.attempt.session
 		s.forwarder.control.Post(descriptor.Sent{At: time.Now(), Request: s.id, Attempt: b.attempt.id})
--- a/forwarder/relocate_test.go
+++ b/forwarder/relocate_test.go
@@ -74,7 +74,11 @@
 				asserter.Equal(t, "service", arrived.Service, "billing")
 				asserter.AtLeast(t, "time left by the new timeout", time.Until(arrived.Deadline), 10*time.Second)
 			}
-			asserter.Equal(t, "events about a refusal without a service", posted[descriptor.Unlocated](x.control), map[bool]int{true: 0, false: 1}[c.status == http.StatusTeapot])
+			// The event follows the refusal.
+			want := map[bool]int{true: 0, false: 1}[c.status == http.StatusTeapot]
+			asserter.Eventually(t, "events about a refusal without a service", time.Second, func() bool {
+				return posted[descriptor.Unlocated](x.control) == want
+			})
 		})
 	}
 }
