Stop reading an upload ahead where its buffer is full

Cause: the body of a suspected request is read ahead, and the next part that didn't fit gave up the buffer, of which no attempt had sent anything. Result: the test passes for 1 byte, below, at and over the bound, in both framings.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -104,16 +104,18 @@
 	return xxhash.Sum64(b.buffered)
 }
 
-// readAhead buffers the body until its end, or until it is too long to be buffered, reading fails
-// or the deadline passes. A zero deadline means that there is none.
+// readAhead buffers the body until its end, or until the buffer is full, reading fails or the
+// deadline passes. A zero deadline means that there is none. No attempt may read yet.
 func (b *callerBody) readAhead(deadline time.Time) {
 	chunk := buffers.Get().(*[]byte)
 	defer buffers.Put(chunk)
 	ahead := bodyReader{body: b}
-	for b.replayable() && (deadline.IsZero() || time.Now().Before(deadline)) {
-		if _, err := ahead.Read(*chunk); err != nil {
+	for left := maxBufferedBytes; left > 0 && (deadline.IsZero() || time.Now().Before(deadline)); {
+		n, err := ahead.Read((*chunk)[:min(left, len(*chunk))])
+		if err != nil {
 			return
 		}
+		left -= n
 	}
 }
 
--- a/forwarder/upload_test.go
+++ b/forwarder/upload_test.go
@@ -77,3 +77,41 @@
 	asserter.Equal(t, "uploads that were run with other bytes", wrong, 0)
 	asserter.AtLeast(t, "uploads that were run whole", whole, 1)
 }
+
+// TestSuspectedUpload guards against an upload without its beginning: a body is read ahead if its
+// request is suspected of a crash, and what was read was given up before any attempt had sent it.
+func TestSuspectedUpload(t *testing.T) {
+	for _, size := range []int{1, maxBufferedBytes - 1, maxBufferedBytes, maxBufferedBytes + 1, 3 << 20} {
+		for _, framing := range []string{"with a length", "in chunks"} {
+			t.Run(fmt.Sprintf("%d bytes %s", size, framing), func(t *testing.T) {
+				want := randomBody(7, size)
+				got := make(chan []byte, 1)
+				x := newFixture(t, func(_ http.ResponseWriter, r *http.Request) {
+					data, _ := io.ReadAll(r.Body)
+					got <- data
+				})
+				directory := *x.forwarder.snapshot.Load().Directory
+				r := x.request("POST", "/upload", bytes.NewReader(want))
+				if framing == "in chunks" {
+					r.Body, r.ContentLength = io.NopCloser(&pacedBody{want}), -1
+				}
+				directory.Suspected = map[uint64]bool{x.fingerprintOf(r): true}
+				x.forwarder.SetDirectory(&directory)
+				response, _, err := x.do(r)
+				asserter.NoError(t, "send", err)
+				asserter.Equal(t, "status", response.StatusCode, http.StatusOK)
+				asserter.True(t, "the backend server has the body", bytes.Equal(<-got, want))
+				if size != maxBufferedBytes {
+					// A body of just that size is known if its end comes with its last bytes.
+					asserter.Equal(t, "the whole body is known at the arrival", x.control.arrived().Content != 0, size < maxBufferedBytes)
+				}
+			})
+		}
+	}
+}
+
+// fingerprintOf returns the fingerprint of a request of the test client.
+func (x *fixture) fingerprintOf(r *http.Request) uint64 {
+	received := &http.Request{Method: r.Method, Host: r.URL.Host, Header: r.Header, URL: r.URL, RemoteAddr: "127.0.0.1:1"}
+	return (&session{forwarder: x.forwarder, r: received}).fingerprint()
+}
