Half-close and drain connections that end with an answer

Cause: net/http closes a connection whose answer announces the close as soon as the answer is written; a close with unread bytes resets the connection and destroys what the caller has not received yet.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -100,6 +100,7 @@
 func (s *session) limitConnection() {
 	if s.forwarder.snapshot.Load().Leaving || s.r.ProtoMajor == 1 && s.body.unread() {
 		s.w.Header().Set("Connection", "close")
+		s.closing = true
 	}
 }
 
@@ -133,6 +134,7 @@
 	now := time.Now()
 	switch {
 	case d.err == nil:
+		s.complete = true
 		s.forwarder.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: d.attempt.id, Bytes: d.bytes})
 		s.forwarder.recorder.End(s.endReason(descriptor.Served), now.Sub(s.started), d.bytes)
 	case errors.Is(d.err, errCallerLeft):
@@ -188,6 +190,7 @@
 	}
 	// An error means that the caller left.
 	_ = http.NewResponseController(s.w).Flush()
+	s.complete = true
 }
 
 // endReason returns why the request ended, given the reason if the caller did not leave.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,6 +82,7 @@
 	routeCounts sync.Map
 	snapshot    atomic.Pointer[snapshot]
 	requests    atomic.Uint64
+	closer      closer
 	// dialer opens all connections to backend servers.
 	dialer *net.Dialer
 	// idempotentClient sends idempotent work, and nonIdempotentClient all other work.
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -43,6 +43,9 @@
 	// result arrives on copied, only the goroutine that copies uses w.
 	delivering *attempt
 	copied     chan delivery
+	// closing is set if the answer announces the close of the connection, and complete once
+	// the answer is written.
+	closing, complete bool
 }
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
@@ -170,8 +173,14 @@
 	return name
 }
 
-// run serves the request until it ends.
+// run serves the request until it ends, and closes the connection if the answer said so.
 func (s *session) run() {
+	s.serve()
+	s.close()
+}
+
+// serve serves the request until it ends. The caller's body is not read any more then.
+func (s *session) serve() {
 	s.body = newCallerBody(s)
 	if s.body != nil {
 		// The answer may begin before the caller has sent the whole body.
--- a/server/server.go
+++ b/server/server.go
@@ -291,6 +291,7 @@
 	// Only idle connections, requests that were refused with the addresses of other
 	// instances, and those that outlast the grace time are still open now.
 	_ = s.callers.Shutdown(ctx)
+	s.forwarder.WaitClosed(ctx)
 	s.Close()
 	s.log.Event(descriptor.NoteStopped, "", s.self.ID, "")
 }
