Abort the connection of a caller whose answer was discarded

Callers would see: an empty 200 without the backend server's bytes, where a caller closed its sending side and its work could not be cancelled. Cause: such a caller is taken for gone and its answer is discarded; the handler then returned without an answer, for which net/http writes an empty 200. Evidence: TestHalfClosedCaller before the fix: no answer, or the whole one: got status 200 and "" Change: the connection is aborted. Result: the test passes, with the race detector.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -42,6 +42,7 @@
 	copyTo := s.copyAnswer
 	if s.callerLeft {
 		copyTo = (*attempt).discardDelivered
+		s.discarding = true
 	}
 	go func() {
 		n, err := copyTo(t)
@@ -137,6 +138,11 @@
 		s.complete = true
 		s.forwarder.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: d.attempt.id, Bytes: d.bytes})
 		s.forwarder.recorder.End(s.endReason(descriptor.Served), now.Sub(s.started), d.bytes)
+		if s.discarding {
+			// net/http would write an empty answer, which a caller that only closed its sending
+			// side would take for the whole one.
+			panic(http.ErrAbortHandler)
+		}
 	case errors.Is(d.err, errCallerLeft):
 		s.recordCallerGone(now)
 		s.forwarder.recorder.End(descriptor.Abandoned, now.Sub(s.started), d.bytes)
--- a/forwarder/closing_test.go
+++ b/forwarder/closing_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/descriptor"
 )
 
 // slowReader reads small parts with pauses, as from a slow link.
@@ -92,3 +93,21 @@
 	asserter.AtLeast(t, "wait for a caller that closes", time.Since(started), 150*time.Millisecond)
 	asserter.AtMost(t, "wait for a caller that closes", time.Since(started), closeTimeout/2)
 }
+
+// TestHalfClosedCaller guards against an empty answer to a caller that closed its sending side
+// and was taken for gone.
+func TestHalfClosedCaller(t *testing.T) {
+	x := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(200 * time.Millisecond)
+		_, _ = io.WriteString(w, "ok")
+	})
+	k := x.dialRaw(t)
+	k.write("GET /a HTTP/1.1\r\nHost: ledger.example\r\n\r\n")
+	asserter.NoError(t, "close the sending side", k.conn.(*net.TCPConn).CloseWrite())
+	response, err := http.ReadResponse(k.reader, nil)
+	if err == nil {
+		data, err := io.ReadAll(response.Body)
+		asserter.True(t, fmt.Sprintf("no answer, or the whole one: got status %d and %q", response.StatusCode, data), err != nil || string(data) == "ok")
+	}
+	asserter.Equal(t, "answers discarded", posted[descriptor.CallerGone](x.control), 1)
+}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -46,6 +46,8 @@
 	// closing is set if the answer announces the close of the connection, and complete once
 	// the answer is written.
 	closing, complete bool
+	// discarding is set if the answer is discarded because the caller left.
+	discarding bool
 }
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
