Let slot owners of small bounds save one retry

Change: an owner saves one retry while its whole part of the extra ones is at least that; what this takes is taken from what it earns again.

--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -95,7 +95,7 @@
 // spendRetry takes one retry from the budget and reports whether there was one.
 func (b *Balancer[E, D, P, L]) spendRetry() bool {
 	draw := 1.0
-	if b.terms.Limit <= 1 {
+	if b.terms.Decay > 0 {
 		draw = b.draw()
 	}
 	var ok bool
--- a/retrier/budget.go
+++ b/retrier/budget.go
@@ -49,12 +49,11 @@
 	// PerRequest is the number of retries earned by one request, and PerSecond the
 	// number earned per second regardless of requests.
 	PerRequest, PerSecond float64
-	// Limit is the largest number of saved retries; it is positive. Where it is 1 or less, a
-	// part of a retry is spent as a whole one with that probability: an instance that rarely
-	// has more would never retry, and a limit raised to a whole one for each of many instances
-	// would exceed the bounds.
+	// Limit is the largest number of saved retries; it is positive.
 	Limit float64
-	// Decay is the time in which saved retries fall to 1/e; 0 means that they are kept.
+	// Decay is the time in which saved retries fall to 1/e; 0 means that they are kept. Where
+	// they fall, a part of a retry is spent as a whole one with that probability: an instance
+	// that rarely has more would never retry.
 	Decay time.Duration
 }
 
@@ -68,18 +67,22 @@
 
 // OwnerTerms returns the terms of one slot owner, where the given number of instances
 // share b. heard is the share of the fleet that the owner hears of, over 0 and at most 1. The
-// rest may be on the other side of a cut, with owners of its own. An owner whose part of Extra
-// saves less than one retry loses what it saved, as a non-owner does.
+// rest may be on the other side of a cut, with owners of its own.
+//
+// An owner can save one retry at least, so that it can check a backend server; what that takes
+// beyond usedBurstShare is taken from the refill. An owner whose part of Extra is below one retry
+// loses what it saved, as a non-owner does.
 func (b Bounds) OwnerTerms(instances int, heard float64) Terms {
 	n := float64(max(minAssumedInstances, instances)) / heard
-	perSecond := b.Extra * usedRefillShare / b.Window.Seconds() / n
-	limit := b.Extra * usedBurstShare / n
-	if limit <= 1 {
+	part := b.Extra * (usedBurstShare + usedRefillShare) / n
+	if part < 1 {
 		t := b.NonOwnerTerms()
-		t.PerSecond = perSecond / 2
+		// Half is saved, and half is earned again in each Window.
+		t.PerSecond = part / 2 / b.Window.Seconds()
 		return t
 	}
-	return Terms{PerRequest: b.Ratio * usedRatioShare, PerSecond: perSecond, Limit: limit}
+	limit := max(1, b.Extra*usedBurstShare/n)
+	return Terms{PerRequest: b.Ratio * usedRatioShare, PerSecond: (part - limit) / b.Window.Seconds(), Limit: limit}
 }
 
 // NonOwnerTerms returns the terms of a non-owner.
@@ -129,13 +132,13 @@
 }
 
 // WithRetry returns b after one retry and reports whether the budget allowed it. draw is a
-// random number from 0 to 1, which decides about a part of a retry; see Terms.Limit.
+// random number from 0 to 1, which decides about a part of a retry; see Terms.Decay.
 func (b Budget) WithRetry(t Terms, draw float64) (Budget, bool) {
 	if b.Left >= 1 {
 		b.Left--
 		return b, true
 	}
-	if t.Limit > 1 {
+	if t.Decay == 0 {
 		return b, false
 	}
 	// The part is used up in any case, so that many draws yield as many retries as were earned.
--- a/retrier/budget_test.go
+++ b/retrier/budget_test.go
@@ -18,7 +18,7 @@
 		"burst":  func(s int) int { return 20 + 300*(s/15%2) },
 	}
 	for name, load := range loads {
-		for _, instances := range []int{1, 6, 16} {
+		for _, instances := range []int{1, 6, 16, 40, 100} {
 			t.Run(name, func(t *testing.T) {
 				requests, retries := simulate(bounds, instances, load)
 				for end := 20; end < len(requests); end++ {
@@ -34,6 +34,7 @@
 func simulate(bounds Bounds, instances int, load func(int) int) (requests, retries []int) {
 	terms := bounds.OwnerTerms(instances, 1)
 	budgets := make([]Budget, instances)
+	random := rand.New(rand.NewPCG(1, uint64(instances)))
 	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
 	for second := range 90 {
 		n, spent := load(second), 0
@@ -44,7 +45,7 @@
 		for k := range budgets {
 			budgets[k] = budgets[k].WithTime(now.Add(time.Second), terms)
 			for ok := true; ok; {
-				if budgets[k], ok = budgets[k].WithRetry(terms, 1); ok {
+				if budgets[k], ok = budgets[k].WithRetry(terms, random.Float64()); ok {
 					spent++
 				}
 			}
