--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -41,11 +41,10 @@
 	b.admit(r)
 }
 
+// classIndex returns the index of a class, or -1.
 func (b *Balancer[E, D, P, L]) classIndex(name string) int {
-	for i := range b.classes {
-		if b.classes[i].declared.Name == name {
-			return i
-		}
+	if c, ok := b.classPositions[name]; ok {
+		return c
 	}
 	return -1
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -93,11 +93,12 @@
 	service  declarer.Service
 	revision uint64
 	// classes has an entry for each class that was ever declared. references and
-	// queues are indexed like classes.
-	classes    []class
-	references []detector.Reference
-	queues     []*container.FairQueue[string, descriptor.RequestID]
-	queued     int
+	// queues are indexed like classes. classPositions holds the index of each name.
+	classes        []class
+	classPositions map[string]int
+	references     []detector.Reference
+	queues         []*container.FairQueue[string, descriptor.RequestID]
+	queued         int
 	// pooled is the service-time distribution over all short classes. It replaces the
 	// distribution of a class with few observations.
 	pooled detector.Reference
@@ -222,6 +223,7 @@
 		unsentOutcomes: container.NewTable[string, descriptor.BackendOutcomes](),
 		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
 		marks:          make(map[uint64]string),
+		classPositions: make(map[string]int),
 		crashes:        o.Crashes,
 		unanswered:     container.NewRing[unanswered](maxUnanswered),
 	}
@@ -236,13 +238,13 @@
 // requests but keeps its entry, so that positions never change.
 func (b *Balancer[E, D, P, L]) Declare(s declarer.Service, revision uint64) {
 	for c := range b.classes {
-		_, ok := s.Class(b.classes[c].declared.Name)
-		b.classes[c].retired = !ok
+		b.classes[c].retired = true
 	}
 	for _, declared := range s.Classes {
 		c := b.classIndex(declared.Name)
 		if c < 0 {
 			c = len(b.classes)
+			b.classPositions[declared.Name] = c
 			b.classes = append(b.classes, class{})
 			b.references = append(b.references, detector.Reference{})
 			b.queues = append(b.queues, container.NewFairQueue[string, descriptor.RequestID]())
--- a/balancer/routed_test.go
+++ b/balancer/routed_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -252,3 +253,15 @@
 		asserter.Equal(t, "open requests", b.Open(), 0)
 	})
 }
+
+// BenchmarkDeclare declares a service with the routes of a large routing.
+func BenchmarkDeclare(b *testing.B) {
+	s := declarer.Service{Name: "billing"}
+	for i := range 1400 {
+		s.Classes = append(s.Classes, declarer.Class{Name: fmt.Sprintf("route-%d", i), Target: replayTarget})
+	}
+	x := newPooledBalancer(Options{Self: "entry-0"}, []descriptor.Member{{ID: "entry-0"}}, backendList(3, 3))
+	for b.Loop() {
+		x.Declare(s, 1)
+	}
+}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -373,8 +373,12 @@
 		d.refuse(e, d.refusalReason(declared), descriptor.NotRun, 0)
 		return
 	}
+	if d.options.Routing {
+		d.admit(e, s)
+		return
+	}
 	class, ok := declared.Class(e.Class)
-	if !ok || class.Idempotent || d.options.Routing {
+	if !ok || class.Idempotent {
 		d.admit(e, s)
 		return
 	}
