--- a/decider/decider.go
+++ b/decider/decider.go
@@ -217,18 +217,8 @@
 	switch e := event.(type) {
 	case descriptor.Arrived:
 		d.arrive(e)
-	case descriptor.Sent:
-		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Sent(e) })
-	case descriptor.Answered:
-		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Answered(e) })
-	case descriptor.Finished:
-		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Finished(e) })
-	case descriptor.Failed:
-		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Failed(e) })
-	case descriptor.CallerGone:
-		d.callerGone(e)
-	case descriptor.Unlocated:
-		d.traceUnlocated(e)
+	case descriptor.Sent, descriptor.Answered, descriptor.Finished, descriptor.Failed, descriptor.CallerGone, descriptor.Unlocated:
+		d.stepRequest(event)
 	case descriptor.Probed:
 		d.onService(e.Service, func(s *balancer.Balancer[E, D, P, L]) { s.Probed(e) })
 	case descriptor.Ticked:
@@ -253,6 +243,24 @@
 	return d.actions
 }
 
+// stepRequest handles an event of a request that arrived before.
+func (d *Decider[E, D, P, L]) stepRequest(event descriptor.Event) {
+	switch e := event.(type) {
+	case descriptor.Sent:
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Sent(e) })
+	case descriptor.Answered:
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Answered(e) })
+	case descriptor.Finished:
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Finished(e) })
+	case descriptor.Failed:
+		d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Failed(e) })
+	case descriptor.CallerGone:
+		d.callerGone(e)
+	case descriptor.Unlocated:
+		d.traceUnlocated(e)
+	}
+}
+
 // applySettings puts changed settings in force.
 func (d *Decider[E, D, P, L]) applySettings(e descriptor.SettingsChanged) {
 	d.options.Grace = e.Grace
--- a/forwarder/relocate_test.go
+++ b/forwarder/relocate_test.go
@@ -24,7 +24,7 @@
 	if e.Service == c.takes {
 		return c.singleBackend.Open(e)
 	}
-	c.singleBackend.Post(e)
+	c.Post(e)
 	c.onRelocate()
 	answers := make(chan descriptor.RequestAction, 1)
 	answers <- descriptor.Relocate{Request: e.Request}
