Test: wait until the connection is being closed

The product waits for handlers first, by the listener's shutdown. Change: the test waits for the connection to be taken over; its bounds stay.

--- a/forwarder/closing_test.go
+++ b/forwarder/closing_test.go
@@ -87,6 +87,13 @@
 	k := x.dialRaw(t)
 	k.write("GET /a HTTP/1.1\r\nHost: ledger.example\r\n\r\n")
 	k.answer()
+	// The caller has the answer a moment before its connection is taken over; a shutdown of the
+	// listener waits for that.
+	asserter.Eventually(t, "the connection is being closed", closeTimeout, func() bool {
+		x.forwarder.closer.mu.Lock()
+		defer x.forwarder.closer.mu.Unlock()
+		return x.forwarder.closer.open == 1
+	})
 	started := time.Now()
 	time.AfterFunc(200*time.Millisecond, func() { _ = k.conn.Close() })
 	x.forwarder.WaitClosed(t.Context())
