--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -228,7 +228,7 @@
 		unanswered:     container.NewRing[unanswered](maxUnanswered),
 	}
 	b.heard = 1
-	b.terms = o.terms(0, -1, b.heard)
+	b.updateTerms()
 	b.candidate = func(i int) picker.Candidate { return b.candidateAt(&b.preferred, i) }
 	b.Declare(s, 0)
 	return b
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -148,7 +148,7 @@
 	if same {
 		return
 	}
-	b.terms = b.options.terms(len(owners), position, b.heard)
+	b.updateTerms()
 	b.recomputeShares()
 	b.startQueued()
 }
@@ -169,17 +169,22 @@
 	return slices.EqualFunc(a, b, func(x, y descriptor.Member) bool { return x.ID == y.ID })
 }
 
+// updateTerms computes how the retry budget grows from what it depends on.
+func (b *Balancer[E, D, P, L]) updateTerms() {
+	b.terms = b.options.terms(len(b.owners), b.position, b.heard)
+}
+
 // SetRetries sets the bounds on the retries of all instances together.
 func (b *Balancer[E, D, P, L]) SetRetries(bounds retrier.Bounds) {
 	b.options.Retries = bounds
-	b.terms = b.options.terms(len(b.owners), b.position, b.heard)
+	b.updateTerms()
 }
 
 // SetHeard sets the share of the fleet that this instance hears of, over 0 and at most 1. The
 // others may be cut off from this instance only, and send retries of their own.
 func (b *Balancer[E, D, P, L]) SetHeard(share float64) {
 	b.heard = share
-	b.terms = b.options.terms(len(b.owners), b.position, b.heard)
+	b.updateTerms()
 }
 
 // shareRetention is how long a former owner keeps its share. The other instances may
