Carry each identifier of a request once on a connection

Cause: attempts of one request bear the caller's identifier, and an answer on a reused connection was matched by it alone. The balancer sends a request to each backend server once, by ID; the connections are kept by address. Where one process stands behind two IDs (a restart under a new one, the entry of its predecessor beside its own), the same request came again to the connection that had refused it, and a copy of that refusal passed for its answer.

Change: a connection remembers the identifiers that it carried. A request that it must not carry again closes it before a byte is written and goes on another one.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -31,6 +31,8 @@
 	expectedID string
 	// reused is set if the connection had carried other requests.
 	reused atomic.Bool
+	// withheld is set if the request was not sent because the connection must not carry it.
+	withheld atomic.Bool
 	// wholeRead is set before the last byte of an answer of known length is written to
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
@@ -47,11 +49,7 @@
 // run sends the request and posts the result.
 func (t *attempt) run() {
 	s := t.session
-	service := s.forwarder.nonIdempotentClient
-	if s.class.Idempotent {
-		service = s.forwarder.idempotentClient
-	}
-	response, err := service.DoRequest(t.request())
+	response, err := t.send()
 	if err != nil {
 		t.fail(err)
 		return
@@ -80,6 +78,25 @@
 	})
 }
 
+// send sends the request and returns the answer. It sends it on another connection if the first
+// one must not carry it. Each connection that must not is closed, so that a new one follows.
+func (t *attempt) send() (*http.Response, error) {
+	service := t.session.forwarder.nonIdempotentClient
+	if t.session.class.Idempotent {
+		service = t.session.forwarder.idempotentClient
+	}
+	for {
+		t.withheld.Store(false)
+		response, err := service.DoRequest(t.request())
+		if err == nil || !t.withheld.Load() {
+			return response, err
+		}
+		if t.body != nil {
+			t.body.stop()
+		}
+	}
+}
+
 // fault returns the fault that the head of an answer indicates, and false if there
 // is none.
 func (h Head) fault() (descriptor.Fault, bool) {
@@ -173,12 +190,22 @@
 	return h
 }
 
-// gotConn is called by net/http when a request gets a connection. net/http resends an
+// gotConn is called by net/http when a request gets a connection, before it is sent. It closes
+// a connection that must not carry the request: then nothing is sent. net/http resends an
 // idempotent request by itself when a reused connection breaks. This is correct if the
 // connection was idle for longer than FreshTime and the backend server closed it
 // meanwhile. Otherwise the request may have crashed the backend server, so the attempt
 // is cancelled and its failure is posted to the control goroutine.
 func (t *attempt) gotConn(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*connection); ok {
+		withheld := !c.carry(t.expectedID)
+		t.withheld.Store(withheld)
+		if withheld {
+			t.session.forwarder.recorder.Withhold()
+			_ = c.Close()
+			return
+		}
+	}
 	t.reused.Store(info.Reused)
 	if t.connectionsUsed.Add(1) == 1 {
 		t.firstIdleNanos.Store(int64(info.IdleTime))
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -48,8 +48,9 @@
 	Reused bool
 }
 
-// Matches reports whether an answer with an identifier belongs to the request. An answer
-// without one belongs to it only if no other request used the connection.
+// Matches reports whether an answer with an identifier belongs to the request. It does if the
+// identifiers are equal, because a connection carries each of them once. An answer without one
+// belongs to the request only if no other request used the connection.
 func (e Expected) Matches(id string) bool {
 	if id == "" {
 		return !e.Reused
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -114,7 +114,7 @@
 
 func newClient(dialer *net.Dialer, idle time.Duration) httpc.Service {
 	transport := &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialConnections(dialer),
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		IdleConnTimeout:        idle,
 		DisableCompression:     true,
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -32,6 +32,8 @@
 	faults   metrics.Counter
 	// mismatches counts the answers that belonged to other requests.
 	mismatches metrics.Counter
+	// withheld counts the connections that were closed because they must not carry a request.
+	withheld metrics.Counter
 	// relocations counts how often a request was located anew, because the configuration
 	// changed before it was decided upon.
 	relocations metrics.Counter
@@ -46,6 +48,7 @@
 	r.attempts = metrics.NewCounter()
 	r.faults = metrics.NewCounter()
 	r.mismatches = metrics.NewCounter()
+	r.withheld = metrics.NewCounter()
 	r.relocations = metrics.NewCounter()
 	r.bytes = metrics.NewCounter()
 	r.register("served", r.served)
@@ -53,6 +56,7 @@
 	r.register("attempts", r.attempts)
 	r.register("faults", r.faults)
 	r.register("mismatches", r.mismatches)
+	r.register("withheld", r.withheld)
 	r.register("relocations", r.relocations)
 	r.register("bytes", r.bytes)
 	for _, reason := range descriptor.Reasons() {
@@ -97,6 +101,9 @@
 // Mismatch counts an answer that belonged to another request than the one waiting.
 func (r *Recorder) Mismatch() { r.mismatches.Inc(1) }
 
+// Withhold counts a connection that was closed because it must not carry a request.
+func (r *Recorder) Withhold() { r.withheld.Inc(1) }
+
 // Relocate counts a request that is located anew.
 func (r *Recorder) Relocate() { r.relocations.Inc(1) }
 
