Answer 502 where a backend server's status promises what it did not state

Callers were told 408, 429 or 503 for non-idempotent work that had run: to them these statuses promise that it did not, whoever answers, and they send it again.

Cause: the instance read 'did not run' from the header alone, but delivered the status of an answer without that header unchanged.

Change: the dialect tells that the status promises what is not stated. For non-idempotent work the attempt then failed and may have run, so that the caller gets 502; its load, limit and pause still count. Idempotent work is delivered or sent again as before.

That a backend server of the operators answers so was not seen.

--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -178,6 +178,8 @@
 		b.rememberUnanswered(r, a)
 		s = b.observe(s, r.class, a, true)
 	case descriptor.FaultStatus:
+		s = s.WithLoad(e.Load, e.At)
+		s = b.recordLimit(s, e.Limit, a.sentAt)
 		s = b.observe(s, r.class, a, true)
 	}
 	b.putBackend(p, s)
--- a/descriptor/enums.go
+++ b/descriptor/enums.go
@@ -114,7 +114,8 @@
 	// FaultRequestBody means that the body of the caller's request could not be read
 	// completely.
 	FaultRequestBody
-	// FaultStatus means that the response had a 5xx status.
+	// FaultStatus means that the response had a 5xx status, or one that tells callers of
+	// non-idempotent work that it did not run although the backend server did not state that.
 	FaultStatus
 	// FaultWrongBackend means that a different backend server answered at the address
 	// and did not run the work.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -55,7 +55,7 @@
 		return
 	}
 	head := s.forwarder.dialect.ParseHead(response, Expected{ID: t.expectedID, Reused: t.reused.Load()})
-	if fault, ok := head.fault(); ok {
+	if fault, ok := head.fault(s.class.Idempotent); ok {
 		if head.Mismatched {
 			// The answer may be old, so its load and health are not used.
 			head = Head{Mismatched: true}
@@ -97,9 +97,9 @@
 	}
 }
 
-// fault returns the fault that the head of an answer indicates, and false if there
-// is none.
-func (h Head) fault() (descriptor.Fault, bool) {
+// fault returns the fault that the head of an answer to idempotent or other work indicates, and
+// false if there is none.
+func (h Head) fault(idempotent bool) (descriptor.Fault, bool) {
 	switch {
 	case h.Mismatched:
 		return descriptor.FaultBroken, true
@@ -107,6 +107,9 @@
 		return descriptor.FaultWrongBackend, true
 	case h.NotRun:
 		return descriptor.FaultShed, true
+	case h.Unstated && !idempotent:
+		// Delivered, it could make the caller send work again that ran.
+		return descriptor.FaultStatus, true
 	}
 	return 0, false
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -65,6 +65,9 @@
 	// Foreign reports whether another backend server answered at the address; the
 	// work did not run.
 	Foreign bool
+	// Unstated reports whether the status tells callers that the work did not run, which the
+	// backend server did not state.
+	Unstated bool
 	// Mismatched reports whether the answer belongs to another request.
 	Mismatched bool
 	// Pause is how long the backend server wants no requests of this instance; 0 means
--- a/platform_test.go
+++ b/platform_test.go
@@ -268,24 +268,16 @@
 // drain or have moved: no request is lost or runs twice.
 func TestPlatformBackends(t *testing.T) {
 	f := newPlatformFleet(t, 3, 5)
-	runs := func() (total, maximum int) {
-		for _, b := range f.backends {
-			n, m := b.counts()
-			total += n
-			maximum = max(maximum, m)
-		}
-		return total, maximum
-	}
 	t.Run("shed requests did not run and are served by other backend servers", func(t *testing.T) {
 		// A started instance has an empty retry budget, which grows with time.
 		time.Sleep(2 * time.Second)
-		before, _ := runs()
+		before, _ := f.counts()
 		f.backends[0].set(func(b *platformBackend) { b.shed = true })
 		for i := range 40 {
 			status, _ := f.send(f.instances[i%3], "POST", "ledger.example", "/once/a", "work")
 			asserter.Equal(t, "status", status, 200)
 		}
-		after, _ := runs()
+		after, _ := f.counts()
 		asserter.Equal(t, "runs", after-before, 40)
 		f.backends[0].set(func(b *platformBackend) { b.shed = false })
 	})
@@ -297,7 +289,7 @@
 		}
 		after, _ := f.backends[1].counts()
 		asserter.AtMost(t, "requests at the gray backend server, of 150", after-before, 15)
-		_, maximum := runs()
+		_, maximum := f.counts()
 		asserter.Equal(t, "runs of one request", maximum, 1)
 		f.backends[1].set(func(b *platformBackend) { b.gray = false })
 	})
--- a/standin_test.go
+++ b/standin_test.go
@@ -169,6 +169,8 @@
 	// gray makes all requests fail immediately with status 500; shed makes it
 	// refuse all requests as not run.
 	gray, shed bool
+	// status is the status of the answer to requests that ran; 0 means 200.
+	status int
 	// serviceTime is how long a request runs.
 	serviceTime time.Duration
 	// last is the start of the last request that ran.
@@ -237,7 +239,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	b.mu.Lock()
-	gray, shed, serviceTime := b.gray, b.shed, b.serviceTime
+	gray, shed, status, serviceTime := b.gray, b.shed, b.status, b.serviceTime
 	if !shed {
 		b.runs[id]++
 		b.last = time.Now()
@@ -255,6 +257,9 @@
 		return
 	}
 	time.Sleep(serviceTime)
+	if status != 0 {
+		w.WriteHeader(status)
+	}
 	fmt.Fprintf(w, "%s %s by %s", r.Method, r.URL.Path, b.service)
 }
 
