Log messages of libraries as numbered, bounded events

net/http writes a line to the standard log for each answer that a backend server writes twice on an idle connection. These lines had no number, no bound, and went to standard error directly, where a reader that stops would block connections.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
@@ -34,6 +35,8 @@
 		return eris.Wrapf(configurer.ErrInvalid, "%v", err)
 	}
 	defer l.Close()
+	log.SetFlags(0)
+	log.SetOutput(l.Libraries())
 	stop := stopper.New()
 	s, err := server.New(settings, l)
 	if err != nil {
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -10,6 +10,7 @@
 	NoteLoad             = 1006
 	NoteReloaded         = 1007
 	NoteReloadFailed     = 1008
+	NoteLibrary          = 1009
 	NoteRevision         = 2001
 	NoteStoreUnreachable = 2002
 	NoteStoreReachable   = 2003
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -30,6 +30,7 @@
 	descriptor.NoteLoad:             {logrus.InfoLevel, "instance load"},
 	descriptor.NoteReloaded:         {logrus.InfoLevel, "settings reloaded"},
 	descriptor.NoteReloadFailed:     {logrus.ErrorLevel, "settings not reloaded"},
+	descriptor.NoteLibrary:          {logrus.WarnLevel, "library message"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
