Distrust an answer whose head holds a second status line

Cause: a backend server may send bytes behind a complete answer. If these are the beginning of a copy without its line end, the status line of the next answer joins the last of its lines. net/http takes that for one head, with the status of the copy and the identifier of the answer.

Change: on a reused connection such a head is that of another request, so the attempt is broken, the connection is closed, and nothing of the head is used.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -55,6 +55,9 @@
 		return
 	}
 	head := s.forwarder.dialect.ParseHead(response, Expected{ID: t.expectedID, Reused: t.reused.Load()})
+	if t.reused.Load() && hasSecondStatusLine(response) {
+		head.Mismatched = true
+	}
 	if fault, ok := head.fault(s.class.Idempotent); ok {
 		if head.Mismatched {
 			// The answer may be old, so its load and health are not used.
