Take no answer from a connection that must not carry the request

Cause: a connection that must not carry a request is closed before a byte is written, but net/http may hand over what it had read there just before, and the attempt took that for its answer: an answer without an identifier was delivered, a copy of a refusal used up a try.

Change: whatever comes back while the request is withheld is closed, and the request goes on another connection.

Before: TestAnswerOfWithheldRequest, three of three kinds: 'refusals: got 2, want 1', 'status: got 500, want 200', 'body: got other, want ran'. After: passes, three times.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -91,9 +91,13 @@
 	for {
 		t.withheld.Store(false)
 		response, err := service.DoRequest(t.request())
-		if err == nil || !t.withheld.Load() {
+		if !t.withheld.Load() {
 			return response, err
 		}
+		if err == nil {
+			// It was read before the connection was closed, and answers an earlier request.
+			_ = response.Body.Close()
+		}
 		if t.body != nil {
 			t.body.stop()
 		}
