Keep work that arrived as non-idempotent from running twice

Cause: whether an open request may be sent again was asked of the declaration in force. One that calls its class idempotent while the request is open let it run at a second backend server.

Change: a request remembers that it was not idempotent when it arrived. Retries, hedges, checks and the last resort ask one function, repeatable.

Before: TestKindChangesWhileOpen 'times sent after it may have run: got 1, want 0'.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -38,6 +38,7 @@
 		b.refuse(r, reason, descriptor.NotRun, retry)
 		return
 	}
+	r.once = !b.classes[r.class].declared.Idempotent
 	b.admit(r)
 }
 
@@ -231,10 +232,7 @@
 // mayUseLastResort reports whether r may go to a suspected backend server: work that
 // can be retried may, and all work may if every backend server is suspected.
 func (b *Balancer[E, D, P, L]) mayUseLastResort(r request) bool {
-	if b.classes[r.class].declared.Idempotent && r.replayable {
-		return true
-	}
-	return b.unsuspected == 0
+	return b.repeatable(r) || b.unsuspected == 0
 }
 
 // pickFrom returns the position of a member of set that may take r, or -1.
--- a/balancer/place.go
+++ b/balancer/place.go
@@ -195,7 +195,7 @@
 
 // repeatable reports whether r may run more than once.
 func (b *Balancer[E, D, P, L]) repeatable(r request) bool {
-	return b.classes[r.class].declared.Idempotent && r.replayable
+	return !r.once && b.classes[r.class].declared.Idempotent && r.replayable
 }
 
 // reportsFull reports whether a backend server that refused work had no free slot by
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -37,10 +37,13 @@
 	// content is a hash of the body, or 0 if it is not known.
 	content    uint64
 	replayable bool
-	body       bool
-	size       int64
-	deadline   time.Time
-	arrived    time.Time
+	// once is set if the work was not idempotent when it arrived. A later declaration may call
+	// its class idempotent.
+	once     bool
+	body     bool
+	size     int64
+	deadline time.Time
+	arrived  time.Time
 	// expires is when the request is refused if it is still queued.
 	expires time.Time
 	// attempts holds the open attempts in its first count entries.
--- a/balancer/tick.go
+++ b/balancer/tick.go
@@ -295,7 +295,7 @@
 
 func (b *Balancer[E, D, P, L]) hedgeable(r request) bool {
 	declared := b.classes[r.class].declared
-	if !declared.Idempotent || declared.Long || !r.replayable || r.delivered != 0 {
+	if !b.repeatable(r) || declared.Long || r.delivered != 0 {
 		return false
 	}
 	if r.count != 1 || b.exhausted(r) || r.attempts[0].sentAt.IsZero() {
