Client: send work that is neither repeatable nor keyed once

Cause: net/http sends a GET, HEAD, OPTIONS or TRACE without a body again by itself when a reused connection breaks, also where the work may run once only. If the second connection failed, its dial error was taken as 'nothing was sent', and a third request went to the next instance.

Change: such work has an empty body that can't be read again, as the forwarder's attempts have.

Before: TestBrokenWorkIsSentOnce 'requests that arrived: got 2, want 1' and 'the work ends with an error: got false', both cases of GET. After: passes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -289,6 +289,8 @@
 	var body io.Reader
 	if w.Body != nil {
 		body = io.NopCloser(w.Body())
+	} else if !w.Repeatable && !w.Keyed {
+		body = forwarder.EmptyOnceBody{}
 	}
 	r, err := http.NewRequestWithContext(ctx, w.Method, "http://"+address+w.Path, body)
 	if err != nil {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -156,23 +156,23 @@
 		r.Body = t.body
 	case !s.class.Idempotent:
 		r.ContentLength = 0
-		r.Body = emptyOnceBody{}
+		r.Body = EmptyOnceBody{}
 	default:
 		r.ContentLength = 0
 	}
 	return r.WithContext(httptrace.WithClientTrace(t.ctx, &httptrace.ClientTrace{GotConn: t.gotConn}))
 }
 
-// emptyOnceBody is an empty body that can't be read again. It prevents net/http from
+// EmptyOnceBody is an empty body that can't be read again. It prevents net/http from
 // resending a request whose method is idempotent by HTTP semantics: the idempotency of
 // the request's class takes precedence over its method.
-type emptyOnceBody struct{}
+type EmptyOnceBody struct{}
 
 // Read implements io.Reader.
-func (emptyOnceBody) Read([]byte) (int, error) { return 0, io.EOF }
+func (EmptyOnceBody) Read([]byte) (int, error) { return 0, io.EOF }
 
 // Close implements io.Closer.
-func (emptyOnceBody) Close() error { return nil }
+func (EmptyOnceBody) Close() error { return nil }
 
 // target returns the URL of the request. Its path and query equal those that the
 // caller sent, byte for byte.
