Bound the memory of all uploads together

A body takes 64 KiB or its length while it is passed on; if that is not left the request is refused as uploads-full, not run, before anything is sent. A reader takes the memory for its next read before it reads, and gives the buffer up if there is none; reading ahead stops instead. A body of known length is promised to second attempts only if the memory for all of it was taken on arrival. Metrics: uploads.limitbytes, uploads.heldbytes, uploads.unbuffered, and the ended requests by reason.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -64,6 +64,8 @@
 		return descriptor.Poisoned, 0
 	case b.backends.Len() == 0:
 		return descriptor.NoBackend, retryAfter
+	case e.NoMemory:
+		return descriptor.UploadsFull, retryAfter
 	case b.queued >= maxQueued:
 		return descriptor.Overloaded, retryAfter
 	}
--- a/configurer/limits.go
+++ b/configurer/limits.go
@@ -17,6 +17,8 @@
 type Limits struct {
 	// HeadBytes bounds the head of a request in bytes.
 	HeadBytes int
+	// UploadBytes bounds the memory of all uploads together, in bytes.
+	UploadBytes int
 	// HeadTimeout bounds the time for reading the head of a request.
 	HeadTimeout time.Duration
 	// IdleTimeout bounds the time between requests of a connection.
@@ -39,6 +41,7 @@
 func loadLimits(s *parser.Section, all *Settings) {
 	all.Limits = Limits{
 		HeadBytes:      s.IntIn("headbytes", 64<<10, 1<<10, 1<<20),
+		UploadBytes:    s.IntIn("uploadbytes", 32<<20, 1<<20, 1<<30),
 		HeadTimeout:    s.DurationIn("headtimeout", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
 		IdleTimeout:    s.DurationIn("idletimeout", 2*time.Minute, time.Second, time.Hour),
 		StallTimeout:   s.DurationIn("stalltimeout", time.Minute, time.Second, time.Hour),
--- a/descriptor/enums.go
+++ b/descriptor/enums.go
@@ -53,6 +53,8 @@
 	Abandoned
 	Starting
 	Unsupported
+	// UploadsFull means that the instance has no memory left to pass the body on.
+	UploadsFull
 	reasonCount
 )
 
@@ -78,6 +80,7 @@
 	Abandoned:        "abandoned",
 	Starting:         "starting",
 	Unsupported:      "unsupported",
+	UploadsFull:      "uploads-full",
 }
 
 // String returns the name used in responses to callers and in reports.
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -25,6 +25,8 @@
 	Content uint64 `json:",omitempty"`
 	// Replayable reports whether the request can be sent more than once.
 	Replayable bool
+	// NoMemory reports whether the instance has no memory left to pass the body on.
+	NoMemory bool `json:",omitempty"`
 	// Body reports whether the request has a body.
 	Body bool
 	// Size is the length of the body in bytes, or negative if it is unknown.
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -30,6 +30,8 @@
 	errAttemptEnded = eris.New("attempt has ended")
 	// errBodyGone reports that bytes of the body were read by another attempt and not kept.
 	errBodyGone = eris.New("body can't be sent again")
+	// errUploadsFull reports that there is no memory for reading ahead.
+	errUploadsFull = eris.New("no memory left for uploads")
 )
 
 // callerBody is the body of a caller's request. It buffers up to maxBufferedBytes, so
@@ -40,6 +42,14 @@
 	source       io.Reader
 	controller   *http.ResponseController
 	stallTimeout time.Duration
+	// length is the number of bytes of the body, or negative if it is unknown.
+	length  int64
+	uploads *uploads
+	// passed is the number of bytes taken from uploads for passing the body on.
+	passed int
+	// promised is set if the memory for the whole body was taken when it was admitted. The body
+	// can be sent again until the request ends then, also by several attempts at once.
+	promised bool
 
 	// whole is set once the end of the body was read. The caller's connection can carry
 	// another request only then.
@@ -62,6 +72,11 @@
 	// buffered holds all of them, unless overflowed is set.
 	buffered   []byte
 	overflowed bool
+	// held is the number of bytes taken from uploads for buffered. The capacity of buffered is no
+	// larger, and what a read in progress may bring has room in held, unless overflowed is set.
+	held int
+	// closed is set when the request has ended. Nothing is held then.
+	closed bool
 	// end is the error with which the source ended; nil until then.
 	end error
 }
@@ -74,9 +89,78 @@
 		source:       s.r.Body,
 		controller:   http.NewResponseController(s.w),
 		stallTimeout: s.forwarder.options.StallTimeout,
+		length:       s.r.ContentLength,
+		uploads:      s.forwarder.uploads,
 	}
 }
 
+// admit takes the memory for passing the body on, and for sending it again if its length is known
+// and it fits. It reports false if there is no memory for passing it on. It is called once, before
+// the body is read.
+func (b *callerBody) admit() bool {
+	if b == nil {
+		return true
+	}
+	needed := b.bounded(passedBytes)
+	if !b.uploads.takeNeeded(needed) {
+		return false
+	}
+	b.passed = needed
+	if b.length > 0 && b.length <= maxBufferedBytes && b.uploads.takeOptional(int(b.length)) {
+		b.held, b.promised = int(b.length), true
+	}
+	return true
+}
+
+// close returns all memory of the body. Reading it must have ended.
+func (b *callerBody) close() {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	b.closed = true
+	b.giveUpBuffer()
+	b.uploads.put(b.passed)
+}
+
+// giveUpBuffer returns the memory of the buffer. mu is held.
+func (b *callerBody) giveUpBuffer() {
+	b.overflowed, b.buffered = true, nil
+	b.uploads.put(b.held)
+	b.held = 0
+}
+
+// bounded returns n, or the length of the body if that is less: the source yields no more.
+func (b *callerBody) bounded(n int) int {
+	if b.length < 0 {
+		return n
+	}
+	return int(min(int64(n), b.length))
+}
+
+// makeRoom makes room in the buffer for n more bytes. It reports false, and changes nothing, if
+// there is no memory for that. mu is held.
+func (b *callerBody) makeRoom(n int) bool {
+	size := b.bounded(len(b.buffered) + n)
+	if size > b.held {
+		// The old buffer is held until its bytes are copied.
+		size = max(size, b.bounded(min(2*b.held, maxBufferedBytes+n)))
+		if !b.uploads.takeOptional(size) {
+			return false
+		}
+		defer b.uploads.put(b.held)
+		b.held = size
+	}
+	if cap(b.buffered) < b.held {
+		b.buffered = append(make([]byte, 0, b.held), b.buffered...)
+	}
+	return true
+}
+
 // replayable reports whether the body can be sent again from its start. It stays so until a
 // reader that has not ended reads on.
 func (b *callerBody) replayable() bool {
@@ -104,12 +188,12 @@
 	return xxhash.Sum64(b.buffered)
 }
 
-// readAhead buffers the body until its end, or until the buffer is full, reading fails or the
-// deadline passes. A zero deadline means that there is none. No attempt may read yet.
+// readAhead buffers the body until its end, or until the buffer is full, there is no memory for
+// more, reading fails or the deadline passes. A zero deadline means that there is none. No attempt may read yet.
 func (b *callerBody) readAhead(deadline time.Time) {
 	chunk := buffers.Get().(*[]byte)
 	defer buffers.Put(chunk)
-	ahead := bodyReader{body: b}
+	ahead := bodyReader{body: b, ahead: true}
 	for left := maxBufferedBytes; left > 0 && (deadline.IsZero() || time.Now().Before(deadline)); {
 		n, err := ahead.Read((*chunk)[:min(left, len(*chunk))])
 		if err != nil {
@@ -158,6 +242,9 @@
 	offset int
 	// ended is set when the attempt that reads has ended. It is guarded by mu of the body.
 	ended bool
+	// ahead is set if no attempt reads. What was read can't be given up then, since no attempt has
+	// sent it.
+	ahead bool
 }
 
 // stop ends the reading. What a read in progress takes from the source is kept for other
@@ -178,7 +265,7 @@
 	b.reading.Lock()
 	defer b.reading.Unlock()
 	// Another reader may have read on meanwhile.
-	if n, err := r.readBuffered(p); n > 0 || err != nil {
+	if n, err := r.prepare(p); n > 0 || err != nil {
 		return n, err
 	}
 	if !b.setDeadline(time.Now().Add(b.stallTimeout)) {
@@ -198,9 +285,38 @@
 
 // readBuffered reads from the buffer. It returns 0 and nil if the source must be read.
 func (r *bodyReader) readBuffered(p []byte) (int, error) {
+	r.body.mu.Lock()
+	defer r.body.mu.Unlock()
+	return r.copyBuffered(p)
+}
+
+// prepare reads from the buffer, or makes room in it for what the source may yield. If there is no
+// memory for that, it gives the buffer up, or returns errUploadsFull when reading ahead. It returns
+// 0 and nil if the source must be read.
+func (r *bodyReader) prepare(p []byte) (int, error) {
 	b := r.body
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if n, err := r.copyBuffered(p); n > 0 || err != nil {
+		return n, err
+	}
+	switch {
+	case b.closed:
+		return 0, errBodyReleased
+	case b.overflowed || b.makeRoom(len(p)):
+	case r.ahead:
+		return 0, errUploadsFull
+	default:
+		// The attempt that reads has not ended, so no other one was promised the body.
+		b.giveUpBuffer()
+		b.uploads.unbuffered.Add(1)
+	}
+	return 0, nil
+}
+
+// copyBuffered is readBuffered while mu of the body is held.
+func (r *bodyReader) copyBuffered(p []byte) (int, error) {
+	b := r.body
 	switch {
 	case r.ended:
 		return 0, errAttemptEnded
@@ -227,7 +343,7 @@
 		return
 	}
 	if len(b.buffered)+len(data) > maxBufferedBytes && !r.ended {
-		b.overflowed, b.buffered = true, nil
+		b.giveUpBuffer()
 		return
 	}
 	b.buffered = append(b.buffered, data...)
--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"monsoonswitch/asserter"
+	"monsoonswitch/recorder"
 )
 
 // scheduledSource yields a body in parts of random sizes, after random pauses.
@@ -52,14 +53,41 @@
 	return n, nil
 }
 
-// checkSchedule reads a body by attempts that end at random, each begun only while the body can be
-// sent again, and compares what each one got with the body.
+// checkSchedule reads some bodies at once, whose memory comes from one account. Nothing is held once
+// all of them have ended.
 func checkSchedule(t *testing.T, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	limits := []int{passedBytes, 4 * passedBytes, 1 << 20, 3 << 20, 64 << 20}
+	limit := limits[random.IntN(len(limits))]
+	u := newUploads(limit, recorder.New())
+	var bodies sync.WaitGroup
+	for i := range uint64(1 + random.IntN(4)) {
+		bodies.Go(func() { checkBody(t, 10*seed+i, u, limit) })
+	}
+	bodies.Wait()
+	asserter.Equal(t, fmt.Sprintf("seed %d: bytes held at the end", seed), u.held(), 0)
+}
+
+// checkBody reads a body by attempts that end at random, each begun only while the body can be
+// sent again, and compares what each one got with the body. Attempts at a body that is promised may
+// go on beside later ones.
+func checkBody(t *testing.T, seed uint64, u *uploads, limit int) {
 	random := rand.New(rand.NewPCG(seed, 1))
 	sizes := []int{1, 100, maxBufferedBytes - 1, maxBufferedBytes, maxBufferedBytes + 1, 3 << 20}
 	want := randomBody(seed, sizes[random.IntN(len(sizes))])
 	source := &scheduledSource{random: rand.New(rand.NewPCG(seed, 2)), left: want, fails: random.IntN(5) == 0}
-	b := &callerBody{source: source, controller: http.NewResponseController(httptest.NewRecorder()), stallTimeout: time.Second}
+	b := &callerBody{source: source, controller: http.NewResponseController(httptest.NewRecorder()), stallTimeout: time.Second, length: -1, uploads: u}
+	if random.IntN(2) == 0 {
+		b.length = int64(len(want))
+		if source.fails {
+			b.length++
+		}
+	}
+	defer checkClosed(t, seed, b)
+	if !b.admit() {
+		asserter.Equal(t, fmt.Sprintf("seed %d: bytes held by a body that is not admitted", seed), b.held+b.passed, 0)
+		return
+	}
 	if random.IntN(3) == 0 {
 		b.readAhead(time.Time{})
 	}
@@ -83,12 +111,27 @@
 			}
 		}()
 		<-stopped
-		r.stop()
+		asserter.AtMost(t, fmt.Sprintf("seed %d: bytes held", seed), u.held(), limit)
+		if !b.promised || random.IntN(2) == 0 {
+			r.stop()
+		}
 	}
 	b.release(0)
 	readers.Wait()
 	asserter.Equal(t, fmt.Sprintf("seed %d: reads beside another", seed), source.concurrent.Load(), int32(0))
 	asserter.AtMost(t, fmt.Sprintf("seed %d: bytes kept", seed), len(b.buffered), maxBufferedBytes+5*copyBufferBytes)
+	asserter.AtMost(t, fmt.Sprintf("seed %d: memory of the bytes kept", seed), cap(b.buffered), b.held)
+	asserter.True(t, fmt.Sprintf("seed %d: a promised body can be sent again", seed), !b.promised || b.replayable())
+}
+
+// checkClosed closes a body twice and checks that it holds nothing then, and that a read that comes
+// later brings and takes nothing.
+func checkClosed(t *testing.T, seed uint64, b *callerBody) {
+	b.close()
+	b.close()
+	n, err := (&bodyReader{body: b}).Read(make([]byte, copyBufferBytes))
+	asserter.True(t, fmt.Sprintf("seed %d: reading a closed body fails", seed), n == 0 && err != nil && !errors.Is(err, io.EOF))
+	asserter.Equal(t, fmt.Sprintf("seed %d: bytes held by a closed body", seed), b.held, 0)
 }
 
 // readTo reads until an error, and closes stopped once it has read a number of bytes. It reads
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -69,6 +69,9 @@
 	// ConnectTimeout bounds the time for connecting to a backend server; 0 means
 	// connectTimeout.
 	ConnectTimeout time.Duration
+	// UploadBytes bounds the memory of all uploads together, in bytes; 0 means
+	// defaultUploadBytes.
+	UploadBytes int
 }
 
 // Forwarder serves callers. It is safe for use by many goroutines.
@@ -83,6 +86,7 @@
 	snapshot    atomic.Pointer[snapshot]
 	requests    atomic.Uint64
 	closer      closer
+	uploads     *uploads
 	// dialer opens all connections to backend servers.
 	dialer *net.Dialer
 	// idempotentClient sends idempotent work, and nonIdempotentClient all other work.
@@ -105,6 +109,7 @@
 		dialect:             d,
 		recorder:            r,
 		dialer:              dialer,
+		uploads:             newUploads(o.UploadBytes, r),
 		idempotentClient:    newClient(dialer, idempotentIdleTime),
 		nonIdempotentClient: newClient(dialer, o.FreshTime),
 	}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -24,6 +24,8 @@
 	class     declarer.Class
 	service   string
 	body      *callerBody
+	// admitted is set if there is memory for the body. The request is refused otherwise.
+	admitted bool
 	// label is the caller's identifier of the request.
 	label string
 	// located is the directory from which the service and the class were taken, and
@@ -187,12 +189,14 @@
 	if s.body != nil {
 		// The answer may begin before the caller has sent the whole body.
 		_ = http.NewResponseController(s.w).EnableFullDuplex()
+		defer s.body.close()
 		defer s.body.release(unreadBodyTimeout)
 	}
 	if reason, ok := s.precheck(); ok {
 		s.refuseUnlocated(reason)
 		return
 	}
+	s.admitted = s.body.admit()
 	actions := s.forwarder.control.Open(s.arrived())
 	defer s.forwarder.control.Release(s.id)
 	defer s.stopAttempts()
@@ -263,7 +267,7 @@
 func (s *session) arrived() descriptor.Arrived {
 	hasBody := s.body != nil
 	fingerprint := s.fingerprint()
-	if hasBody && s.forwarder.snapshot.Load().Suspected[fingerprint] {
+	if hasBody && s.admitted && s.forwarder.snapshot.Load().Suspected[fingerprint] {
 		s.body.readAhead(s.deadline)
 	}
 	return descriptor.Arrived{
@@ -275,7 +279,8 @@
 		Key:         s.r.Header.Get(headerKey),
 		Fingerprint: fingerprint,
 		Content:     s.body.content(),
-		Replayable:  !hasBody || s.r.ContentLength > 0 && s.r.ContentLength <= maxBufferedBytes,
+		Replayable:  !hasBody || s.body.promised,
+		NoMemory:    !s.admitted,
 		Body:        hasBody,
 		Size:        s.r.ContentLength,
 		Deadline:    s.deadline,
--- a/server/server.go
+++ b/server/server.go
@@ -159,6 +159,7 @@
 		Domain:         s.settings.Instance.Domain,
 		FreshTime:      s.settings.Limits.FreshTime,
 		ConnectTimeout: s.settings.Limits.ConnectTimeout,
+		UploadBytes:    s.settings.Limits.UploadBytes,
 	}
 	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
