Bound what is received of an HTTP/2 upload before it is read

Cause: net/http receives up to 1 MiB of each HTTP/2 request whose body nobody reads, for as many connections as there are, outside of the memory of uploads. The price: one stream sends 64 KiB a round trip.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -45,6 +45,8 @@
 	// length is the number of bytes of the body, or negative if it is unknown.
 	length  int64
 	uploads *uploads
+	// received is the number of bytes that net/http may hold of the body before it is read.
+	received int
 	// passed is the number of bytes taken from uploads for passing the body on.
 	passed int
 	// promised is set if the memory for the whole body was taken when it was admitted. The body
@@ -85,13 +87,17 @@
 	if s.r.Body == nil || s.r.Body == http.NoBody || s.r.ContentLength == 0 {
 		return nil
 	}
-	return &callerBody{
+	b := &callerBody{
 		source:       s.r.Body,
 		controller:   http.NewResponseController(s.w),
 		stallTimeout: s.forwarder.options.StallTimeout,
 		length:       s.r.ContentLength,
 		uploads:      s.forwarder.uploads,
 	}
+	if s.r.ProtoMajor == 2 {
+		b.received = StreamBytes
+	}
+	return b
 }
 
 // admit takes the memory for passing the body on, and for sending it again if its length is known
@@ -101,7 +107,7 @@
 	if b == nil {
 		return true
 	}
-	needed := b.bounded(passedBytes)
+	needed := b.bounded(passedBytes) + b.bounded(b.received)
 	if !b.uploads.takeNeeded(needed) {
 		return false
 	}
--- a/forwarder/uploads.go
+++ b/forwarder/uploads.go
@@ -19,6 +19,9 @@
 	// passedBytes is the memory that passing on a body takes, in bytes: a copy buffer, and as much
 	// for the buffers of the two connections.
 	passedBytes = 2 * copyBufferBytes
+	// StreamBytes is what the listener for callers may receive beside that of the body of an
+	// HTTP/2 request before it is read, in bytes. It is sent in one round trip: at 16 ms, 4 MB/s.
+	StreamBytes = 64 << 10
 )
 
 // uploads is the account of the memory that the bodies of all requests hold, in bytes. It is safe
--- a/forwarder/uploads_test.go
+++ b/forwarder/uploads_test.go
@@ -82,6 +82,20 @@
 		asserter.True(t, "to be refused", x.control.arrived().NoMemory)
 		x.wantHeld(limit)
 	})
+	t.Run("a body that comes by HTTP/2 needs its window too", func(t *testing.T) {
+		x, _ := uploadFixture(t, limit)
+		for _, c := range []struct {
+			protocol, length, want int
+		}{{1, -1, passedBytes}, {2, -1, passedBytes + StreamBytes}, {2, 10, 20}} {
+			r := x.request("POST", "/upload", strings.NewReader("a"))
+			r.ProtoMajor, r.ContentLength = c.protocol, int64(c.length)
+			b := newCallerBody(&session{forwarder: x.forwarder, r: r})
+			asserter.True(t, "admitted", b.admit())
+			asserter.Equal(t, fmt.Sprintf("bytes for HTTP/%d and length %d", c.protocol, c.length), b.passed, c.want)
+			b.close()
+		}
+		x.wantHeld(0)
+	})
 	t.Run("a request without a body needs none of it", func(t *testing.T) {
 		x, got := uploadFixture(t, limit)
 		asserter.True(t, "all is taken", x.forwarder.uploads.takeNeeded(limit))
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -41,6 +41,9 @@
 	HeaderBytes int
 	// UnencryptedHTTP2 enables HTTP/2 without TLS.
 	UnencryptedHTTP2 bool
+	// StreamBytes bounds what is received and not yet read of the body of each HTTP/2 request, in
+	// bytes; 0 means the default of net/http, 1 MiB.
+	StreamBytes int
 }
 
 // Listener is a running HTTP server.
@@ -115,6 +118,7 @@
 	s.MaxHeaderBytes = o.HeaderBytes
 	// net/http would answer "OPTIONS *" with 200 by itself, as if a backend server had run it.
 	s.DisableGeneralOptionsHandler = true
+	s.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: o.StreamBytes}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(o.UnencryptedHTTP2)
--- a/server/server.go
+++ b/server/server.go
@@ -101,6 +101,7 @@
 		IdleTimeout:      limits.IdleTimeout,
 		HeaderBytes:      limits.HeadBytes,
 		UnencryptedHTTP2: true,
+		StreamBytes:      forwarder.StreamBytes,
 	}
 	var err error
 	if s.callers, err = listener.New(options, g.callers); err != nil {
