--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -369,6 +369,10 @@
 	if err := b.attempt.ctx.Err(); err != nil {
 		return 0, err
 	}
+	if b.attempt.withheld.Load() {
+		// Bytes that are read now may be lost to the next connection.
+		return 0, errAttemptEnded
+	}
 	n, err := b.bodyReader.Read(p)
 	if errors.Is(err, io.EOF) && !b.sent.Swap(true) {
 		s := b.attempt.session
--- a/forwarder/connection_test.go
+++ b/forwarder/connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -79,3 +80,32 @@
 		}
 	}
 }
+
+// TestUnbufferedUploadsOnConnection guards against uploads that can be sent only once being lost to
+// a connection that must not carry them.
+func TestUnbufferedUploadsOnConnection(t *testing.T) {
+	body := strings.Repeat("work", 50<<10)
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n, err := io.Copy(io.Discard, r.Body)
+		w.Header().Set(headerAttempt, r.Header.Get(headerAttempt))
+		if n != int64(len(body)) || err != nil {
+			w.WriteHeader(http.StatusTeapot)
+		}
+	}))
+	t.Cleanup(backend.Close)
+	o := Options{StallTimeout: 10 * time.Second, FreshTime: 10 * time.Second, UploadBytes: 4 * passedBytes}
+	control := &singleBackend{address: strings.TrimPrefix(backend.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
+	f := New(o, callerDialect{NewStandardDialect(o)}, control, recorder.New())
+	f.SetDirectory(ledgerOnly(false))
+	front := httptest.NewServer(f)
+	t.Cleanup(front.Close)
+	x := &fixture{t: t, front: front, control: control, forwarder: f}
+	for range 10 {
+		r := x.request(http.MethodPut, "/a", strings.NewReader(body))
+		r.Header.Set("Identifier", "same")
+		response, _, err := x.do(r)
+		asserter.NoError(t, "send", err)
+		asserter.Equal(t, "status", response.StatusCode, http.StatusOK)
+	}
+	asserter.Equal(t, "bodies not buffered", f.uploads.unbuffered.Load(), 10)
+}
