--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -43,7 +43,8 @@
 	refused []descriptor.Refuse
 	// backends is the list of backend servers in the store.
 	backends []descriptor.Backend
-	// sentBytes holds the encoded sizes of all messages by type.
+	// sentBytes holds the encoded sizes of all messages by type. Nil means that they are not
+	// counted.
 	sentBytes map[descriptor.MessageType]int
 	// pending holds the messages on their way.
 	pending []routedMessage
@@ -149,6 +150,9 @@
 
 // count adds the encoded size of a message to sentBytes.
 func (f *routedFleet) count(m descriptor.Message) {
+	if f.sentBytes == nil {
+		return
+	}
 	if data, err := messenger.Encode(m); err == nil {
 		f.sentBytes[m.Type()] += len(data)
 	}
