Keep departures reported to an instance that starts

Cause: an instance that starts may get a suspicion list before it knows the services. It dropped the list with the departures in it, and sent work to a backend server that had said that it leaves, until the next list a second later.

--- a/balancer/answer.go
+++ b/balancer/answer.go
@@ -145,7 +145,7 @@
 	if !b.options.PooledOutcomes {
 		return b.markDraining(s)
 	}
-	if leaving, _ := b.knownLeaving.Get(descriptor.MarkOf(s.listed.ID)); !leaving {
+	if leaving, _ := b.departed.Get(descriptor.MarkOf(s.listed.ID)); !leaving {
 		b.note(descriptor.NoteDrain, s.listed.ID, "announced in an answer")
 		b.queueLeaving(s.listed.ID)
 	}
@@ -154,7 +154,7 @@
 
 // withAnnouncedLeaving returns s leaving for good.
 func (b *Balancer[E, D, P, L]) withAnnouncedLeaving(s backend[E]) backend[E] {
-	b.knownLeaving.Put(descriptor.MarkOf(s.listed.ID), true)
+	b.departed.Put(descriptor.MarkOf(s.listed.ID), true)
 	listed := s.listed
 	listed.Leaving = true
 	s.announced = true
@@ -164,7 +164,7 @@
 // learnLeaving handles the report of another instance that a backend server announced that
 // it is leaving. The report may arrive before the list that names the backend server.
 func (b *Balancer[E, D, P, L]) learnLeaving(mark uint64) {
-	b.knownLeaving.Put(mark, true)
+	b.departed.Put(mark, true)
 	if p := b.backends.Position(b.marks[mark]); p >= 0 {
 		_, s := b.backends.At(p)
 		b.putBackend(p, b.withAnnouncedLeaving(s))
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -20,8 +20,8 @@
 const (
 	// maxQueued bounds the queued requests of a service at one instance.
 	maxQueued = 8192
-	// maxKnownLeaving bounds the leaving backend servers remembered per generation.
-	maxKnownLeaving = 4096
+	// maxDeparted bounds the leaving backend servers remembered per generation.
+	maxDeparted = 4096
 	// pauseThreshold is the gap between two events of a busy service above which this
 	// process is taken to have been stopped in between.
 	pauseThreshold = 250 * time.Millisecond
@@ -58,8 +58,17 @@
 	Retries retrier.Bounds
 	// Crashes is shared by the balancers of an instance. A nil one is replaced by an empty one.
 	Crashes *quarantiner.Register
+	// Departed is shared by the balancers of an instance. A nil one is replaced by an empty one.
+	Departed *Departed
 }
 
+// Departed holds the marks of the incarnations of backend servers that were ever listed as
+// leaving, or said so; see descriptor.MarkOf. It forgets the oldest ones.
+type Departed = container.Generations[uint64, bool]
+
+// NewDeparted returns an empty set.
+func NewDeparted() *Departed { return container.NewGenerations[uint64, bool](maxDeparted) }
+
 // budget returns the retry budget of an instance that has just started.
 func (o Options) budget() retrier.Budget {
 	if o.PooledOutcomes {
@@ -143,9 +152,7 @@
 	crashes *quarantiner.Register
 	// unanswered holds the latest attempts that ended without an answer.
 	unanswered *container.Ring[unanswered]
-	// knownLeaving holds the marks of the incarnations that were ever listed as leaving,
-	// or said so.
-	knownLeaving *container.Generations[uint64, bool]
+	departed   *Departed
 	// marks maps the mark of each backend server to its ID.
 	marks map[uint64]string
 	// unsentOutcomes holds the outcomes not yet sent to the other instances.
@@ -212,6 +219,9 @@
 	if o.Crashes == nil {
 		o.Crashes = quarantiner.NewRegister()
 	}
+	if o.Departed == nil {
+		o.Departed = NewDeparted()
+	}
 	b := &Balancer[E, D, P, L]{
 		options:        o,
 		random:         rand.NewPCG(o.Seed, o.Seed^0x9e3779b97f4a7c15),
@@ -221,7 +231,7 @@
 		position:       -1,
 		peers:          make(map[string]peerEvidence),
 		unsentOutcomes: container.NewTable[string, descriptor.BackendOutcomes](),
-		knownLeaving:   container.NewGenerations[uint64, bool](maxKnownLeaving),
+		departed:       o.Departed,
 		marks:          make(map[uint64]string),
 		classPositions: make(map[string]int),
 		crashes:        o.Crashes,
--- a/balancer/list.go
+++ b/balancer/list.go
@@ -67,9 +67,9 @@
 		return listed
 	}
 	if listed.Leaving {
-		b.knownLeaving.Put(descriptor.MarkOf(listed.ID), true)
+		b.departed.Put(descriptor.MarkOf(listed.ID), true)
 	}
-	leaving, _ := b.knownLeaving.Get(descriptor.MarkOf(listed.ID))
+	leaving, _ := b.departed.Get(descriptor.MarkOf(listed.ID))
 	listed.Leaving = leaving
 	return listed
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -112,6 +112,8 @@
 	served *container.Table[string, *balancer.Balancer[E, D, P, L]]
 	// crashes holds the crashes of backend servers under requests of all services.
 	crashes *quarantiner.Register
+	// departed holds the backend servers of all services that are known to leave.
+	departed *balancer.Departed
 	// publishedCrashes is the version of crashes in the published directory.
 	publishedCrashes uint64
 	// requests maps each open request to its service.
@@ -180,6 +182,7 @@
 		declared:  container.NewTable[string, declaration](),
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
 		crashes:   quarantiner.NewRegister(),
+		departed:  balancer.NewDeparted(),
 		requests:  container.NewTable[descriptor.RequestID, string](),
 		traces:    container.NewTable[descriptor.RequestID, []descriptor.TraceEntry](),
 		notes:     container.NewRing[descriptor.Note](maxNotes),
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -226,6 +226,7 @@
 		Domain:         d.options.Self.Domain,
 		Retries:        d.options.Retries,
 		Crashes:        d.crashes,
+		Departed:       d.departed,
 	})
 	s.Declare(known.service, known.revision)
 	s.SetHeard(d.heard)
--- a/decider/model_departures_test.go
+++ b/decider/model_departures_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"monsoonswitch/asserter"
+	"monsoonswitch/balancer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/explorer"
 )
@@ -49,8 +51,7 @@
 // What must hold: an instance that has learnt in its present incarnation that the backend server
 // left never sends work there again. It has learnt it when an answer said so, when a report of
 // another instance that it got says so, or when it put a list in force that marks the backend
-// server as leaving or lacks it. A report counts from the moment at which the service is known.
-// A list that lacks it counts modelRestore after the store answered again, if it had not answered
+// server as leaving or lacks it. A list that lacks it counts modelRestore after the store answered again, if it had not answered
 // this instance for some time: entries that expired meanwhile may return.
 type departureModel struct {
 	*modelFleet
@@ -160,7 +161,7 @@
 	if !m.rule.deaf {
 		m.receive(message)
 	}
-	if _, ok := message.message.(descriptor.Documents); !ok && m.instances[message.to].served.Has("ledger") {
+	if _, ok := message.message.(descriptor.Documents); !ok {
 		m.learnt[message.to] = true
 	}
 }
@@ -231,6 +232,7 @@
 		document.Revision = held.Revision + 1
 	}
 	if s, ok := m.instances[id].served.Get("ledger"); ok && m.rule.forgets && !s.Busy() {
+		m.instances[id].departed = balancer.NewDeparted()
 		m.instances[id].served.Delete("ledger")
 		m.instances[id].updateServing("ledger")
 	}
@@ -327,6 +329,18 @@
 	} {
 		t.Run(name, func(t *testing.T) { c.holds(t) })
 	}
+	t.Run("a report before the service is known", func(t *testing.T) {
+		// Found by a walk from seed 61.
+		trace := []modelStep{
+			{action: actArrive, id: "entry-0", n: answersLeaving},
+			{action: actDeliver, id: "entry-1", from: "entry-0", message: descriptor.TypeOutcomes},
+			{action: actRestart, id: "entry-0"},
+			{action: actWait},
+			{action: actDeliver, id: "entry-0", from: "entry-1", message: descriptor.TypeSuspicionList},
+			{action: actRead, id: "entry-0", n: 1},
+		}
+		asserter.NoError(t, "replay", explorer.Replay(startDepartures(departureRule{instances: 2}), trace))
+	})
 	for name, rule := range map[string]departureRule{
 		"broken: lists in any order":            {instances: 2, silent: true, oldLists: true},
 		"broken: answers forgotten with a list": {instances: 2, forgets: true},
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -103,12 +103,18 @@
 }
 
 // handleSuspicionList forwards a suspicion list and gives it to the balancer of its
-// service.
+// service. An instance that starts gets the lists before it knows the services, and then keeps
+// the departures alone.
 func (d *Decider[E, D, P, L]) handleSuspicionList(m descriptor.SuspicionList) {
 	if !d.relayer.Newer("bulletin/"+m.Service+"/"+m.Origin, m.Incarnation, m.Sequence) {
 		return
 	}
 	d.sendToChildren(m.Origin, m)
+	if !d.served.Has(m.Service) {
+		for _, mark := range m.Leaving {
+			d.departed.Put(mark, true)
+		}
+	}
 	origin, _ := d.gossiper.Member(m.Origin)
 	d.onService(m.Service, func(s *balancer.Balancer[E, D, P, L]) { s.HandleSuspicionList(d.now, origin, m) })
 }
