Tell apart digests of members that suspect each other

Cause: the hash of a member record was linear in its version and state, and digests add the hashes of a bucket. If the records of two instances were in one bucket and each suspected the other, both digests were equal: what one lacked the other had too much. They never exchanged the records. Each also held the other for not ready, and answered each of its digests with its own, without end and at the speed of the link. The sums of documents stay: instances of mixed builds could not compare them. In mixed builds the digests of members differ all the time, so that each of them (every 10 s on up to 8 links) costs an exchange of records.

--- a/container/sums.go
+++ b/container/sums.go
@@ -32,6 +32,17 @@
 	return s
 }
 
+// Scramble mixes the bits of a record's hash that is linear in a version. Without it the sums of
+// two records of a bucket are equal if one is newer by as much as the other is older.
+func Scramble(hash uint64) uint64 {
+	hash = (hash ^ hash>>33) * hashMultiplier
+	hash = (hash ^ hash>>29) * scrambleMultiplier
+	return hash ^ hash>>32
+}
+
+// scrambleMultiplier is another odd multiplier with many bits set.
+const scrambleMultiplier = 0xbf58476d1ce4e5b9
+
 // Differ returns the set of buckets in which s and o differ, as one bit for each
 // bucket.
 func (s BucketSums) Differ(o BucketSums) uint64 {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -460,7 +460,7 @@
 	h := xxhash.Sum64String(m.ID)
 	h = h*31 + uint64(m.Incarnation)
 	h = h*31 + uint64(m.Version)
-	return h*31 + uint64(m.State)
+	return container.Scramble(h*31 + uint64(m.State))
 }
 
 // updateRing adds the member of a record to the ring or removes it, by its state.
