Checks of a scenario fail where they have nothing to judge

Cause: several checks of the loader held without a proof. A fault that could not be injected, a backend server whose counts could not be read, ejections that could not be read and a drain that was never counted passed silently; one request without an answer, one answer with status 500 or one poison request switched off the comparison of the report; requests that were not sent, or that had no outcome after the load, were left out of the share served; a gray backend server that nobody avoided broke nothing; and requests without a key were not compared with their runs. On the other hand no scenario of poison could pass: "served: 0 of 73 requests of marked, must be a share of at least 0.9", and none of the crest.

Change: each of these is a violation. Each scenario states the least share to be served of each kind of work, by the demand and the capacity at a crest, and the time within which its gray backend server must be avoided. Half of what was served must be within the target of its class. The report is compared exactly but for requests without an answer. Scenarios without work, or with a fault that can't be injected, are invalid. A fleet of other processes must be whole: one address for callers and one for operators of each instance, all of them answering, and all backend servers of the deployment listed.

TestDemo plays 8 s in place of 3, as long as the gray backend server may take to be found.

--- a/loader/exchange.go
+++ b/loader/exchange.go
@@ -11,13 +11,16 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
 
+// errStatus reports a response with a status other than 200.
+var errStatus = eris.New("unexpected status")
+
 // exchangeTimeout bounds one HTTP call to a process under test.
 const exchangeTimeout = 5 * time.Second
 
 // exchange sends an HTTP request to a process under test and decodes its JSON
 // response into receive. It posts send as JSON, or sends a GET if send is nil; a
-// nil receive ignores the response. It returns an error if the call or the
-// encoding fails.
+// nil receive ignores the body of the response. It returns an error if the call or the
+// encoding fails, and errStatus if the process refuses.
 func exchange(address, path string, send, receive any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
@@ -38,6 +41,9 @@
 		return eris.Wrap(err, "send request")
 	}
 	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return eris.Wrapf(errStatus, "%s: %d", path, response.StatusCode)
+	}
 	if receive == nil {
 		return nil
 	}
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -5,29 +5,44 @@
 	"fmt"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"monsoonswitch/imitator"
 )
 
 // inject applies one fault from f.From until f.To, both relative to the start of the
-// scenario. FaultReplace ends when all instances are replaced.
+// scenario. FaultReplace ends when all instances are replaced. A fault that could not be
+// injected is recorded, since the scenario then shows nothing.
 func (r *Runner) inject(ctx context.Context, f Fault) {
-	if !sleepUntil(ctx, r.started.Add(f.From)) {
-		return
+	err := errNotInjected
+	if sleepUntil(ctx, r.started.Add(f.From)) {
+		fmt.Fprintf(r.progress, "      fault %s begins\n", f.Name)
+		err = r.injectKind(ctx, f)
+	}
+	if err != nil {
+		fmt.Fprintf(r.progress, "      fault %s: %v\n", f.Name, err)
+		r.record.failInjection(f.Name, err)
 	}
-	fmt.Fprintf(r.progress, "      fault %s begins\n", f.Name)
+}
+
+// errNotInjected reports a fault that was not injected, or not to its end.
+var errNotInjected = eris.New("not injected")
+
+// injectKind applies a fault until its end. It returns an error if it could not.
+func (r *Runner) injectKind(ctx context.Context, f Fault) error {
 	switch f.Kind {
 	case FaultOutage, FaultSlow, FaultLost:
-		r.injectStore(ctx, f)
+		return r.injectStore(ctx, f)
 	case FaultReplace:
-		r.replaceAll(ctx, f)
+		return r.replaceAll(ctx, f)
 	case FaultOneWay:
-		r.cutLinks(ctx, f)
+		return r.cutLinks(ctx, f)
 	default:
-		r.injectBackend(ctx, f)
+		return r.injectBackend(ctx, f)
 	}
 }
 
-func (r *Runner) injectStore(ctx context.Context, f Fault) {
+func (r *Runner) injectStore(ctx context.Context, f Fault) error {
 	fault := imitator.StoreFault{}
 	switch f.Kind {
 	case FaultOutage:
@@ -37,15 +52,17 @@
 	default:
 		fault.Lost = f.Share
 	}
-	r.fleet.SetStoreFault(fault)
+	if err := r.fleet.SetStoreFault(fault); err != nil {
+		return err
+	}
 	sleepUntil(ctx, r.started.Add(f.To))
-	r.fleet.SetStoreFault(imitator.StoreFault{})
+	return r.fleet.SetStoreFault(imitator.StoreFault{})
 }
 
-func (r *Runner) injectBackend(ctx context.Context, f Fault) {
+func (r *Runner) injectBackend(ctx context.Context, f Fault) error {
 	b, ok := r.backendAt(f.Service, f.Index)
 	if !ok {
-		return
+		return eris.Wrapf(errNotInjected, "%s has no backend server %d", f.Service, f.Index)
 	}
 	fault := imitator.BackendFault{}
 	switch f.Kind {
@@ -76,11 +93,13 @@
 		// It is not a gray fault: the backend server turns work away, or its refusals
 		// are not believed.
 	default:
-		r.monitor.expectGray(b, now)
+		r.monitor.expectGray(b, now, f.Found)
+	}
+	if err := b.SetFault(fault); err != nil {
+		return err
 	}
-	b.SetFault(fault)
 	sleepUntil(ctx, r.started.Add(f.To))
-	b.SetFault(imitator.BackendFault{})
+	return b.SetFault(imitator.BackendFault{})
 }
 
 // backendAt returns the i-th backend server of a service, counted from 0.
@@ -99,25 +118,26 @@
 
 // cutLinks blocks the inbound direction of the links that an instance accepted
 // until f.To.
-func (r *Runner) cutLinks(ctx context.Context, f Fault) {
+func (r *Runner) cutLinks(ctx context.Context, f Fault) error {
 	if err := r.fleet.Cut(f.Index); err != nil {
-		fmt.Fprintf(r.progress, "      fault %s: %v\n", f.Name, err)
-		return
+		return err
 	}
 	sleepUntil(ctx, r.started.Add(f.To))
 	r.fleet.Heal(f.Index)
+	return nil
 }
 
-// replaceAll performs a rolling replacement of all instances.
-func (r *Runner) replaceAll(ctx context.Context, f Fault) {
-	for range r.scenario.Instances {
+// replaceAll performs a rolling replacement of all instances. It returns an error if the
+// scenario ends before it.
+func (r *Runner) replaceAll(ctx context.Context, f Fault) error {
+	for i := range r.scenario.Instances {
 		if ctx.Err() != nil {
-			return
+			return eris.Wrapf(errNotInjected, "only %d of %d instances replaced", i, r.scenario.Instances)
 		}
 		if err := r.fleet.Replace(); err != nil {
-			fmt.Fprintf(r.progress, "      fault %s: %v\n", f.Name, err)
-			return
+			return err
 		}
 	}
 	fmt.Fprintf(r.progress, "      fault %s: all instances replaced\n", f.Name)
+	return nil
 }
--- a/loader/fleet.go
+++ b/loader/fleet.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -9,7 +8,6 @@
 	"monsoonswitch/assembler"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/imitator"
-	"monsoonswitch/operator"
 	"monsoonswitch/storer"
 )
 
@@ -21,10 +19,12 @@
 	// Service and ID return the service name and the backend server's ID.
 	Service() string
 	ID() string
-	// SetFault replaces the active faults.
-	SetFault(imitator.BackendFault)
-	// Counts returns the counters of the backend server.
-	Counts() imitator.BackendCounts
+	// SetFault replaces the active faults. It returns an error if the backend server
+	// does not confirm them.
+	SetFault(imitator.BackendFault) error
+	// Counts returns the counters of the backend server, or an error if it does not
+	// answer.
+	Counts() (imitator.BackendCounts, error)
 }
 
 // fleet controls a fleet under test, in this process or in other processes.
@@ -33,11 +33,14 @@
 	Entries() []string
 	// Backends returns the backend servers.
 	Backends() []backend
-	// SetStoreFault replaces the active faults of the platform's store.
-	SetStoreFault(imitator.StoreFault)
-	// Peek returns the item stored under key; false means that there is none or
-	// that the read failed.
-	Peek(key string) (storer.Item, bool)
+	// Size returns the number of instances that have to answer.
+	Size() int
+	// SetStoreFault replaces the active faults of the platform's store. It returns an
+	// error if the store does not confirm them.
+	SetStoreFault(imitator.StoreFault) error
+	// Peek returns the item stored under key. It returns storer.ErrNotFound if there is
+	// none, and another error if the read failed.
+	Peek(key string) (storer.Item, error)
 	// Dumps returns the state dumps of the instances that answer.
 	Dumps() []descriptor.Dump
 	// Replace starts one instance and shuts the oldest one down. It returns an
@@ -55,7 +58,11 @@
 }
 
 // localFleet is a fleet in this process.
-type localFleet struct{ *assembler.Fleet }
+type localFleet struct {
+	*assembler.Fleet
+	// size is the number of instances that the scenario runs with.
+	size int
+}
 
 // cutsLinks reports whether the scenario cuts links between instances.
 func (s Scenario) cutsLinks() bool {
@@ -85,7 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return localFleet{f}, nil
+	return localFleet{f, s.Instances}, nil
 }
 
 // Service implements backend.
@@ -95,10 +102,13 @@
 func (b localBackend) ID() string { return b.Listed.ID }
 
 // SetFault implements backend.
-func (b localBackend) SetFault(f imitator.BackendFault) { b.StandIn.SetFault(f, time.Now()) }
+func (b localBackend) SetFault(f imitator.BackendFault) error {
+	b.StandIn.SetFault(f, time.Now())
+	return nil
+}
 
 // Counts implements backend.
-func (b localBackend) Counts() imitator.BackendCounts { return b.StandIn.Counts() }
+func (b localBackend) Counts() (imitator.BackendCounts, error) { return b.StandIn.Counts(), nil }
 
 // Backends implements fleet.
 func (l localFleet) Backends() []backend {
@@ -109,11 +119,23 @@
 	return result
 }
 
+// Size implements fleet.
+func (l localFleet) Size() int { return l.size }
+
 // SetStoreFault implements fleet.
-func (l localFleet) SetStoreFault(f imitator.StoreFault) { l.Store.SetFault(f) }
+func (l localFleet) SetStoreFault(f imitator.StoreFault) error {
+	l.Store.SetFault(f)
+	return nil
+}
 
 // Peek implements fleet. It reads the store directly, unaffected by store faults.
-func (l localFleet) Peek(key string) (storer.Item, bool) { return l.Store.Peek(key) }
+func (l localFleet) Peek(key string) (storer.Item, error) {
+	item, ok := l.Store.Peek(key)
+	if !ok {
+		return item, eris.Wrap(storer.ErrNotFound, key)
+	}
+	return item, nil
+}
 
 // Dumps implements fleet.
 func (l localFleet) Dumps() []descriptor.Dump {
@@ -131,115 +153,3 @@
 
 // Finish implements fleet.
 func (l localFleet) Finish() { l.Shutdown() }
-
-// Remote holds the addresses of a fleet whose instances and stand-ins run in other
-// processes.
-type Remote struct {
-	// Store is the address of the platform's stand-in.
-	Store string
-	// Entries are the instances' addresses for callers, Operators those for
-	// operators.
-	Entries, Operators []string
-}
-
-// remoteFleet is a fleet of other processes.
-type remoteFleet struct {
-	addresses Remote
-	client    *storer.Client
-	backends  []backend
-}
-
-// newRemoteFleet reads the backend servers of a running fleet from the platform. It
-// returns an error if no backend servers are listed or no instance addresses are
-// given.
-func newRemoteFleet(a Remote) (fleet, error) {
-	r := &remoteFleet{addresses: a, client: storer.NewClient(a.Store)}
-	listing, err := r.client.Instances(context.Background(), 0, 0)
-	if err != nil {
-		return nil, err
-	}
-	for _, s := range listing.Services {
-		for _, b := range s.Decode() {
-			r.backends = append(r.backends, remoteBackend{service: s.Name, listed: b})
-		}
-	}
-	if len(r.backends) == 0 || len(a.Entries) == 0 {
-		return nil, eris.Wrap(ErrFleet, "no backend servers listed or no instance addresses given")
-	}
-	return r, nil
-}
-
-// remoteBackend is a backend server stand-in in another process.
-type remoteBackend struct {
-	service string
-	listed  descriptor.Backend
-}
-
-// Service implements backend.
-func (b remoteBackend) Service() string { return b.service }
-
-// ID implements backend.
-func (b remoteBackend) ID() string { return b.listed.ID }
-
-// SetFault implements backend.
-func (b remoteBackend) SetFault(f imitator.BackendFault) {
-	_ = exchange(b.listed.Address, imitator.FaultPath, f, nil)
-}
-
-// Counts implements backend. It returns zero counts if the process does not answer.
-func (b remoteBackend) Counts() imitator.BackendCounts {
-	var c imitator.BackendCounts
-	_ = exchange(b.listed.Address, imitator.CountsPath, nil, &c)
-	return c
-}
-
-// Entries implements fleet.
-func (r *remoteFleet) Entries() []string { return r.addresses.Entries }
-
-// Backends implements fleet.
-func (r *remoteFleet) Backends() []backend { return r.backends }
-
-// SetStoreFault implements fleet.
-func (r *remoteFleet) SetStoreFault(f imitator.StoreFault) {
-	_ = exchange(r.addresses.Store, imitator.FaultPath, f, nil)
-}
-
-// Peek implements fleet. It finds nothing while the store is unavailable.
-func (r *remoteFleet) Peek(key string) (storer.Item, bool) {
-	item, err := r.client.Get(context.Background(), key)
-	return item, err == nil
-}
-
-// Dumps implements fleet.
-func (r *remoteFleet) Dumps() []descriptor.Dump {
-	var result []descriptor.Dump
-	for _, a := range r.addresses.Operators {
-		var d struct{ State descriptor.Dump }
-		if exchange(a, operator.DumpPath, nil, &d) == nil {
-			result = append(result, d.State)
-		}
-	}
-	return result
-}
-
-// Replace implements fleet. It always fails, since instances in other processes
-// cannot be started from here.
-func (r *remoteFleet) Replace() error { return eris.Wrap(ErrFleet, "instances run in other processes") }
-
-// Cut implements fleet. It always fails, since no proxy precedes the instances.
-func (r *remoteFleet) Cut(int) error {
-	return eris.Wrap(ErrFleet, "no proxies in front of the instances")
-}
-
-// Heal implements fleet. It does nothing, since Cut always fails.
-func (r *remoteFleet) Heal(int) {}
-
-// tallyFlushTime is the longest time that the last tallies take to reach the
-// store.
-const tallyFlushTime = 15 * time.Second
-
-// Finish implements fleet.
-func (r *remoteFleet) Finish() { time.Sleep(tallyFlushTime) }
-
-// Close implements fleet.
-func (r *remoteFleet) Close() {}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
+	"gopkg.in/ini.v1"
+
 	"monsoonswitch/asserter"
 )
 
@@ -16,15 +19,60 @@
 			asserter.NoError(t, "load", err)
 			asserter.Equal(t, "name", s.Name, name)
 			asserter.AtMost(t, "duration", s.Duration, time.Minute)
+			checkStated(t, name)
+		})
+	}
+}
+
+// checkStated checks that an embedded scenario states the least that it must serve, and
+// the time within which each gray backend server must be found.
+func checkStated(t *testing.T, name string) {
+	t.Helper()
+	data, err := embedded.ReadFile("scenarios/" + name + ".ini")
+	asserter.NoError(t, "read", err)
+	f, err := ini.Load(data)
+	asserter.NoError(t, "parse", err)
+	for _, s := range f.Sections() {
+		kind, _, _ := strings.Cut(s.Name(), " ")
+		if kind == "work" {
+			asserter.True(t, s.Name()+" states its least", s.HasKey("least"))
+		}
+		if kind == "fault" && (Fault{Kind: FaultKind(s.Key("kind").String())}).gray() {
+			asserter.True(t, s.Name()+" states when it must be found", s.HasKey("found"))
+		}
+	}
+}
+
+// TestParseRefuses guards against scenarios that show nothing: without work, or with a
+// fault that is never injected.
+func TestParseRefuses(t *testing.T) {
+	const scenario = "[scenario]\nname=a\nduration=10s\n"
+	const work = "[work w]\nservice=ledger\nclass=lookup\npath=/lines/1\n"
+	const fault = "[fault f]\nkind=stall\nservice=ledger\n"
+	_, err := Parse("a.ini", []byte(scenario+work+fault))
+	asserter.NoError(t, "valid", err)
+	for _, c := range []struct{ name, text string }{
+		{"no work", scenario},
+		{"no such backend server", scenario + work + fault + "index=11\n"},
+		{"a negative index", scenario + work + fault + "index=-1\n"},
+		{"a fault after the end", scenario + work + fault + "from=10s\n"},
+		{"a fault that ends before it begins", scenario + work + fault + "from=5s\nto=4s\n"},
+		{"found where nothing is gray", scenario + work + "[fault f]\nkind=outage\nfound=1s\n"},
+		{"a share above 1", scenario + work + "least=1.1\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := Parse("a.ini", []byte(c.text))
+			asserter.ErrorIs(t, "parse", err, ErrScenario)
 		})
 	}
 }
 
-// TestDemo runs a shortened demo scenario: every guarantee must hold.
+// TestDemo runs a shortened demo scenario: every guarantee must hold, and the gray backend
+// server must be found.
 func TestDemo(t *testing.T) {
 	s, err := Load("demo")
 	asserter.NoError(t, "load", err)
-	s.Duration = 3 * time.Second
+	s.Duration = 8 * time.Second
 	s.Faults[0].From = time.Second
 	result, err := Run(context.Background(), s, io.Discard)
 	asserter.NoError(t, "run", err)
@@ -32,6 +80,7 @@
 	for _, w := range result.Work {
 		asserter.True(t, w.Name+" was served", w.Served > 0)
 	}
+	asserter.Equal(t, "gray backend servers", len(result.Detections), 1)
 }
 
 func FuzzParse(f *testing.F) {
--- a/loader/monitor.go
+++ b/loader/monitor.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"monsoonswitch/descriptor"
 	"monsoonswitch/imitator"
 	"monsoonswitch/storer"
@@ -18,6 +21,8 @@
 type grayBackend struct {
 	backend backend
 	since   time.Time
+	// found is the time within which all instances have to avoid it; 0 means none.
+	found time.Duration
 	// avoided and ejected are the times at which this was first observed; zero
 	// means never.
 	avoided, ejected time.Time
@@ -60,6 +65,9 @@
 	ejections []Ejection
 	// breaches counts the checks that found fewer backend servers than the floor.
 	breaches int
+	// unread holds the error of the last check of each service that could not read its
+	// ejections.
+	unread map[string]error
 	// active is the number of ejections in force at the last check.
 	active int
 }
@@ -74,6 +82,7 @@
 		cancel:     cancel,
 		done:       make(chan struct{}),
 		seen:       make(map[string]time.Time),
+		unread:     make(map[string]error),
 	}
 	go func() {
 		defer close(m.done)
@@ -91,9 +100,11 @@
 	return m
 }
 
+// stop ends the monitor after a last check.
 func (m *monitor) stop() {
 	m.cancel()
 	<-m.done
+	m.check(time.Now())
 }
 
 // ejected returns the number of backend servers ejected now.
@@ -103,11 +114,12 @@
 	return m.active
 }
 
-// expectGray records that a fault was injected into a backend server.
-func (m *monitor) expectGray(b backend, now time.Time) {
+// expectGray records that a fault was injected into a backend server, which all
+// instances have to avoid within found unless it is 0.
+func (m *monitor) expectGray(b backend, now time.Time, found time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.grays = append(m.grays, &grayBackend{backend: b, since: now})
+	m.grays = append(m.grays, &grayBackend{backend: b, since: now, found: found})
 }
 
 // expectDrain records that a backend server was set to draining.
@@ -132,8 +144,9 @@
 	}
 	for _, d := range m.drains {
 		if d.after == nil && now.Sub(d.since) >= drainLimit {
-			c := d.backend.Counts()
-			d.after = &c
+			if c, err := d.backend.Counts(); err == nil {
+				d.after = &c
+			}
 		}
 	}
 }
@@ -141,9 +154,10 @@
 // checkEjections records new ejections of a service, checks its floor and returns
 // the number of ejections in force.
 func (m *monitor) checkEjections(service string, keep int, now time.Time) int {
-	list := m.ejectionsOf(service)
+	list, err := m.ejectionsOf(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.unread[service] = err
 	active := 0
 	for _, e := range list {
 		if !now.Before(e.Until) {
@@ -184,24 +198,32 @@
 	return found
 }
 
-// ejectionsOf returns the stored ejections of a service.
-func (m *monitor) ejectionsOf(service string) []descriptor.Ejection {
-	item, ok := m.fleet.Peek(storer.EjectKey(service))
-	if !ok {
-		return nil
+// ejectionsOf returns the stored ejections of a service. It returns an error if they
+// can't be read.
+func (m *monitor) ejectionsOf(service string) ([]descriptor.Ejection, error) {
+	item, err := m.fleet.Peek(storer.EjectKey(service))
+	if errors.Is(err, storer.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
 	}
 	var list []descriptor.Ejection
-	if json.Unmarshal(item.Value, &list) != nil {
-		return nil
+	if err := json.Unmarshal(item.Value, &list); err != nil {
+		return nil, eris.Wrapf(storer.ErrMalformed, "%s: %v", item.Key, err)
 	}
-	return list
+	return list, nil
 }
 
-// isAvoided reports whether every instance that serves the backend server's service
-// avoids it or does not consider it ready.
+// isAvoided reports whether all instances answer and every one that serves the backend
+// server's service avoids it or does not consider it ready.
 func (m *monitor) isAvoided(b backend) bool {
+	dumps := m.fleet.Dumps()
+	if countInstances(dumps) < m.fleet.Size() {
+		return false
+	}
 	serving, avoiding := 0, 0
-	for _, d := range m.fleet.Dumps() {
+	for _, d := range dumps {
 		for _, v := range d.Services {
 			if v.Name != b.Service() {
 				continue
--- a/loader/record.go
+++ b/loader/record.go
@@ -22,13 +22,22 @@
 type tally struct {
 	sent, served, notRun, mayHaveRun, ran, unknown, skipped uint64
 	tries                                                   uint64
-	reasons                                                 map[string]uint64
-	latency                                                 *hdrhistogram.Histogram
+	// started counts the requests whose sending began; sent counts those that have an
+	// outcome.
+	started uint64
+	// poisonRefused counts the poison requests refused with the reason poisoned.
+	poisonRefused uint64
+	// unanswered counts the tries of requests that ended without an answer, and of them
+	// timedOut counts the requests without one within their timeout.
+	unanswered, timedOut uint64
+	reasons              map[string]uint64
+	latency              *hdrhistogram.Histogram
 	// lateRefusals counts requests that were sent once and refused as overloaded later
 	// than their class's target plus lateRefusalTolerance.
 	lateRefusals uint64
-	// corrupt counts answers that were truncated or belonged to another request.
-	corrupt uint64
+	// corrupt counts answers that were truncated or belonged to another request, and
+	// vague refusals that do not say whether the request ran.
+	corrupt, vague uint64
 	// perSecond holds the outcomes by the second in which the request was sent.
 	perSecond []second
 }
@@ -39,13 +48,6 @@
 	latency         *hdrhistogram.Histogram
 }
 
-// token identifies a request whose runs at backend servers are checked at the end.
-type token struct {
-	text string
-	// notRun reports whether an instance refused the request as not run.
-	notRun bool
-}
-
 // record collects the outcomes that callers observed. It is safe for use by many
 // goroutines.
 type record struct {
@@ -53,14 +55,16 @@
 	// tallies and targets hold the tally and the latency target of each kind of
 	// work.
 	tallies []tally
-	// keyed lists the requests with an idempotency key, notRun those refused as
-	// not run.
-	keyed   []token
-	notRun  []token
 	targets []time.Duration
-	// poisonSent and poisonRefused count the poison requests sent and those
-	// refused with the reason poisoned.
-	poisonSent, poisonRefused uint64
+	// once reports for each kind of work whether its requests may run at most once.
+	once []bool
+	// atMostOnce, served and notRun list the tokens of the requests that may run at
+	// most once, that were served and that were refused as not run.
+	atMostOnce, served, notRun []string
+	// poisonSent counts the poison requests sent.
+	poisonSent uint64
+	// failures describes the faults that were not injected.
+	failures []string
 }
 
 func newRecord(s Scenario) *record {
@@ -76,6 +80,7 @@
 		service, _ := d.service(w.Service)
 		class, _ := service.Class(w.Class)
 		r.targets = append(r.targets, class.Target)
+		r.once = append(r.once, w.Keyed || !class.Idempotent)
 	}
 	return r
 }
@@ -91,6 +96,20 @@
 	r.tallies[index].skipped++
 }
 
+// start counts a request whose sending begins.
+func (r *record) start(index int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tallies[index].started++
+}
+
+// failInjection records a fault that was not injected.
+func (r *record) failInjection(name string, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failures = append(r.failures, name+": "+err.Error())
+}
+
 // totals returns the number of requests served and refused so far.
 func (r *record) totals() (uint64, uint64) {
 	r.mu.Lock()
@@ -103,6 +122,10 @@
 	return served, refused
 }
 
+// timeoutTolerance is the time by which a request without an answer may end before its
+// timeout and still counts as timed out.
+const timeoutTolerance = 20 * time.Millisecond
+
 // add records the outcome of one request. The time at is relative to the start of
 // the scenario.
 func (r *record) add(index int, at time.Duration, text string, w Work, result caller.Result, err error, poisoned bool) {
@@ -111,12 +134,15 @@
 	t := &r.tallies[index]
 	t.sent++
 	t.tries += uint64(result.Tries)
+	if err != nil {
+		t.addUnanswered(w, result)
+	}
 	if poisoned {
-		r.addPoison(result)
+		r.addPoison(t, result)
 		return
 	}
-	if w.Keyed {
-		r.keyed = append(r.keyed, token{text: text})
+	if r.once[index] {
+		r.atMostOnce = append(r.atMostOnce, text)
 	}
 	s := t.secondAt(at)
 	switch {
@@ -128,14 +154,21 @@
 		s.refused++
 		r.addRefusal(t, text, result, r.targets[index])
 	default:
-		t.addServed(s, text, w, result)
+		r.addServed(t, s, text, w, result)
+	}
+}
+
+func (t *tally) addUnanswered(w Work, result caller.Result) {
+	t.unanswered += uint64(result.Tries)
+	if w.Timeout > 0 && result.Latency > w.Timeout-timeoutTolerance {
+		t.timedOut++
 	}
 }
 
-func (r *record) addPoison(result caller.Result) {
+func (r *record) addPoison(t *tally, result caller.Result) {
 	r.poisonSent++
 	if result.Reason == "poisoned" {
-		r.poisonRefused++
+		t.poisonRefused++
 	}
 }
 
@@ -153,11 +186,13 @@
 	switch result.Outcome {
 	case "not-run":
 		t.notRun++
-		r.notRun = append(r.notRun, token{text: text, notRun: true})
+		r.notRun = append(r.notRun, text)
 	case "may-have-run":
 		t.mayHaveRun++
-	default:
+	case "ran":
 		t.ran++
+	default:
+		t.vague++
 	}
 	if result.Reason == "overloaded" && result.Tries == 1 && result.Latency > target+lateRefusalTolerance {
 		t.lateRefusals++
@@ -168,7 +203,7 @@
 // late, to allow for the time that the refusal takes to reach the caller.
 const lateRefusalTolerance = 30 * time.Millisecond
 
-func (t *tally) addServed(s *second, text string, w Work, result caller.Result) {
+func (r *record) addServed(t *tally, s *second, text string, w Work, result caller.Result) {
 	if result.Status >= 500 {
 		t.reasons["status-5xx"]++
 		t.unknown++
@@ -176,6 +211,7 @@
 	}
 	t.served++
 	s.served++
+	r.served = append(r.served, text)
 	if string(result.Body) != imitator.Body(text, w.Size) || !strings.HasPrefix(string(result.Body), text+":") {
 		t.corrupt++
 	}
--- a/loader/result.go
+++ b/loader/result.go
@@ -10,10 +10,6 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-
-	"monsoonswitch/descriptor"
-	"monsoonswitch/reporter"
-	"monsoonswitch/storer"
 )
 
 // WorkResult holds the outcomes that callers observed for one kind of work.
@@ -83,9 +79,9 @@
 	for i, w := range r.scenario.Work {
 		result.Work = append(result.Work, r.record.tallies[i].result(w.Name))
 		result.Tries += r.record.tallies[i].tries
+		result.PoisonRefused += r.record.tallies[i].poisonRefused
 	}
 	result.PoisonSent = r.record.poisonSent
-	result.PoisonRefused = r.record.poisonRefused
 	r.addObservations(&result)
 	r.verify(&result)
 	return result
@@ -133,16 +129,6 @@
 			Ejected: elapsed(g.since, g.ejected),
 		})
 	}
-	if r.monitor.breaches > 0 {
-		result.violate("floor: ejections went below the floor at %d checks", r.monitor.breaches)
-	}
-	for _, d := range r.monitor.drains {
-		counts := d.backend.Counts()
-		if d.after != nil && counts.Begun+counts.Shed > d.after.Begun+d.after.Shed {
-			result.violate("drain: %s received %d requests after %v", d.backend.ID(),
-				counts.Begun+counts.Shed-d.after.Begun-d.after.Shed, drainLimit)
-		}
-	}
 }
 
 // elapsed returns the time between from and to, or -1 if to is zero.
@@ -157,108 +143,6 @@
 	r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
 }
 
-// verify compares the outcomes reported to callers with the runs counted by backend
-// servers and adds a violation for each broken guarantee.
-func (r *Runner) verify(result *Result) {
-	runs := make(map[string]int)
-	for _, b := range r.fleet.Backends() {
-		counts := b.Counts()
-		result.Crashes += counts.Crashes
-		if counts.Pressed > maxPressed {
-			result.violate("pause: %s received %d requests of instances that it had asked for a pause", b.ID(), counts.Pressed)
-		}
-		for k, n := range counts.Keys {
-			runs[k] += n
-		}
-	}
-	r.verifyServed(result)
-	duplicates, falseRefusals := 0, 0
-	for _, t := range r.record.keyed {
-		if runs[t.text] > 1 {
-			duplicates++
-		}
-	}
-	for _, t := range r.record.notRun {
-		if runs[t.text] > 0 {
-			falseRefusals++
-		}
-	}
-	if duplicates > 0 {
-		result.violate("at most once: %d keyed requests ran twice", duplicates)
-	}
-	if falseRefusals > 0 {
-		result.violate("true refusals: %d requests ran although they were refused as not run", falseRefusals)
-	}
-	for i, w := range r.scenario.Work {
-		if corrupt := r.record.tallies[i].corrupt; corrupt > 0 {
-			result.violate("whole answers: %d answers to %s were truncated or belonged to another request", corrupt, w.Name)
-		}
-	}
-	if result.PoisonSent > 0 && result.Crashes > maxCrashes {
-		result.violate("poison: poison requests crashed backend servers %d times", result.Crashes)
-	}
-	r.verifyTallies(result)
-}
-
-// verifyServed adds a violation for each kind of work of which none was sent or too little
-// was served.
-func (r *Runner) verifyServed(result *Result) {
-	for i, w := range result.Work {
-		if least := r.scenario.Work[i].Least; w.Sent == 0 || float64(w.Served) < least*float64(w.Sent) {
-			result.violate("served: %d of %d requests of %s, must be a share of at least %g", w.Served, w.Sent, w.Name, least)
-		}
-	}
-}
-
-// maxPressed is the number of requests that may reach a backend server in the pauses that
-// it asked for: two on each occasion.
-const maxPressed = 2
-
-// maxCrashes is the number of backend server crashes that one poison request may
-// cause before the fleet has to refuse it.
-const maxCrashes = 2
-
-// verifyTallies compares the fleet's own tallies with the callers' counts. It does so
-// only if no request is unknown (without an answer, or answered with a status of 5xx)
-// and none was poison, since otherwise the two may differ without a fault.
-func (r *Runner) verifyTallies(result *Result) {
-	if r.scenario.Disturbed {
-		return
-	}
-	var served uint64
-	for _, s := range r.deployment.services {
-		report, ok := r.reportOf(s.Name)
-		if !ok {
-			continue
-		}
-		result.Received += report.Received
-		served += report.Served
-	}
-	var answered, unanswered uint64
-	for _, w := range result.Work {
-		answered += w.Served + w.Reasons["status-5xx"]
-		unanswered += w.Unknown
-	}
-	if unanswered == 0 && result.PoisonSent == 0 && (result.Received != result.Tries || served != answered) {
-		result.violate("report: the fleet counted %d received and %d served, its callers %d and %d",
-			result.Received, served, result.Tries, answered)
-	}
-}
-
-// reportOf builds the report of a service from the tallies in the store.
-func (r *Runner) reportOf(service string) (reporter.Report, bool) {
-	item, ok := r.fleet.Peek(storer.TallyKey(service))
-	if !ok {
-		return reporter.Report{}, false
-	}
-	var tallies []descriptor.Tally
-	if json.Unmarshal(item.Value, &tallies) != nil {
-		return reporter.Report{}, false
-	}
-	declared, _ := r.deployment.service(service)
-	return reporter.Build(declared, 0, tallies, time.Now()), true
-}
-
 // Text writes the result as plain text tables.
 func (r Result) Text(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
--- a/loader/run.go
+++ b/loader/run.go
@@ -32,6 +32,8 @@
 	progress io.Writer
 	record   *record
 	monitor  *monitor
+	// answering is the number of instances that answered after the load.
+	answering int
 }
 
 // Run runs a scenario with a fleet in this process and writes its progress. It
@@ -49,14 +51,14 @@
 }
 
 // RunRemote runs a scenario with a fleet of other processes and writes its progress. It
-// returns an error if the platform does not answer or lists no backend servers, or if a
-// has no instance addresses.
+// returns ErrFleet if an address, an instance or a backend server of the deployment is
+// missing, and another error if the platform does not answer.
 func RunRemote(ctx context.Context, s Scenario, a Remote, progress io.Writer) (Result, error) {
 	d, err := deploymentOf(s.Deployment)
 	if err != nil {
 		return Result{}, err
 	}
-	f, err := newRemoteFleet(a)
+	f, err := newRemoteFleet(a, d)
 	if err != nil {
 		return Result{}, err
 	}
@@ -102,6 +104,7 @@
 	generators.Wait()
 	waitAtMost(&inFlight, finishTimeout)
 	r.monitor.stop()
+	r.answering = countInstances(r.fleet.Dumps())
 	if !r.scenario.Disturbed {
 		r.fleet.Finish()
 	}
@@ -157,6 +160,7 @@
 			continue
 		}
 		inFlight.Add(1)
+		r.record.start(index)
 		go func() {
 			defer inFlight.Done()
 			defer func() { <-slots }()
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -70,7 +70,9 @@
 	// connection breaks.
 	Idempotent bool
 	Timeout    time.Duration
-	// Least is the share of the requests that must be served, from 0 to 1.
+	// Least is the share of the requests that must be served, from 0 to 1; poison
+	// requests must be refused as such instead. If it is not 0, half of the served
+	// requests must be served within the target of their class.
 	Least float64
 	// Poison is the number of requests, from the first one on, that crash the
 	// backend server that runs them.
@@ -115,6 +117,18 @@
 	// period, for the kinds that use them.
 	Share float64
 	Time  time.Duration
+	// Found is the time within which all instances have to avoid the gray backend
+	// server; 0 means that they need not.
+	Found time.Duration
+}
+
+// gray reports whether the fault makes a backend server gray.
+func (f Fault) gray() bool {
+	switch f.Kind {
+	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap:
+		return true
+	}
+	return false
 }
 
 // Load reads a scenario from a file, or the embedded scenario of that name. It
@@ -206,8 +220,12 @@
 // scenario that does not specify another one.
 const defaultLeast = 0.9
 
+// defaultFound is the time within which a gray backend server has to be avoided in a
+// scenario that does not specify another one.
+const defaultFound = 5 * time.Second
+
 func loadFault(k *parser.Section, name string) Fault {
-	return Fault{
+	f := Fault{
 		Name:    name,
 		Kind:    FaultKind(k.Text("kind", "")),
 		From:    k.Duration("from", 0),
@@ -217,6 +235,10 @@
 		Share:   k.Number("share", 0),
 		Time:    k.Duration("time", 0),
 	}
+	if f.gray() {
+		f.Found = k.Duration("found", defaultFound)
+	}
+	return f
 }
 
 // maxDuration bounds the duration of a scenario.
@@ -234,6 +256,9 @@
 	if err != nil {
 		return err
 	}
+	if len(s.Work) == 0 {
+		return eris.Wrapf(ErrScenario, "%s: no work", file)
+	}
 	for _, w := range s.Work {
 		if err := w.check(file, d); err != nil {
 			return err
@@ -243,6 +268,9 @@
 		if err := f.check(file, d); err != nil {
 			return err
 		}
+		if f.From >= min(f.To, s.Duration) {
+			return eris.Wrapf(ErrScenario, "%s: fault %s: from is out of range: must be before to and the end of the scenario", file, f.Name)
+		}
 	}
 	return nil
 }
@@ -270,6 +298,9 @@
 		if _, ok := d.service(f.Service); !ok {
 			return eris.Wrapf(ErrScenario, "%s: fault %s: unknown service %q", file, f.Name, f.Service)
 		}
+		if f.Index < 0 || f.Index >= d.sizes[f.Service] {
+			return eris.Wrapf(ErrScenario, "%s: fault %s: index is out of range: must be from 0 to %d", file, f.Name, d.sizes[f.Service]-1)
+		}
 		return nil
 	}
 	return eris.Wrapf(ErrScenario, "%s: fault %s: unknown kind %q", file, f.Name, f.Kind)
