--- a/commander/load.go
+++ b/commander/load.go
@@ -5,6 +5,7 @@
 	"io"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/rotisserie/eris"
 
 	"monsoonswitch/configurer"
 	"monsoonswitch/loader"
@@ -28,7 +29,22 @@
 	return clause
 }
 
+// check returns loader.ErrFleet if the addresses of a fleet are given without its store,
+// or a policy for a fleet of other processes, which have their own.
+func (c *loadCommand) check() error {
+	if c.remote.Store == "" && len(c.remote.Entries)+len(c.remote.Operators) > 0 {
+		return eris.Wrap(loader.ErrFleet, "addresses of instances are given, but not the address of their store")
+	}
+	if c.remote.Store != "" && c.policy != "" {
+		return eris.Wrap(loader.ErrFleet, "the instances run in other processes and have their own policy")
+	}
+	return nil
+}
+
 func (c *loadCommand) run(ctx context.Context, out, log io.Writer) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	s, err := loader.Load(c.scenario)
 	if err != nil {
 		return err
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -7,6 +7,10 @@
 cd "$(dirname "$0")/.."
 scenario=$1
 count=${2:-6}
+if ! [ "$count" -ge 1 ] 2>/dev/null; then
+  echo "$count instances: must be at least 1" >&2
+  exit 1
+fi
 bin=${BIN:-build/monsoonswitch}
 dir=$(mktemp -d)
 pids=()
