trial exits 1 where a guarantee breaks or a target is missed

Cause: trial printed its tables and always exited 0. Non-idempotent requests that ran twice were counted and never shown; requests that never ended or ended twice were not counted; an ejection counted as one only if it began exactly one write time before. With no seeds it printed tables of nothing, and with no workers it hung.

Change: an experiment carries what the production policies must reach, and each result is judged: floor, at most once, one end for each request and something sent under all policies; the found gray backend server, false ejections, share served, tail, goodput and placement under the production ones. Placements are measured over members that serve.

--- a/commander/trial.go
+++ b/commander/trial.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"monsoonswitch/experimenter"
+	"monsoonswitch/loader"
 )
 
 // trialCommand runs the experiments in simulated time.
@@ -20,13 +21,15 @@
 	days float64
 	// only is the name of the only experiment to run; empty means all but month.
 	only string
+	// broken describes the broken guarantees and what the production policies missed.
+	broken []string
 }
 
 func (c *trialCommand) register(app *kingpin.Application) *kingpin.CmdClause {
 	clause := app.Command("trial", "Run the experiments in simulated time, to compare policies with baselines under the same arrivals.")
 	clause.Flag("seeds", "Number of seeds.").Default("20").IntVar(&c.seeds)
 	clause.Flag("workers", "Number of concurrent runs.").Default("4").IntVar(&c.workers)
-	clause.Flag("days", "Simulated healthy days for false ejections, over all seeds.").Default("0.2").Float64Var(&c.days)
+	clause.Flag("days", "Simulated healthy days for false ejections, over all seeds; each seed needs 20 min 20 s.").Default("0.3").Float64Var(&c.days)
 	clause.Flag("only", "Run only this experiment.").EnumVar(&c.only, "stall", "errors", "detectors", "path", "healthy", "crest", "order", "uploads", "outage", "placement", "month")
 	return clause
 }
@@ -38,6 +41,9 @@
 }
 
 func (c *trialCommand) run(_ context.Context, out, _ io.Writer) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	tables := []trialTable{
 		{"stall", (*trialCommand).stall},
 		{"errors", (*trialCommand).errors},
@@ -62,9 +68,52 @@
 			return eris.Wrap(err, "write table")
 		}
 	}
+	for _, b := range c.broken {
+		fmt.Fprintln(out, "BROKEN PROMISE", b)
+	}
+	if len(c.broken) > 0 {
+		return eris.Wrap(errViolation, "trial")
+	}
 	return nil
 }
 
+// check returns loader.ErrScenario if the flags ask for experiments that show nothing:
+// without seeds, or healthy days that end before their first peak.
+func (c *trialCommand) check() error {
+	if c.seeds < 1 || c.workers < 1 {
+		return eris.Wrap(loader.ErrScenario, "seeds and workers must be at least 1")
+	}
+	if (c.only == "" || c.only == "healthy") && c.healthyLength() < experimenter.HealthyPeakEnd {
+		return eris.Wrapf(loader.ErrScenario, "%g healthy days over %d seeds end before the peak at %v of each", c.days, c.seeds, experimenter.HealthyPeakEnd)
+	}
+	return nil
+}
+
+// healthyLength returns the length of the healthy experiment of each seed.
+func (c *trialCommand) healthyLength() time.Duration {
+	return time.Duration(c.days * 24 * float64(time.Hour) / float64(c.seeds))
+}
+
+// play runs an experiment with all seeds and judges the results.
+func (c *trialCommand) play(name string, set experimenter.PolicySet, x experimenter.Experiment) []experimenter.Result {
+	results := experimenter.RunSeeds(set, x, c.seeds, c.workers)
+	for i, r := range results {
+		list := x.Violations(r)
+		if set.Standard {
+			list = append(list, x.Shortfalls(r)...)
+		}
+		for _, v := range list {
+			c.violate("%s, %s, %s, seed %d: %s", name, x.Service.Name, set.Name, i+1, v)
+		}
+	}
+	return results
+}
+
+// violate records a broken guarantee.
+func (c *trialCommand) violate(format string, args ...any) {
+	c.broken = append(c.broken, fmt.Sprintf(format, args...))
+}
+
 // mainServices returns experiments with the services that matter most to the users.
 func mainServices() []experimenter.Experiment {
 	return []experimenter.Experiment{experimenter.Fieldbook(), experimenter.Kliniki()}
@@ -79,7 +128,7 @@
 // stall measures the detection of a backend server that stalls.
 func (c *trialCommand) stall(w io.Writer) {
 	fmt.Fprintf(w, "One backend server stalls all work at 30%% load, %d seeds\n", c.seeds)
-	c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
+	c.detection(w, "stall", experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
 		return x.WithStall(0.3, faultStart, faultEnd)
 	})
 }
@@ -88,11 +137,8 @@
 func (c *trialCommand) errors(w io.Writer) {
 	for _, share := range []float64{0.3, 0.1} {
 		fmt.Fprintf(w, "One backend server fails %.0f%% of its work at 30%% load, %d seeds\n", 100*share, c.seeds)
-		c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
-			x = x.WithStall(0.3, faultStart, faultEnd)
-			x.Faults[0].Stall = false
-			x.Faults[0].Errors = share
-			return x
+		c.detection(w, "errors", experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
+			return x.WithErrors(0.3, share, faultStart, faultEnd)
 		})
 	}
 }
@@ -100,11 +146,8 @@
 // detectors compares the detectors for a slow backend server.
 func (c *trialCommand) detectors(w io.Writer) {
 	fmt.Fprintf(w, "Detectors, all else equal: one backend server takes 8 times as long, %d seeds\n", c.seeds)
-	c.detection(w, experimenter.Detectors(), func(x experimenter.Experiment) experimenter.Experiment {
-		x = x.WithStall(0.3, faultStart, faultEnd)
-		x.Faults[0].Stall = false
-		x.Faults[0].Slow = 8
-		return x
+	c.detection(w, "detectors", experimenter.Detectors(), func(x experimenter.Experiment) experimenter.Experiment {
+		return x.WithSlow(0.3, 8, faultStart, faultEnd)
 	})
 }
 
@@ -112,7 +155,7 @@
 // lead to an ejection.
 func (c *trialCommand) path(w io.Writer) {
 	fmt.Fprintf(w, "One instance alone gets no answers from one backend server, %d seeds; nothing is to be ejected\n", c.seeds)
-	c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
+	c.detection(w, "path", experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
 		return x.WithPathFault(0.3, faultStart, faultEnd)
 	})
 }
@@ -121,20 +164,18 @@
 // be avoided but not ejected.
 func (c *trialCommand) outage(w io.Writer) {
 	fmt.Fprintf(w, "A stall while the store is away, %d seeds; nothing can be ejected\n", c.seeds)
-	c.detection(w, experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
-		x = x.WithStall(0.3, faultStart, faultEnd)
-		x.Outage = time.Second
-		return x
+	c.detection(w, "outage", experimenter.Sets(), func(x experimenter.Experiment) experimenter.Experiment {
+		return x.WithOutage(0.3, time.Second, faultStart, faultEnd)
 	})
 }
 
 // detection prints the detection times and the effects on short requests for each
 // service and set of policies. The function configure adds load and faults.
-func (c *trialCommand) detection(w io.Writer, sets []experimenter.PolicySet, configure func(experimenter.Experiment) experimenter.Experiment) {
+func (c *trialCommand) detection(w io.Writer, name string, sets []experimenter.PolicySet, configure func(experimenter.Experiment) experimenter.Experiment) {
 	fmt.Fprintln(w, "SERVICE\tPOLICY\tAVOIDED MEDIAN\tWORST\tNEVER\tEJECTED MEDIAN\tWORST\tNEVER\tFALSE\tFLOOR BREACHES\tVISITS SERVED\tFAILED\tP99")
 	for _, base := range mainServices() {
 		for _, set := range sets {
-			results := experimenter.RunSeeds(set, configure(base), c.seeds, c.workers)
+			results := c.play(name, set, configure(base))
 			avoided := make([]time.Duration, len(results))
 			ejected := make([]time.Duration, len(results))
 			for i, r := range results {
@@ -198,12 +239,12 @@
 
 // healthy counts the false ejections without any fault.
 func (c *trialCommand) healthy(w io.Writer) {
-	length := time.Duration(c.days * 24 * float64(time.Hour) / float64(c.seeds))
+	length := c.healthyLength()
 	fmt.Fprintf(w, "%.1f healthy days over %d seeds: heavy tails, hourly crests over capacity, restarts with cold starts\n", c.days, c.seeds)
 	fmt.Fprintln(w, "SERVICE\tPOLICY\tREQUESTS\tEJECTIONS\tFALSE\tFLOOR BREACHES")
 	for _, base := range mainServices() {
 		for _, set := range experimenter.Detectors() {
-			t := totalOf(experimenter.RunSeeds(set, base.WithHealthyDay(0.1, length), c.seeds, c.workers))
+			t := totalOf(c.play("healthy", set, base.WithHealthyDay(0.1, length)))
 			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\n", base.Service.Name, set.Name, t.sent, t.ejections, t.falseEjections, t.floorBreaches)
 		}
 	}
@@ -216,7 +257,7 @@
 	fmt.Fprintf(w, "%d healthy days over %d seeds at Pelletier's fieldbook\n", days, c.seeds)
 	fmt.Fprintln(w, "REQUESTS\tEJECTIONS\tFALSE\tFLOOR BREACHES\tVISITS SERVED")
 	x := experimenter.Fieldbook().WithHealthyDay(0.05, length)
-	results := experimenter.RunSeeds(experimenter.Sets()[0], x, c.seeds, c.workers)
+	results := c.play("month", experimenter.Sets()[0], x)
 	t := totalOf(results)
 	served, _, _ := visitResults(results)
 	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%.3f%%\n", t.sent, t.ejections, t.falseEjections, t.floorBreaches, served)
--- a/experimenter/experiment.go
+++ b/experimenter/experiment.go
@@ -70,6 +70,8 @@
 	Restart time.Duration
 	// Outage is the time from which on the store is unavailable; 0 means never.
 	Outage time.Duration
+	// Required is what the production policies must reach.
+	Required Required
 }
 
 // ClassResult counts the outcomes of the requests of one class.
@@ -102,8 +104,9 @@
 	Oversubscribed uint64
 	Shed           uint64
 	Attempts       uint64
-	// Duplicates counts non-idempotent requests that ran twice.
-	Duplicates int
+	// Duplicates counts non-idempotent requests that ran twice, Repeated those that ended
+	// more than once, and Lost those that never ended although no attempt was running.
+	Duplicates, Repeated, Lost int
 }
 
 // Bounds of histograms in microseconds, and their significant digits.
--- a/experimenter/placement.go
+++ b/experimenter/placement.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -15,6 +16,8 @@
 // Placement is a strategy to choose the serving instances of all services.
 type Placement struct {
 	Name string
+	// Standard reports whether it is the production strategy.
+	Standard bool
 	// Place returns the IDs of the members that serve each service; places is
 	// their number.
 	Place func(services []string, members []descriptor.Member, places int) [][]string
@@ -23,9 +26,9 @@
 // Placements returns the compared strategies.
 func Placements() []Placement {
 	return []Placement{
-		{"rendezvous, domains in turn", placeRendezvous},
-		{"bounded-load consistent hashing", placeBounded},
-		{"greedy least loaded", placeGreedy},
+		{Name: "rendezvous, domains in turn", Standard: true, Place: placeRendezvous},
+		{Name: "bounded-load consistent hashing", Place: placeBounded},
+		{Name: "greedy least loaded", Place: placeGreedy},
 	}
 }
 
@@ -40,12 +43,14 @@
 	// Domains is the share of services placed in the largest possible number of
 	// failure domains.
 	Domains float64
+	// Short counts the services that got fewer different members than places.
+	Short int
 	// Time is the time to place all services.
 	Time time.Duration
 }
 
 // MeasurePlacement measures a strategy at a fleet size. Moved is the mean over the
-// removal of several members, one at a time.
+// removal of several members that serve, one at a time.
 func MeasurePlacement(p Placement, services, members, domains, places int) PlacementResult {
 	names, list := placementInput(services, members, domains)
 	began := time.Now()
@@ -53,10 +58,12 @@
 	r := PlacementResult{Time: time.Since(began)}
 	r.Imbalance = imbalance(before, members)
 	r.Domains = spreadOverDomains(before, list, min(domains, places))
+	r.Short = short(before, min(places, members))
 	const removals = 5
 	moved, had := 0, 0
-	for k := range removals {
-		i := k * members / removals
+	serving := servingMembers(before, list)
+	for k := range min(removals, len(serving)) {
+		i := serving[k*len(serving)/min(removals, len(serving))]
 		rest := append(append([]descriptor.Member(nil), list[:i]...), list[i+1:]...)
 		after := p.Place(names, rest, places)
 		for s := range names {
@@ -68,6 +75,34 @@
 	return r
 }
 
+// short returns the number of services with fewer than places different members.
+func short(placed [][]string, places int) int {
+	n := 0
+	for _, list := range placed {
+		if len(slices.Compact(slices.Sorted(slices.Values(list)))) < places {
+			n++
+		}
+	}
+	return n
+}
+
+// servingMembers returns the indices of the members that serve a service.
+func servingMembers(placed [][]string, members []descriptor.Member) []int {
+	serving := make(map[string]bool)
+	for _, list := range placed {
+		for _, id := range list {
+			serving[id] = true
+		}
+	}
+	var result []int
+	for i, m := range members {
+		if serving[m.ID] {
+			result = append(result, i)
+		}
+	}
+	return result
+}
+
 func placementInput(services, members, domains int) ([]string, []descriptor.Member) {
 	names := make([]string, services)
 	for i := range names {
--- a/experimenter/suite.go
+++ b/experimenter/suite.go
@@ -12,36 +12,43 @@
 	"monsoonswitch/picker"
 )
 
-// PolicySet is a named set of policies.
+// PolicySet is a named set of policies. Standard reports whether it is the production
+// one, which has to reach what experiments require.
 type PolicySet struct {
-	Name string
-	Run  func(Experiment) Result
+	Name     string
+	Run      func(Experiment) Result
+	Standard bool
+}
+
+// standard returns the production policies under a name.
+func standard(name string) PolicySet {
+	return PolicySet{Name: name, Run: Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive], Standard: true}
 }
 
 // Sets returns the production policies first, followed by the baselines.
 func Sets() []PolicySet {
 	return []PolicySet{
-		{"standard", Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]},
-		{"round robin, no ejection", Run[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open]},
-		{"least loaded, 5 in a row", Run[int, detector.Consecutive, picker.LeastLoaded, limiter.Open]},
+		standard("standard"),
+		{Name: "round robin, no ejection", Run: Run[detector.Nothing, detector.None, picker.RoundRobin, limiter.Open]},
+		{Name: "least loaded, 5 in a row", Run: Run[int, detector.Consecutive, picker.LeastLoaded, limiter.Open]},
 	}
 }
 
 // Detectors returns policy sets that differ only in their detector.
 func Detectors() []PolicySet {
 	return []PolicySet{
-		{"sequential test", Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]},
-		{"moving outlier rate", Run[detector.Rate, detector.Outlier, picker.Sampled, limiter.Adaptive]},
-		{"5 failures in a row", Run[int, detector.Consecutive, picker.Sampled, limiter.Adaptive]},
+		standard("sequential test"),
+		{Name: "moving outlier rate", Run: Run[detector.Rate, detector.Outlier, picker.Sampled, limiter.Adaptive]},
+		{Name: "5 failures in a row", Run: Run[int, detector.Consecutive, picker.Sampled, limiter.Adaptive]},
 	}
 }
 
 // Orders returns policy sets that differ only in the order of queued requests.
 func Orders() []PolicySet {
 	return []PolicySet{
-		{"newest first under overload", Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Adaptive]},
-		{"oldest first", Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Ordered]},
-		{"oldest first, no early refusal", Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Open]},
+		standard("newest first under overload"),
+		{Name: "oldest first", Run: Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Ordered]},
+		{Name: "oldest first, no early refusal", Run: Run[detector.Evidence, detector.Sequential, picker.Sampled, limiter.Open]},
 	}
 }
 
@@ -139,6 +146,18 @@
 	return float64(x.Backends*x.Slots) / (meanFactor * x.Median.Seconds())
 }
 
+// Targets of the users beside a fault.
+const (
+	// servedTarget is the share of visits that is served.
+	servedTarget = 0.99
+	// tailTarget bounds the 99th percentile of the latency of visits.
+	tailTarget = 2 * time.Second
+	// foundTarget is the time within which a gray backend server is avoided, and
+	// faintFoundTarget that for a fault which shows in few requests.
+	foundTarget      = 5 * time.Second
+	faintFoundTarget = 10 * time.Second
+)
+
 // WithStall returns x with a backend server that stalls all requests from at until
 // until, with load as a share of the capacity.
 func (x Experiment) WithStall(load float64, at, until time.Duration) Experiment {
@@ -148,14 +167,17 @@
 	}
 	x.Faults = []Fault{{Index: 2, From: at, To: until, Stall: true}}
 	x.Duration = until
-	return x
+	return x.WithRequired(Required{Served: servedTarget, Tail: tailTarget, Avoided: foundTarget, Ejected: true})
 }
 
+// HealthyPeakEnd is the end of the first peak of WithHealthyDay.
+const HealthyPeakEnd = 20*time.Minute + 20*time.Second
+
 // WithHealthyDay returns x with ordinary load, hourly peaks and restarts, but no
 // fault.
 func (x Experiment) WithHealthyDay(load float64, length time.Duration) Experiment {
 	rate := load * x.Capacity()
-	peak := Load{PeakFactor: 12, PeakFrom: 20 * time.Minute, PeakTo: 20*time.Minute + 20*time.Second, PeakEvery: time.Hour}
+	peak := Load{PeakFactor: 12, PeakFrom: 20 * time.Minute, PeakTo: HealthyPeakEnd, PeakEvery: time.Hour}
 	visit, booking := peak, peak
 	visit.Class, visit.Rate, visit.Callers, visit.Timeout = "visit", 0.85*rate, 200, 5*time.Second
 	booking.Class, booking.Rate, booking.Callers = "booking", 0.1*rate, 50
@@ -166,7 +188,7 @@
 	}
 	x.Restart = 6 * time.Hour
 	x.Duration = length
-	return x
+	return x.WithRequired(Required{Served: servedTarget, Unejected: true})
 }
 
 // WithPeak returns x with a peak load of ten times the capacity, half of it from one
@@ -182,7 +204,7 @@
 		GreedyShare: 0.5,
 	}}
 	x.Duration = length
-	return x
+	return x.WithRequired(Required{Unejected: true})
 }
 
 // WithUploads returns x with short requests and, if uploads is set, long uploads
@@ -198,13 +220,48 @@
 		x.Loads = append(x.Loads, Load{Class: "upload", Rate: rate, Weight: weight, Callers: 10})
 	}
 	x.Duration = length
+	return x.WithRequired(Required{Served: servedTarget, Tail: tailTarget, Unejected: true})
+}
+
+// WithErrors returns x with a backend server that fails a share of its requests.
+func (x Experiment) WithErrors(load, share float64, at, until time.Duration) Experiment {
+	x = x.WithStall(load, at, until)
+	x.Faults[0].Stall = false
+	x.Faults[0].Errors = share
+	if share < 0.3 {
+		x.Required.Avoided = faintFoundTarget
+	}
+	return x
+}
+
+// WithSlow returns x with a backend server whose service times are multiplied by factor.
+func (x Experiment) WithSlow(load, factor float64, at, until time.Duration) Experiment {
+	x = x.WithStall(load, at, until)
+	x.Faults[0].Stall = false
+	x.Faults[0].Slow = factor
 	return x
 }
 
 // WithPathFault returns x with a backend server that stalls only the requests of the
-// first instance.
+// first instance, so that it must not be ejected.
 func (x Experiment) WithPathFault(load float64, at, until time.Duration) Experiment {
 	x = x.WithStall(load, at, until)
 	x.Faults[0].Instance = 1
+	return x.withoutEjection()
+}
+
+// WithOutage returns x with a backend server that stalls while the store is unavailable,
+// so that it can't be ejected.
+func (x Experiment) WithOutage(load float64, away, at, until time.Duration) Experiment {
+	x = x.WithStall(load, at, until)
+	x.Outage = away
+	return x.withoutEjection()
+}
+
+// withoutEjection returns x with the requirement that nothing is ejected. Instances then
+// find the fault on their own evidence, which takes longer.
+func (x Experiment) withoutEjection() Experiment {
+	x.Required.Avoided = faintFoundTarget
+	x.Required.Ejected, x.Required.Unejected = false, true
 	return x
 }
--- a/experimenter/surroundings.go
+++ b/experimenter/surroundings.go
@@ -1,6 +1,10 @@
 package experimenter
 
-import "monsoonswitch/descriptor"
+import (
+	"time"
+
+	"monsoonswitch/descriptor"
+)
 
 // deliver passes a message to the instance it is addressed to.
 func (s *simulation[E, D, P, L]) deliver(from int, a descriptor.Send) {
@@ -64,9 +68,10 @@
 // countNewEjections counts the ejections that the last write added.
 func (s *simulation[E, D, P, L]) countNewEjections() {
 	for _, e := range s.ejected.Ejections {
-		if !e.Since.Equal(s.now.Add(-storeWriteTime)) {
+		if s.counted[e.Backend].Equal(e.Since) {
 			continue
 		}
+		s.counted[e.Backend] = e.Since
 		s.result.Ejections++
 		fault, faulty := s.faultOf(e.Backend)
 		if !faulty {
@@ -128,12 +133,30 @@
 	return true
 }
 
-// countDuplicates counts the non-idempotent requests that ran more than once.
-func (s *simulation[E, D, P, L]) countDuplicates() {
-	for _, r := range s.requests {
+// lostTime is how long after the target of its class a request without a running attempt
+// counts as lost.
+const lostTime = 5 * time.Second
+
+// countBroken counts the non-idempotent requests that ran more than once, the requests
+// that ended more than once and those that were lost.
+func (s *simulation[E, D, P, L]) countBroken() {
+	running := make(map[descriptor.RequestID]bool)
+	for _, f := range s.backends {
+		for v := range f.open {
+			running[v.request] = true
+		}
+	}
+	end := s.start.Add(s.experiment.Duration)
+	for i, r := range s.requests {
 		class, _ := s.experiment.Service.Class(r.class)
 		if !class.Idempotent && r.runs > 1 {
 			s.result.Duplicates++
 		}
+		if r.endings > 1 {
+			s.result.Repeated++
+		}
+		if r.endings == 0 && !running[descriptor.RequestID(i+1)] && end.Sub(r.arrived) > class.Target+lostTime {
+			s.result.Lost++
+		}
 	}
 }
--- a/experimenter/world.go
+++ b/experimenter/world.go
@@ -78,8 +78,9 @@
 	// greedy reports whether the greedy caller sent the request.
 	greedy bool
 	// runs counts the attempts that began at a backend server.
-	runs  int
-	ended bool
+	runs int
+	// endings counts the times that the request ended.
+	endings int
 }
 
 // simulation runs one experiment as a discrete-event simulation.
@@ -100,6 +101,8 @@
 	writes   descriptor.WriteID
 	// writers maps each write to the instance that issued it.
 	writers map[descriptor.WriteID]int
+	// counted holds the start of the last counted ejection of each backend server.
+	counted map[string]time.Time
 	result  Result
 	actions []descriptor.Action
 	ended   []balancer.Ended
@@ -107,6 +110,14 @@
 
 // Run simulates an experiment with a set of policies.
 func Run[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](x Experiment) Result {
+	s := newSimulation[E, D, P, L](x)
+	s.run()
+	s.countBroken()
+	return s.result
+}
+
+// newSimulation returns a simulation at its start.
+func newSimulation[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](x Experiment) *simulation[E, D, P, L] {
 	s := &simulation[E, D, P, L]{
 		experiment: x,
 		random:     rand.New(rand.NewPCG(x.Seed, 7)),
@@ -119,13 +130,12 @@
 		}),
 		byID:    make(map[string]*fakeBackend),
 		writers: make(map[descriptor.WriteID]int),
+		counted: make(map[string]time.Time),
 		result:  Result{Classes: make(map[string]*ClassResult), EjectedAfter: -1, AvoidedAfter: -1},
 	}
 	s.now = s.start
 	s.build()
-	s.run()
-	s.countDuplicates()
-	return s.result
+	return s
 }
 
 // build creates the members, backend servers and balancers.
@@ -275,7 +285,7 @@
 // recordOutcome counts a request that ended.
 func (s *simulation[E, D, P, L]) recordOutcome(e balancer.Ended) {
 	r := &s.requests[e.Request-1]
-	r.ended = true
+	r.endings++
 	c := s.result.Classes[r.class]
 	switch e.Reason {
 	case descriptor.Served:
