The IP number of an instance is no part of a request's identity

The fingerprint of a request holds its host. Where the service is named by a header, callers connect to an instance by its IP number, so the same request at three instances counted as three, each with two crashes of its own.

Change: a host that is an IP address is left out.

TestRepeatAtAnotherInstance failed before: "another instance: got, want".

--- a/forwarder/identity_test.go
+++ b/forwarder/identity_test.go
@@ -71,3 +71,18 @@
 		asserter.Equal(t, "content", x.control.arrived().Content, content)
 	})
 }
+
+// TestRepeatAtAnotherInstance guards against a repeated request that is not recognised because
+// its caller connects to another instance, whose IP number it names as the host.
+func TestRepeatAtAnotherInstance(t *testing.T) {
+	x := newFixture(t, func(http.ResponseWriter, *http.Request) {})
+	fingerprint := func(host string) uint64 {
+		r := x.request("GET", "/a/1", nil)
+		r.Host, r.RemoteAddr = host, "127.0.0.1:1"
+		return (&session{forwarder: x.forwarder, r: r}).fingerprint()
+	}
+	asserter.Equal(t, "another instance", fingerprint("127.0.0.2:8001"), fingerprint("127.0.0.1:8000"))
+	asserter.Equal(t, "an instance with an IPv6 address", fingerprint("[::1]:8001"), fingerprint("127.0.0.1"))
+	asserter.True(t, "a name is part of it", fingerprint("a.example") != fingerprint("b.example"))
+	asserter.True(t, "a name is no address", fingerprint("a.example") != fingerprint("127.0.0.1"))
+}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -303,13 +304,26 @@
 // that was sent with a length is sent in chunks. The body is not part of it.
 func (s *session) fingerprint() uint64 {
 	h := xxhash.New()
-	for _, part := range []string{s.r.Method, s.r.Host, s.r.Header.Get(headerService), s.r.URL.RequestURI(), s.caller()} {
+	for _, part := range []string{s.r.Method, namedHost(s.r.Host), s.r.Header.Get(headerService), s.r.URL.RequestURI(), s.caller()} {
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
 	return h.Sum64()
 }
 
+// namedHost returns the host of a request, or nothing if it is an IP address: that is the
+// address of an instance, which differs when the caller sends its request to another one.
+func namedHost(host string) string {
+	address := host
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		address = name
+	}
+	if net.ParseIP(strings.Trim(address, "[]")) != nil {
+		return ""
+	}
+	return host
+}
+
 // apply carries out an action of the control goroutine and reports whether the request
 // ended.
 func (s *session) apply(action descriptor.RequestAction) bool {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -83,6 +83,19 @@
 	asserter.Equal(t, "gray backend servers", len(result.Detections), 1)
 }
 
+// TestPoisonScenario runs a shortened scenario of a request that crashes backend servers. Its
+// callers send it to each serving instance, and each of them once allowed crashes of its own.
+// They send it once a second, since requests that run at the same time may crash more.
+func TestPoisonScenario(t *testing.T) {
+	s, err := Load("poison")
+	asserter.NoError(t, "load", err)
+	s.Duration = 8 * time.Second
+	s.Work[0].Rate, s.Work[1].Rate = 20, 1
+	result, err := Run(context.Background(), s, io.Discard)
+	asserter.NoError(t, "run", err)
+	asserter.Equal(t, "violations", result.Violations, nil)
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("[scenario]\nname=a\nduration=1s\n[work w]\nservice=ledger\nclass=lookup\npath=/lines/1\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
