fleet.sh does not read the output of a stand-in before there is one

Cause: on a busy machine it ended with "sed: can't read .../billing-4.out: No such file or directory", since the stand-in's shell had not opened the file yet.

Change: the file is created first.

--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -21,6 +21,7 @@
 start() {
   local name=$1
   shift
+  : >"$dir/$name.out"
   "$bin" "$@" >"$dir/$name.out" 2>"$dir/$name.err" &
   pids+=($!)
   for _ in $(seq 200); do
