Soak: second answers, restarts at the same address, large uploads, pipelined requests

The soak had no backend server that copies a refusal with its identifier or comes back at its address under another ID, no upload of more than 220 kB, no caller that sends requests one behind the other, no work on the paths of the instances' other listeners, and no check of gray backend servers.

Three in ten plans hold planned faults alone; no answer to a pipelined request may be cut in them. Seconds in which all instances are paused, stopped or killed one by one are not judged either, as those of a kill of all.

The floor of ejections counts the entries that a restart adds.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -31,6 +31,9 @@
 	// Repeat makes the backend server write its last refusal on a connection once more
 	// before the answer to the next request there.
 	Repeat bool `json:"repeat"`
+	// Copy makes the backend server write its last refusal on a connection once more before
+	// the answer to the next request there, with the identifier of the refused request.
+	Copy bool `json:"copy"`
 }
 
 // BackendOptions are the fixed parameters of a stand-in.
@@ -50,6 +53,9 @@
 	Down time.Duration
 	// Seed seeds the generator of service times and random faults.
 	Seed uint64
+	// Names are the headers of requests and answers; without them they are those of
+	// docs/PLATFORM.md.
+	Names Names
 }
 
 // BackendCounts holds the counters of a stand-in.
@@ -70,6 +76,10 @@
 	// Pressed counts the requests that an instance sent from pauseSlack after it was asked
 	// for a pause until the end of that pause.
 	Pressed uint64 `json:"pressed"`
+	// Copies counts the refusals that were written once more, and Altered the requests that
+	// ran with another body than their caller sent.
+	Copies  uint64 `json:"copies"`
+	Altered uint64 `json:"altered"`
 	// Keys maps the token of each request to the number of its runs.
 	Keys map[string]int `json:"keys"`
 }
@@ -96,6 +106,10 @@
 	counts   BackendCounts
 	// pauses holds the pause that each instance was last asked for, by its name.
 	pauses map[string]pause
+	// refusals holds the last refusal of each connection while Copy is set.
+	refusals map[string]refusal
+	// name is the name that requests must expect; empty means that any may come.
+	name string
 }
 
 // pause is the time in which an instance is asked to send no requests.
@@ -116,15 +130,31 @@
 		crashHandler: func(time.Duration) {},
 		counts:       BackendCounts{Keys: make(map[string]int)},
 		pauses:       make(map[string]pause),
+		refusals:     make(map[string]refusal),
 	}
 }
 
+// SetName replaces the name that requests must expect. Others are misdirected.
+func (b *Backend) SetName(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.name = name
+}
+
+// expected reports whether a request that expects a backend server may run here.
+func (b *Backend) expected(name string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.name == "" || name == b.name
+}
+
 // SetFault replaces the faults; flapping starts at now.
 func (b *Backend) SetFault(f BackendFault, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.fault = f
 	b.faultSince = now
+	clear(b.refusals)
 }
 
 // Counts returns a copy of the counters.
@@ -256,6 +286,13 @@
 	}
 }
 
+// alter counts a request that ran with another body than its caller sent.
+func (b *Backend) alter() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Altered++
+}
+
 // end counts the end of a request; done reports whether it completed.
 func (b *Backend) end(done bool) {
 	b.mu.Lock()
--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -1,6 +1,8 @@
 package imitator
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"hash/crc32"
@@ -15,14 +17,17 @@
 const (
 	CountsPath = "/-/counts"
 	HealthPath = "/-/health"
+	// CrashPath crashes the backend server, which is down for a while then.
+	CrashPath = "/-/crash"
 	// These query parameters describe a request for work: a token that is
 	// repeated in the response, the size of the response in bytes, the weight as
-	// a multiple of the median service time, and whether the request crashes the
-	// backend server.
+	// a multiple of the median service time, whether the request crashes the
+	// backend server, and the SHA-256 sum of the body that its caller sends.
 	TokenParameter  = "token"
 	SizeParameter   = "size"
 	WeightParameter = "weight"
 	CrashParameter  = "crash"
+	SumParameter    = "sum"
 )
 
 // maxSize bounds the size of a response, in bytes.
@@ -38,6 +43,9 @@
 	switch r.URL.Path {
 	case FaultPath:
 		b.serveFault(w, r)
+	case CrashPath:
+		b.Crash(now)
+		writeJSON(w, http.StatusOK, b.options.Down)
 	case CountsPath:
 		writeJSON(w, http.StatusOK, b.Counts())
 	case HealthPath:
@@ -70,15 +78,21 @@
 	if b.repeatRefusal(w, r) {
 		return
 	}
+	names := b.options.names()
+	attempt := r.Header.Get(names.Attempt)
+	if names.Expect != "" && !b.expected(r.Header.Get(names.Expect)) {
+		b.refuse(w, r, attempt, http.StatusMisdirectedRequest, "another backend server")
+		return
+	}
 	if wait, ok := b.turnAway(senderOf(r), time.Now()); ok {
 		if wait > 0 {
 			w.Header().Set("Retry-After", strconv.FormatFloat(wait.Seconds(), 'f', 3, 64))
 		}
-		b.refuse(w, r.Header.Get(attemptHeader), "turned away")
+		b.refuse(w, r, attempt, http.StatusServiceUnavailable, "turned away")
 		return
 	}
 	if !b.admit() {
-		b.refuse(w, r.Header.Get(attemptHeader), fullOrDraining)
+		b.refuse(w, r, attempt, http.StatusServiceUnavailable, fullOrDraining)
 		return
 	}
 	defer b.release()
@@ -101,14 +115,32 @@
 // fullOrDraining is why a request is refused without a fault that turns it away.
 const fullOrDraining = "backlog full or draining"
 
-// refuse answers that an attempt did not run.
-func (b *Backend) refuse(w http.ResponseWriter, attempt, why string) {
+// refuse answers that an attempt did not run. The answer is sent before the body is read; the
+// rest of it is discarded, so that the connection can be used again.
+func (b *Backend) refuse(w http.ResponseWriter, r *http.Request, attempt string, status int, why string) {
+	names := b.options.names()
+	b.remember(r.RemoteAddr, refusal{status, attempt})
+	_, _ = io.CopyN(io.Discard, r.Body, b.earlyBytes())
+	control := http.NewResponseController(w)
+	_ = control.EnableFullDuplex()
 	b.setStateHeaders(w)
-	w.Header().Set("Backend-Refused", "not-run")
-	w.Header().Set(attemptHeader, attempt)
-	writeProblem(w, http.StatusServiceUnavailable, errors.New(why))
+	w.Header().Set(names.Refused, "not-run")
+	w.Header().Set(names.Attempt, attempt)
+	writeProblem(w, status, errors.New(why))
+	_ = control.Flush()
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// earlyBytes draws how much of a body is read before its request is refused.
+func (b *Backend) earlyBytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.random.Int64N(maxEarlyBytes)
 }
 
+// maxEarlyBytes bounds the bytes of a body that are read before its request is refused.
+const maxEarlyBytes = 1 << 20
+
 // attemptHeader is the identifier of an attempt, which a refusal repeats.
 const attemptHeader = "Backend-Attempt"
 
@@ -121,19 +153,27 @@
 	b.begin(r.URL.Query().Get(TokenParameter))
 	_, err := io.Copy(io.Discard, r.Body)
 	b.end(err == nil)
-	b.refuse(w, "an-earlier-attempt", fullOrDraining)
+	b.refuse(w, r, "an-earlier-attempt", http.StatusServiceUnavailable, fullOrDraining)
 	return true
 }
 
 // run runs one request that holds a slot.
 func (b *Backend) run(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	b.begin(query.Get(TokenParameter))
-	received, err := io.Copy(io.Discard, r.Body)
+	token := query.Get(TokenParameter)
+	b.begin(token)
+	sum := sha256.New()
+	received, err := io.Copy(sum, r.Body)
 	if err != nil {
 		b.end(false)
 		panic(http.ErrAbortHandler)
 	}
+	if want := query.Get(SumParameter); want != "" && hex.EncodeToString(sum.Sum(nil)) != want {
+		b.alter()
+	}
+	if earlier, ok := b.takeRefusal(r.RemoteAddr); ok && b.answerBehindCopy(w, r, earlier, token) {
+		return
+	}
 	crash := b.crashed()
 	if query.Get(CrashParameter) != "" {
 		b.Crash(time.Now())
@@ -178,13 +218,15 @@
 func (b *Backend) answer(w http.ResponseWriter, r *http.Request, received int64) {
 	fault := b.faultAt(time.Now())
 	b.setStateHeaders(w)
+	if names := b.options.names(); names.Signature != "" {
+		w.Header().Set(names.Signature, signature)
+		w.Header().Set(names.Attempt, r.Header.Get(names.Attempt))
+	}
 	if b.draw(fault.Errors) {
 		writeProblem(w, http.StatusInternalServerError, errors.New("injected error"))
 		return
 	}
-	token := r.URL.Query().Get(TokenParameter)
-	size := int(min(maxSize, max(0, numberParameter(r, SizeParameter, 64))))
-	body := Body(token, size)
+	body := Body(r.URL.Query().Get(TokenParameter), sizeOf(r))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set("Received", strconv.FormatInt(received, 10))
 	if b.draw(fault.Cut) {
@@ -194,6 +236,11 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// sizeOf returns the size of the response that a request asks for.
+func sizeOf(r *http.Request) int {
+	return int(min(maxSize, max(0, numberParameter(r, SizeParameter, 64))))
+}
+
 // Body returns the response body for a token. Callers use it to check that a
 // response is complete and belongs to their request.
 func Body(token string, size int) string {
--- a/loader/exchange.go
+++ b/loader/exchange.go
@@ -19,12 +19,19 @@
 // nil receive ignores the response. It returns an error if the call or the
 // encoding fails.
 func exchange(address, path string, send, receive any) error {
+	method := http.MethodGet
+	if send != nil {
+		method = http.MethodPost
+	}
+	return exchangeWith(method, address, path, send, receive)
+}
+
+// exchangeWith is exchange with a given method.
+func exchangeWith(method, address, path string, send, receive any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
 	defer cancel()
-	method := http.MethodGet
 	var body bytes.Buffer
 	if send != nil {
-		method = http.MethodPost
 		if err := json.NewEncoder(&body).Encode(send); err != nil {
 			return eris.Wrap(err, "encode request body")
 		}
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -47,6 +47,34 @@
 	if !ok {
 		return
 	}
+	now := time.Now()
+	switch f.Kind {
+	case FaultDrain, FaultLeave:
+		r.monitor.expectDrain(b)
+	case FaultTurn, FaultRepeat, FaultCopy, FaultCrash, FaultRestart:
+		// It is not a gray fault: the backend server turns work away, its refusals are not
+		// believed, or it is down.
+	default:
+		r.monitor.expectGray(b, now)
+	}
+	b.SetFault(f.ofBackend())
+	switch f.Kind {
+	case FaultCrash:
+		b.Crash()
+	case FaultRestart:
+		b.Crash()
+		r.renew(b, f)
+		defer r.fleet.Deregister(b.Service(), b.ID())
+	}
+	if f.isGray() {
+		r.watchGray(ctx, f, b)
+	}
+	sleepUntil(ctx, r.started.Add(f.To))
+	b.SetFault(imitator.BackendFault{})
+}
+
+// ofBackend returns the fault that a backend server is set to.
+func (f Fault) ofBackend() imitator.BackendFault {
 	fault := imitator.BackendFault{}
 	switch f.Kind {
 	case FaultStall:
@@ -67,20 +95,18 @@
 		fault.Turn, fault.Pause = f.Share, f.Time
 	case FaultRepeat:
 		fault.Repeat = true
+	case FaultCopy, FaultRestart:
+		fault.Turn, fault.Copy = f.Share, true
 	}
-	now := time.Now()
-	switch f.Kind {
-	case FaultDrain, FaultLeave:
-		r.monitor.expectDrain(b)
-	case FaultTurn, FaultRepeat:
-		// It is not a gray fault: the backend server turns work away, or its refusals
-		// are not believed.
-	default:
-		r.monitor.expectGray(b, now)
-	}
-	b.SetFault(fault)
-	sleepUntil(ctx, r.started.Add(f.To))
-	b.SetFault(imitator.BackendFault{})
+	return fault
+}
+
+// renew lists a backend server under another ID, beside its entry.
+func (r *Runner) renew(b backend, f Fault) {
+	entry := b.Entry()
+	entry.ID += "-" + f.Name
+	r.monitor.expectEntry(b.Service())
+	r.fleet.Register(b.Service(), entry)
 }
 
 // backendAt returns the i-th backend server of a service, counted from 0.
--- a/loader/fleet.go
+++ b/loader/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -23,6 +24,10 @@
 	ID() string
 	// SetFault replaces the active faults.
 	SetFault(imitator.BackendFault)
+	// Crash breaks all connections; the backend server is down for a while then.
+	Crash()
+	// Entry returns its entry in the list.
+	Entry() descriptor.Backend
 	// Counts returns the counters of the backend server.
 	Counts() imitator.BackendCounts
 }
@@ -35,6 +40,9 @@
 	Backends() []backend
 	// SetStoreFault replaces the active faults of the platform's store.
 	SetStoreFault(imitator.StoreFault)
+	// Register adds an entry to the list of backend servers, and Deregister removes one.
+	Register(service string, b descriptor.Backend)
+	Deregister(service, id string)
 	// Peek returns the item stored under key; false means that there is none or
 	// that the read failed.
 	Peek(key string) (storer.Item, bool)
@@ -97,6 +105,12 @@
 // SetFault implements backend.
 func (b localBackend) SetFault(f imitator.BackendFault) { b.StandIn.SetFault(f, time.Now()) }
 
+// Crash implements backend.
+func (b localBackend) Crash() { b.StandIn.Crash(time.Now()) }
+
+// Entry implements backend.
+func (b localBackend) Entry() descriptor.Backend { return b.Listed }
+
 // Counts implements backend.
 func (b localBackend) Counts() imitator.BackendCounts { return b.StandIn.Counts() }
 
@@ -112,6 +126,12 @@
 // SetStoreFault implements fleet.
 func (l localFleet) SetStoreFault(f imitator.StoreFault) { l.Store.SetFault(f) }
 
+// Register implements fleet.
+func (l localFleet) Register(service string, b descriptor.Backend) { l.Store.Register(service, b) }
+
+// Deregister implements fleet.
+func (l localFleet) Deregister(service, id string) { l.Store.Deregister(service, id) }
+
 // Peek implements fleet. It reads the store directly, unaffected by store faults.
 func (l localFleet) Peek(key string) (storer.Item, bool) { return l.Store.Peek(key) }
 
@@ -186,6 +206,12 @@
 	_ = exchange(b.listed.Address, imitator.FaultPath, f, nil)
 }
 
+// Crash implements backend.
+func (b remoteBackend) Crash() { _ = exchange(b.listed.Address, imitator.CrashPath, struct{}{}, nil) }
+
+// Entry implements backend.
+func (b remoteBackend) Entry() descriptor.Backend { return b.listed }
+
 // Counts implements backend. It returns zero counts if the process does not answer.
 func (b remoteBackend) Counts() imitator.BackendCounts {
 	var c imitator.BackendCounts
@@ -204,6 +230,16 @@
 	_ = exchange(r.addresses.Store, imitator.FaultPath, f, nil)
 }
 
+// Register implements fleet.
+func (r *remoteFleet) Register(service string, b descriptor.Backend) {
+	_ = exchange(r.addresses.Store, imitator.RegisterPath+service+"/"+b.ID, b, nil)
+}
+
+// Deregister implements fleet.
+func (r *remoteFleet) Deregister(service, id string) {
+	_ = exchangeWith(http.MethodDelete, r.addresses.Store, imitator.RegisterPath+service+"/"+id, nil, nil)
+}
+
 // Peek implements fleet. It finds nothing while the store is unavailable.
 func (r *remoteFleet) Peek(key string) (storer.Item, bool) {
 	item, err := r.client.Get(context.Background(), key)
--- a/loader/monitor.go
+++ b/loader/monitor.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/imitator"
 	"monsoonswitch/storer"
@@ -58,6 +59,8 @@
 	// seen holds the start of the last ejection of each SERVICE/BACKEND.
 	seen      map[string]time.Time
 	ejections []Ejection
+	// entries holds the number of entries that were added to the list of each service.
+	entries map[string]int
 	// breaches counts the checks that found fewer backend servers than the floor.
 	breaches int
 	// active is the number of ejections in force at the last check.
@@ -74,6 +77,7 @@
 		cancel:     cancel,
 		done:       make(chan struct{}),
 		seen:       make(map[string]time.Time),
+		entries:    make(map[string]int),
 	}
 	go func() {
 		defer close(m.done)
@@ -120,7 +124,7 @@
 func (m *monitor) check(now time.Time) {
 	active := 0
 	for _, s := range m.deployment.services {
-		active += m.checkEjections(s.Name, s.MinRemaining(m.deployment.sizes[s.Name]), now)
+		active += m.checkEjections(s, now)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -138,9 +142,17 @@
 	}
 }
 
+// expectEntry records that an entry was added to the list of a service.
+func (m *monitor) expectEntry(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries[service]++
+}
+
 // checkEjections records new ejections of a service, checks its floor and returns
 // the number of ejections in force.
-func (m *monitor) checkEjections(service string, keep int, now time.Time) int {
+func (m *monitor) checkEjections(declared declarer.Service, now time.Time) int {
+	service := declared.Name
 	list := m.ejectionsOf(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -162,7 +174,7 @@
 			Gray:    m.markEjected(e, now),
 		})
 	}
-	if m.deployment.sizes[service]-active < keep {
+	if size := m.deployment.sizes[service] + m.entries[service]; size-active < declared.MinRemaining(size) {
 		m.breaches++
 	}
 	return active
--- a/loader/record.go
+++ b/loader/record.go
@@ -58,6 +58,10 @@
 	keyed   []token
 	notRun  []token
 	targets []time.Duration
+	// cut lists the requests whose answer began and broke off, unanswered those that were
+	// the first on their connection without an answer when it broke.
+	cut, unanswered []string
+	grays           []GrayResult
 	// poisonSent and poisonRefused count the poison requests sent and those
 	// refused with the reason poisoned.
 	poisonSent, poisonRefused uint64
@@ -132,6 +136,23 @@
 	}
 }
 
+// addBroken records a request whose connection broke before its answer was complete.
+func (r *record) addBroken(text string, begun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if begun {
+		r.cut = append(r.cut, text)
+	} else {
+		r.unanswered = append(r.unanswered, text)
+	}
+}
+
+func (r *record) addGray(g GrayResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grays = append(r.grays, g)
+}
+
 func (r *record) addPoison(result caller.Result) {
 	r.poisonSent++
 	if result.Reason == "poisoned" {
--- a/loader/result.go
+++ b/loader/result.go
@@ -58,6 +58,7 @@
 	Work       []WorkResult `json:"work"`
 	Detections []Detection  `json:"detections"`
 	Ejections  []Ejection   `json:"ejections"`
+	Grays      []GrayResult `json:"grays"`
 	// FalseEjections counts ejections of backend servers without a fault.
 	FalseEjections int `json:"falseejections"`
 	// Violations describes the broken guarantees.
@@ -67,6 +68,12 @@
 	PoisonSent    uint64 `json:"poisonsent"`
 	PoisonRefused uint64 `json:"poisonrefused"`
 	Crashes       uint64 `json:"crashes"`
+	// Copies counts the refusals that backend servers wrote once more. Cut and Unanswered
+	// count the pipelined requests whose answer broke off, and those that had run when
+	// their connection broke without an answer.
+	Copies     uint64 `json:"copies"`
+	Cut        int    `json:"cut"`
+	Unanswered int    `json:"unanswered"`
 	// Received is the number of requests in the fleet's own tallies; Tries is the
 	// number that the callers sent, including repeats.
 	Received uint64 `json:"received"`
@@ -84,6 +91,7 @@
 		result.Work = append(result.Work, r.record.tallies[i].result(w.Name))
 		result.Tries += r.record.tallies[i].tries
 	}
+	result.Grays = r.record.grays
 	result.PoisonSent = r.record.poisonSent
 	result.PoisonRefused = r.record.poisonRefused
 	r.addObservations(&result)
@@ -164,6 +172,10 @@
 	for _, b := range r.fleet.Backends() {
 		counts := b.Counts()
 		result.Crashes += counts.Crashes
+		result.Copies += counts.Copies
+		if counts.Altered > 0 {
+			result.violate("whole bodies: %s ran %d requests with another body than their callers sent", b.ID(), counts.Altered)
+		}
 		if counts.Pressed > maxPressed {
 			result.violate("pause: %s received %d requests of instances that it had asked for a pause", b.ID(), counts.Pressed)
 		}
@@ -172,6 +184,7 @@
 		}
 	}
 	r.verifyServed(result)
+	r.verifyBroken(result, runs)
 	duplicates, falseRefusals := 0, 0
 	for _, t := range r.record.keyed {
 		if runs[t.text] > 1 {
@@ -200,6 +213,20 @@
 	r.verifyTallies(result)
 }
 
+// verifyBroken counts the pipelined requests whose answers are missing. It adds a violation if
+// all that happened was planned.
+func (r *Runner) verifyBroken(result *Result, runs map[string]int) {
+	result.Cut = len(r.record.cut)
+	for _, t := range r.record.unanswered {
+		if runs[t] > 0 {
+			result.Unanswered++
+		}
+	}
+	if r.scenario.Planned && result.Cut+result.Unanswered > 0 {
+		result.violate("planned stops: %d answers broke off, and %d requests that ran were not answered", result.Cut, result.Unanswered)
+	}
+}
+
 // verifyServed adds a violation for each kind of work of which none was sent or too little
 // was served.
 func (r *Runner) verifyServed(result *Result) {
@@ -274,6 +301,7 @@
 	if r.PoisonSent > 0 {
 		fmt.Fprintf(w, "poisonous requests\t%d sent\t%d refused as such\t%d crashes\n", r.PoisonSent, r.PoisonRefused, r.Crashes)
 	}
+	fmt.Fprintf(w, "copies of refusals\t%d\t%d answers cut\t%d not answered\n", r.Copies, r.Cut, r.Unanswered)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "BROKEN PROMISE\t%s\n", v)
 	}
--- a/loader/run.go
+++ b/loader/run.go
@@ -88,6 +88,10 @@
 		generators.Add(1)
 		go func() {
 			defer generators.Done()
+			if r.scenario.Work[i].Behind > 0 {
+				r.pipeline(ctx, i, &inFlight)
+				return
+			}
 			r.generate(ctx, i, &inFlight)
 		}()
 	}
@@ -196,6 +200,9 @@
 	token := fmt.Sprintf("%s-%d-%d", w.Name, r.scenario.Seed, n)
 	poisoned := n < w.Poison
 	path := fmt.Sprintf("%s?token=%s&size=%d&weight=%g", w.Path, token, w.Size, w.Weight)
+	if w.Body > 0 {
+		path += "&sum=" + sumOf(token, w.Body)
+	}
 	if poisoned {
 		path = fmt.Sprintf("%s?token=poison-%s&crash=1", w.Path, w.Name)
 	}
@@ -211,45 +218,13 @@
 	}
 	if w.Body > 0 {
 		work.Size = int64(w.Body)
-		work.Body = func() io.Reader { return newSlowBody(w.Body, w.BodyRate) }
+		if w.Chunked {
+			work.Size = -1
+		}
+		work.Body = func() io.Reader { return newSlowBody(token, w.Body, w.BodyRate) }
 	}
 	at := time.Since(r.started)
 	from := r.callers[n%len(r.callers)]
 	result, err := from.Do(context.Background(), work)
 	r.record.add(index, at, token, w, result, err, poisoned)
 }
-
-// slowBody is a request body of a given length that is sent at a given rate.
-type slowBody struct {
-	// remaining and sent are in bytes, rate in bytes a second; rate 0 means at once.
-	remaining int
-	rate      int
-	start     time.Time
-	sent      int
-}
-
-func newSlowBody(size, rate int) *slowBody {
-	return &slowBody{remaining: size, rate: rate, start: time.Now()}
-}
-
-// maxBodyChunk is the largest number of bytes of a slow body sent at a time.
-const maxBodyChunk = 8 << 10
-
-// Read implements io.Reader.
-func (b *slowBody) Read(p []byte) (int, error) {
-	if b.remaining == 0 {
-		return 0, io.EOF
-	}
-	n := min(len(p), b.remaining)
-	if b.rate > 0 {
-		n = min(n, maxBodyChunk)
-		offset := time.Duration(float64(b.sent+n) / float64(b.rate) * float64(time.Second))
-		time.Sleep(time.Until(b.start.Add(offset)))
-	}
-	for i := range n {
-		p[i] = 'x'
-	}
-	b.remaining -= n
-	b.sent += n
-	return n, nil
-}
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -38,8 +38,10 @@
 	// Disturbed reports whether instances are killed or cut off from outside. Their last
 	// counts may then be lost, so that the report is not compared with those of callers.
 	Disturbed bool
-	Work      []Work
-	Faults    []Fault
+	// Planned reports whether all that happens is planned, so that no answer may be cut.
+	Planned bool
+	Work    []Work
+	Faults  []Fault
 }
 
 // Work describes callers that send the same kind of work.
@@ -64,6 +66,13 @@
 	// second; 0 means at once.
 	Body     int
 	BodyRate int
+	// Chunked reports whether request bodies are sent in chunks, without a length.
+	Chunked bool
+	// Behind is the number of requests that are sent behind one before its answer. Rate is
+	// not used then: each caller keeps a connection and reads ReadRate bytes a second; 0
+	// means without a limit.
+	Behind   int
+	ReadRate int
 	// Keyed reports whether requests carry an idempotency key.
 	Keyed bool
 	// Idempotent reports whether a request is repeated without a key if its
@@ -91,9 +100,15 @@
 	FaultLeave  FaultKind = "leave"
 	FaultTurn   FaultKind = "turn"
 	FaultRepeat FaultKind = "repeat"
-	FaultOutage FaultKind = "outage"
-	FaultSlow   FaultKind = "slow"
-	FaultLost   FaultKind = "lost"
+	FaultCopy   FaultKind = "copy"
+	// FaultCrash crashes a backend server. FaultRestart does so too, and lists it under
+	// another ID at the same address; the old entry is removed at the end of the fault. It
+	// turns work away meanwhile and copies its refusals.
+	FaultCrash   FaultKind = "crash"
+	FaultRestart FaultKind = "restart"
+	FaultOutage  FaultKind = "outage"
+	FaultSlow    FaultKind = "slow"
+	FaultLost    FaultKind = "lost"
 	// FaultReplace replaces all instances, one after the other.
 	FaultReplace FaultKind = "replace"
 	// FaultOneWay blocks the inbound direction of the links that one instance
@@ -194,6 +209,9 @@
 		Weight:     k.Number("weight", 1),
 		Body:       int(k.Number("body", 0)),
 		BodyRate:   int(k.Number("bodyrate", 0)),
+		Chunked:    k.Flag("chunked"),
+		Behind:     int(k.NumberIn("behind", 0, 0, maxBehind)),
+		ReadRate:   int(k.Number("readrate", 0)),
 		Keyed:      k.Flag("keyed"),
 		Idempotent: k.Flag("idempotent"),
 		Timeout:    k.Duration("timeout", 10*time.Second),
@@ -202,6 +220,9 @@
 	}
 }
 
+// maxBehind bounds the requests that are sent behind one before its answer.
+const maxBehind = 16
+
 // defaultLeast is the share of the requests of a kind of work that must be served in a
 // scenario that does not specify another one.
 const defaultLeast = 0.9
@@ -266,7 +287,8 @@
 	switch f.Kind {
 	case FaultOutage, FaultSlow, FaultLost, FaultReplace, FaultOneWay:
 		return nil
-	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain, FaultLeave, FaultTurn, FaultRepeat:
+	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain, FaultLeave, FaultTurn, FaultRepeat,
+		FaultCopy, FaultCrash, FaultRestart:
 		if _, ok := d.service(f.Service); !ok {
 			return eris.Wrapf(ErrScenario, "%s: fault %s: unknown service %q", file, f.Name, f.Service)
 		}
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"monsoonswitch/loader"
@@ -58,6 +59,14 @@
 	leastServed = 0.5
 	// recoveryTime is the time after a restart of all instances until work is served.
 	recoveryTime = 5 * time.Second
+	// grayTime is the time after which a gray backend server must be found, and
+	// grayShare the share of the mean load of the others that it may get then. grayExtra
+	// requests beside are those that try it again.
+	grayTime  = 3 * time.Second
+	grayShare = 0.5
+	grayExtra = 10
+	// plannedShare is the share of the plans without unplanned faults of instances.
+	plannedShare = 0.3
 )
 
 // plan is all that happens in a soak. The same seed gives the same plan.
@@ -98,9 +107,96 @@
 		f.Index = r.IntN(f.Index)
 		p.scenario.Faults = append(p.scenario.Faults, f)
 	}
+	return p.withServers(seed, duration).withPlanned(seed)
+}
+
+// withServers returns the plan with faults of backend servers that restart, crash under
+// uploads and copy refusals, and with the work for them. They have a generator of their own.
+func (p plan) withServers(seed uint64, duration time.Duration) plan {
+	r := rand.New(rand.NewPCG(seed, 1))
+	faults := slices.Clone(p.scenario.Faults)
+	for i := range minServerFaults + r.IntN(maxServerFaults-minServerFaults) {
+		f := serverFaults[r.IntN(len(serverFaults))]
+		f.Name = fmt.Sprintf("%s-server-%d", f.Kind, i)
+		f.From = leadTime + time.Duration(r.Int64N(int64(duration-leadTime-tailTime)))
+		f.To = min(f.From+time.Second+time.Duration(r.Int64N(int64(8*time.Second))), duration-tailTime)
+		f.Index = r.IntN(f.Index)
+		faults = append(faults, f)
+	}
+	p.scenario.Faults = faults
+	p.scenario.Work = append(slices.Clone(p.scenario.Work), serverWork(r)...)
 	return p
 }
 
+// withPlanned returns the plan, for some seeds without what is not planned: instances are
+// stopped and reloaded, and no backend server breaks off an answer.
+func (p plan) withPlanned(seed uint64) plan {
+	r := rand.New(rand.NewPCG(seed, 2))
+	if r.Float64() >= plannedShare {
+		return p
+	}
+	p.scenario.Planned = true
+	p.steps = slices.Clone(p.steps)
+	for i := range p.steps {
+		p.steps[i].kind = []kind{stop, stop, reload}[r.IntN(3)]
+	}
+	var faults []loader.Fault
+	for _, f := range p.scenario.Faults {
+		switch f.Kind {
+		case loader.FaultCut, loader.FaultStall, loader.FaultFlap, loader.FaultCrash, loader.FaultRestart:
+		default:
+			faults = append(faults, f)
+		}
+	}
+	p.scenario.Faults = faults
+	return p
+}
+
+// minServerFaults and maxServerFaults bound the number of faults that withServers adds.
+const (
+	minServerFaults = 2
+	maxServerFaults = 8
+)
+
+// serverFaults are the faults that withServers draws; Index is as in surroundings.
+var serverFaults = []loader.Fault{
+	{Kind: loader.FaultCopy, Service: "ledger", Index: 11, Share: 0.4},
+	{Kind: loader.FaultCopy, Service: "fieldbook", Index: 6, Share: 0.4},
+	{Kind: loader.FaultRestart, Service: "ledger", Index: 11, Share: 0.4},
+	{Kind: loader.FaultRestart, Service: "billing", Index: 21, Share: 0.4},
+	{Kind: loader.FaultRestart, Service: "fieldbook", Index: 6, Share: 0.4},
+	{Kind: loader.FaultCrash, Service: "fieldbook", Index: 6},
+	{Kind: loader.FaultTurn, Service: "fieldbook", Index: 6, Share: 0.4},
+	{Kind: loader.FaultStall, Service: "ledger", Index: 11},
+	{Kind: loader.FaultErrors, Service: "ledger", Index: 11, Share: 0.7},
+}
+
+// ownPaths are paths that instances and stand-ins serve on other listeners, or under another
+// prefix. On the listener for callers they belong to the route with the path "/".
+var ownPaths = []string{"/readiness", "/resolve", "/status", "/dump", "/metrics", "/health"}
+
+// serverWork returns large uploads, safe requests one behind the other, and work on ownPaths.
+func serverWork(r *rand.Rand) []loader.Work {
+	list := []loader.Work{
+		{Name: "large", Service: "fieldbook", Class: "upload", Method: "PUT", Path: "/photos/2", Rate: 1.5, Keyed: true, Weight: 5},
+		{Name: "chunked", Service: "fieldbook", Class: "upload", Method: "PUT", Path: "/photos/3", Rate: 1.5, Keyed: true, Weight: 5, Chunked: true},
+		{Name: "behind", Service: "ledger", Class: "lookup", Method: "GET", Path: "/lines/8", Rate: 1, Weight: 1, Idempotent: true,
+			Behind: 1 + r.IntN(5), ReadRate: 200_000 + r.IntN(2_000_000), Size: 20_000 + r.IntN(200_000)},
+		{Name: "own-get", Service: "ledger", Class: "lookup", Method: "GET", Path: ownPaths[r.IntN(len(ownPaths))], Rate: 5, Weight: 1, Idempotent: true},
+		{Name: "own-post", Service: "ledger", Class: "note", Method: "POST", Path: ownPaths[r.IntN(len(ownPaths))], Rate: 5, Weight: 1, Keyed: true},
+	}
+	for i := range list {
+		list[i].PeakFactor, list[i].Callers, list[i].Timeout = 1, 12, 5*time.Second
+		if list[i].Class == "upload" {
+			list[i].Body = 1<<20 + r.IntN(5<<20)
+		}
+		if list[i].Behind > 0 {
+			list[i].Timeout = 15 * time.Second
+		}
+	}
+	return list
+}
+
 // surroundings are the faults of the store and of backend servers. Index is the number of
 // backend servers of the service, among which one is drawn.
 var surroundings = []loader.Fault{
--- a/soaker/plan_test.go
+++ b/soaker/plan_test.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,6 +19,7 @@
 	})
 	drawn := make(map[kind]bool)
 	surrounding := make(map[loader.FaultKind]bool)
+	planned := 0
 	for seed := range uint64(200) {
 		p := newPlan(seed, instances, duration)
 		asserter.AtLeast(t, "faults of instances", len(p.steps), minSteps)
@@ -30,10 +33,17 @@
 			surrounding[f.Kind] = true
 			asserter.AtMost(t, "end", f.To, duration-tailTime)
 		}
+		if p.scenario.Planned {
+			planned++
+		}
 	}
+	t.Run("some plans have planned faults alone", func(t *testing.T) {
+		asserter.AtLeast(t, "plans", planned, 40)
+		asserter.AtMost(t, "plans", planned, 80)
+	})
 	t.Run("every kind of fault is drawn", func(t *testing.T) {
 		asserter.Equal(t, "of instances", len(drawn), len(kinds))
-		for _, f := range surroundings {
+		for _, f := range append(slices.Clone(surroundings), serverFaults...) {
 			asserter.True(t, string(f.Kind), surrounding[f.Kind])
 		}
 	})
@@ -67,3 +77,41 @@
 		})
 	}
 }
+
+// TestGrayFound breaks the check of gray backend servers on purpose: one gets as much as the
+// others, and then only when it can't be known yet, in an outage, or beside another fault.
+func TestGrayFound(t *testing.T) {
+	started := time.Now()
+	const seconds = 8
+	fault := loader.Fault{Kind: loader.FaultStall, Service: "ledger", Index: 3, From: time.Second, To: seconds * time.Second}
+	result := func(late, early float64) loader.Result {
+		g := loader.GrayResult{Backend: "ledger-3", Since: 1}
+		for i := 1; i < seconds; i++ {
+			n := late
+			if i < 4 {
+				n = early
+			}
+			g.Seconds = append(g.Seconds, loader.GraySecond{Second: i, Gray: n, Others: 20})
+		}
+		return loader.Result{Grays: []loader.GrayResult{g}}
+	}
+	for _, c := range []struct {
+		name    string
+		result  loader.Result
+		outages []span
+		other   loader.Fault
+		broken  int
+	}{
+		{"found", result(2, 20), nil, loader.Fault{}, 0},
+		{"not found", result(20, 20), nil, loader.Fault{}, 1},
+		{"not found in an outage", result(20, 20), []span{{started.Add(4 * time.Second), started.Add(9 * time.Second)}}, loader.Fault{}, 0},
+		{"not found beside another fault", result(20, 20), nil, fault, 0},
+		{"not found beside a fault of another backend server", result(20, 20), nil, loader.Fault{Service: "ledger", Index: 4, To: time.Minute}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &soak{outages: c.outages, progress: io.Discard}
+			r := s.verifyGray(c.result, started, []loader.Fault{fault, c.other})
+			asserter.Equal(t, "violations", len(r.Violations), c.broken)
+		})
+	}
+}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -49,9 +49,12 @@
 	// children holds the processes other than instances.
 	children []*child
 
-	// mu guards outages, the times in which all instances were down or recovering.
-	mu      sync.Mutex
-	outages []span
+	// mu guards outages, the times in which all instances were down or recovering, the
+	// number of instances that are down now, and since when all of them are.
+	mu       sync.Mutex
+	outages  []span
+	down     int
+	allSince time.Time
 }
 
 // span is a time between two moments.
@@ -87,7 +90,7 @@
 		return result, err
 	}
 	fmt.Fprintf(progress, "      judged %d of %d seconds; in the others all instances were down or recovering\n", s.judged(started), int(o.Duration.Seconds()))
-	return s.verifyServed(result, started), nil
+	return s.verifyGray(s.verifyServed(result, started), started, p.scenario.Faults), nil
 }
 
 // judged returns the number of seconds of the load that are in no outage of all instances.
@@ -127,6 +130,43 @@
 	return r
 }
 
+// verifyGray adds a violation if gray backend servers still get too many requests grayTime after
+// their faults began, summed over the seconds that are in no outage of all instances. A
+// fault is not judged if another one at its backend server overlaps, whose end ends it.
+func (s *soak) verifyGray(r loader.Result, started time.Time, faults []loader.Fault) loader.Result {
+	var got, others float64
+	for _, g := range r.Grays {
+		if overlaps(g, faults) {
+			continue
+		}
+		for _, second := range g.Seconds {
+			if second.Second >= g.Since+int(grayTime.Seconds()) && s.counts(started, second.Second) {
+				got += second.Gray
+				others += second.Others
+			}
+		}
+	}
+	if len(r.Grays) > 0 {
+		fmt.Fprintf(s.progress, "      gray backend servers got %.0f requests; as many others got %.0f\n", got, others)
+	}
+	if got > grayShare*others+grayExtra {
+		r.Violations = append(r.Violations, fmt.Sprintf("gray: backend servers with faults got %.0f requests from %v after they began, as many others got %.0f; must be a share of at most %g, and %d", got, grayTime, others, grayShare, grayExtra))
+	}
+	return r
+}
+
+// overlaps reports whether more than one fault is injected into a gray backend server while
+// it is watched.
+func overlaps(g loader.GrayResult, faults []loader.Fault) bool {
+	n := 0
+	for _, f := range faults {
+		if fmt.Sprintf("%s-%d", f.Service, f.Index) == g.Backend && int(f.To.Seconds()) >= g.Since && int(f.From.Seconds()) <= g.Since+len(g.Seconds)+1 {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // inOutage reports whether all instances were down or recovering at a moment.
 func (s *soak) inOutage(at time.Time) bool {
 	s.mu.Lock()
@@ -230,6 +270,8 @@
 	case pause:
 		i.mu.Lock()
 		defer i.mu.Unlock()
+		s.leave()
+		defer s.back()
 		i.child.signal(syscall.SIGSTOP)
 		time.Sleep(f.span)
 		i.child.signal(syscall.SIGCONT)
@@ -252,6 +294,8 @@
 func (s *soak) restart(i *instance, sig syscall.Signal, after time.Duration) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	s.leave()
+	defer s.back()
 	i.child.end(sig)
 	time.Sleep(after)
 	if err := s.serve(i); err != nil {
@@ -259,6 +303,26 @@
 	}
 }
 
+// leave counts an instance that goes down, and back one that is back. While all are down, and
+// for recoveryTime after it, the load is not judged.
+func (s *soak) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down++
+	if s.down == len(s.instances) {
+		s.allSince = time.Now()
+	}
+}
+
+func (s *soak) back() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down == len(s.instances) {
+		s.outages = append(s.outages, span{s.allSince, time.Now().Add(recoveryTime)})
+	}
+	s.down--
+}
+
 // herd kills all instances at the same time and starts them again.
 func (s *soak) herd(after time.Duration) {
 	outage := span{from: time.Now()}
