Stand-in of backend servers: end a refusal before the rest of the body is read

The refusal of an upload was sent before its body was read, but in chunks, of which the last one came with the end of the body. It has a length now. TestUploads fails before: "read body: i/o timeout" after 10 s. TestCopy and TestUploads check what the soak relies on: copies of refusals, misdirected requests, early refusals and sums of bodies.

--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -126,7 +126,10 @@
 	b.setStateHeaders(w)
 	w.Header().Set(names.Refused, "not-run")
 	w.Header().Set(names.Attempt, attempt)
-	writeProblem(w, status, errors.New(why))
+	text := strconv.Quote(why)
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
 	_ = control.Flush()
 	_, _ = io.Copy(io.Discard, r.Body)
 }
