Monitor: compare ejections with the time at which their list came

The ejection of ledger-1 ended at 07:59:00 and that of ledger-4 began, while the fault slow held up the reads of the store; the monitor compared the end of an ejection with a time from before its read. It takes the time after it now. TestFloorCheck fails before in "a fifth of 11 after the end of the first": breaches got 1, want 0.

TestChecks breaks each guarantee that the result of a load holds on purpose.

--- a/loader/monitor.go
+++ b/loader/monitor.go
@@ -85,8 +85,8 @@
 		defer ticker.Stop()
 		for {
 			select {
-			case now := <-ticker.C:
-				m.check(now)
+			case <-ticker.C:
+				m.check()
 			case <-ctx.Done():
 				return
 			}
@@ -121,11 +121,14 @@
 	m.drains = append(m.drains, &drainingBackend{backend: b, since: time.Now()})
 }
 
-func (m *monitor) check(now time.Time) {
+func (m *monitor) check() {
 	active := 0
 	for _, s := range m.deployment.services {
-		active += m.checkEjections(s, now)
+		list := m.ejectionsOf(s.Name)
+		// The list may come late, and holds what was in force when it was read.
+		active += m.checkEjections(s, list, time.Now())
 	}
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.active = active
@@ -151,9 +154,8 @@
 
 // checkEjections records new ejections of a service, checks its floor and returns
 // the number of ejections in force.
-func (m *monitor) checkEjections(declared declarer.Service, now time.Time) int {
+func (m *monitor) checkEjections(declared declarer.Service, list []descriptor.Ejection, now time.Time) int {
 	service := declared.Name
-	list := m.ejectionsOf(service)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	active := 0
