Soak on the platform: more restarts, and no demand for copies

A fix that closes connections after refusals leaves no connection on which a copy could come, so that the test asks for refusals, not for copies, of backend servers.

--- a/platform_soak_test.go
+++ b/platform_soak_test.go
@@ -24,17 +24,18 @@
 // Figures of the soak on the platform.
 const (
 	platformSoakTime    = 10 * time.Second
-	platformSoakClients = 16
-	platformSoakServers = 5
+	platformSoakClients = 24
+	platformSoakServers = 3
 	// platformTimeout is the deadline of a request.
 	platformTimeout = 4 * time.Second
 	// entryOverlap bounds the time in which the entries of an ended and of a new incarnation
 	// stand side by side.
-	entryOverlap = 4 * time.Second
+	entryOverlap = 2 * time.Second
 )
 
-// platformSoakSeeds are the seeds that CI plays.
-var platformSoakSeeds = []uint64{1, 2}
+// platformSoakSeeds are the seeds that CI plays: those that failed while a copy of a refusal of
+// the same request was believed.
+var platformSoakSeeds = []uint64{1, 4, 5}
 
 // platformHeaders are the headers of the platform that a stand-in reads and writes.
 var platformHeaders = imitator.Names{Attempt: "Request-Id", Refused: "Not-Executed", Expect: "Expect-Instance", Signature: "Server-Signature"}
@@ -50,7 +51,7 @@
 // entry returns what the backend server stores under its key.
 func (s *soakServer) entry() map[string]any {
 	return map[string]any{
-		"service": "soak", "address": s.address, "zone": "a", "version": "v1", "slots": 4, "state": "ready",
+		"service": "soak", "address": s.address, "zone": "a", "version": "v1", "slots": 12, "state": "ready",
 		"cold_remaining_s": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	}
 }
@@ -80,7 +81,7 @@
 	s := &platformSoak{t: t, f: newPlatformFleet(t, 3, 1), seed: seed, statuses: make(map[int]int)}
 	for i := range platformSoakServers {
 		b := imitator.NewBackend(imitator.BackendOptions{
-			Slots: 4, Backlog: 4, Median: 10 * time.Millisecond, Spread: 0.5, Down: 200 * time.Millisecond, Seed: seed + uint64(i), Names: platformHeaders,
+			Slots: 12, Backlog: 4, Median: 10 * time.Millisecond, Spread: 0.5, Down: 200 * time.Millisecond, Seed: seed + uint64(i), Names: platformHeaders,
 		}, time.Now())
 		p, err := imitator.ServeBackend(b, "127.0.0.1:0")
 		asserter.NoError(t, "start backend server", err)
@@ -139,7 +140,7 @@
 // beside the old one for a while, and has it turn work away and copy its refusals.
 func (s *platformSoak) disturbServer(i int) {
 	x, r := s.servers[i], rand.New(rand.NewPCG(s.seed, uint64(i)))
-	for s.wait(time.Duration(r.Int64N(int64(2 * time.Second)))) {
+	for s.wait(time.Duration(r.Int64N(int64(time.Second)))) {
 		fault := imitator.BackendFault{Copy: true, Turn: 0.3 * r.Float64(), Errors: 0.2 * r.Float64()}
 		old := x.id()
 		if r.IntN(3) > 0 {
@@ -252,9 +253,10 @@
 // verify checks what callers were told against what backend servers ran.
 func (s *platformSoak) verify() {
 	runs := make(map[string]int)
-	var copies, altered uint64
+	var refused, copies, altered uint64
 	for _, x := range s.servers {
 		c := x.standIn.Counts()
+		refused += c.Shed
 		copies += c.Copies
 		altered += c.Altered
 		for k, n := range c.Keys {
@@ -281,7 +283,8 @@
 	for _, id := range slices.Concat(twice, ran, unrun, s.foreign) {
 		s.trace(id)
 	}
-	asserter.True(s.t, "copies were written", copies > 0)
+	// An instance that closes a connection after a refusal gets no copies.
+	asserter.AtLeast(s.t, "refusals of backend servers", refused, 1)
 	asserter.AtLeast(s.t, "served", len(s.served), len(s.once)/2)
 	asserter.Equal(s.t, "run more than once", twice, nil)
 	asserter.Equal(s.t, "refused as not run, and ran", ran, nil)
