--- a/loader/breaking_test.go
+++ b/loader/breaking_test.go
@@ -111,6 +111,10 @@
 	return b.fleet.faultError
 }
 
+func (b *fakeBackend) Crash() error { return b.fleet.faultError }
+
+func (b *fakeBackend) Entry() descriptor.Backend { return descriptor.Backend{ID: b.id} }
+
 // Counts returns the runs of the whole fleet as those of the first backend server.
 func (b *fakeBackend) Counts() (imitator.BackendCounts, error) {
 	b.fleet.mu.Lock()
@@ -135,6 +139,10 @@
 
 func (f *fakeFleet) SetStoreFault(imitator.StoreFault) error { return f.faultError }
 
+func (f *fakeFleet) Register(string, descriptor.Backend) error { return f.faultError }
+
+func (f *fakeFleet) Deregister(string, string) error { return f.faultError }
+
 func (f *fakeFleet) Peek(key string) (storer.Item, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -64,6 +64,48 @@
 	if !ok {
 		return eris.Wrapf(errNotInjected, "%s has no backend server %d", f.Service, f.Index)
 	}
+	now := time.Now()
+	switch f.Kind {
+	case FaultDrain, FaultLeave:
+		r.monitor.expectDrain(b)
+	case FaultTurn, FaultRepeat, FaultCopy, FaultCrash, FaultRestart:
+		// It is not a gray fault: the backend server turns work away, its refusals are not
+		// believed, or it is down.
+	default:
+		r.monitor.expectGray(b, now, f.Found)
+	}
+	if err := b.SetFault(f.ofBackend()); err != nil {
+		return err
+	}
+	if err := r.restart(b, f); err != nil {
+		return err
+	}
+	if f.isGray() {
+		r.watchGray(ctx, f, b)
+	}
+	sleepUntil(ctx, r.started.Add(f.To))
+	if f.Kind == FaultRestart {
+		if err := r.fleet.Deregister(b.Service(), b.ID()); err != nil {
+			return err
+		}
+	}
+	return b.SetFault(imitator.BackendFault{})
+}
+
+// restart crashes a backend server if the fault does so, and lists it anew if it comes back under
+// another ID.
+func (r *Runner) restart(b backend, f Fault) error {
+	if f.Kind != FaultCrash && f.Kind != FaultRestart {
+		return nil
+	}
+	if err := b.Crash(); err != nil || f.Kind == FaultCrash {
+		return err
+	}
+	return r.renew(b, f)
+}
+
+// ofBackend returns the fault that a backend server is set to.
+func (f Fault) ofBackend() imitator.BackendFault {
 	fault := imitator.BackendFault{}
 	switch f.Kind {
 	case FaultStall:
@@ -84,22 +126,18 @@
 		fault.Turn, fault.Pause = f.Share, f.Time
 	case FaultRepeat:
 		fault.Repeat = true
+	case FaultCopy, FaultRestart:
+		fault.Turn, fault.Copy = f.Share, true
 	}
-	now := time.Now()
-	switch f.Kind {
-	case FaultDrain, FaultLeave:
-		r.monitor.expectDrain(b)
-	case FaultTurn, FaultRepeat:
-		// It is not a gray fault: the backend server turns work away, or its refusals
-		// are not believed.
-	default:
-		r.monitor.expectGray(b, now, f.Found)
-	}
-	if err := b.SetFault(fault); err != nil {
-		return err
-	}
-	sleepUntil(ctx, r.started.Add(f.To))
-	return b.SetFault(imitator.BackendFault{})
+	return fault
+}
+
+// renew lists a backend server under another ID, beside its entry.
+func (r *Runner) renew(b backend, f Fault) error {
+	entry := b.Entry()
+	entry.ID += "-" + f.Name
+	r.monitor.expectEntry(b.Service())
+	return r.fleet.Register(b.Service(), entry)
 }
 
 // backendAt returns the i-th backend server of a service, counted from 0.
--- a/loader/fleet.go
+++ b/loader/fleet.go
@@ -22,6 +22,11 @@
 	// SetFault replaces the active faults. It returns an error if the backend server
 	// does not confirm them.
 	SetFault(imitator.BackendFault) error
+	// Crash breaks all connections; the backend server is down for a while then. It returns
+	// an error if the backend server does not confirm that.
+	Crash() error
+	// Entry returns its entry in the list.
+	Entry() descriptor.Backend
 	// Counts returns the counters of the backend server, or an error if it does not
 	// answer.
 	Counts() (imitator.BackendCounts, error)
@@ -38,6 +43,10 @@
 	// SetStoreFault replaces the active faults of the platform's store. It returns an
 	// error if the store does not confirm them.
 	SetStoreFault(imitator.StoreFault) error
+	// Register adds an entry to the list of backend servers, and Deregister removes one.
+	// They return an error if the store does not confirm that.
+	Register(service string, b descriptor.Backend) error
+	Deregister(service, id string) error
 	// Peek returns the item stored under key. It returns storer.ErrNotFound if there is
 	// none, and another error if the read failed.
 	Peek(key string) (storer.Item, error)
@@ -107,6 +116,15 @@
 	return nil
 }
 
+// Crash implements backend.
+func (b localBackend) Crash() error {
+	b.StandIn.Crash(time.Now())
+	return nil
+}
+
+// Entry implements backend.
+func (b localBackend) Entry() descriptor.Backend { return b.Listed }
+
 // Counts implements backend.
 func (b localBackend) Counts() (imitator.BackendCounts, error) { return b.StandIn.Counts(), nil }
 
@@ -128,6 +146,18 @@
 	return nil
 }
 
+// Register implements fleet.
+func (l localFleet) Register(service string, b descriptor.Backend) error {
+	l.Store.Register(service, b)
+	return nil
+}
+
+// Deregister implements fleet.
+func (l localFleet) Deregister(service, id string) error {
+	l.Store.Deregister(service, id)
+	return nil
+}
+
 // Peek implements fleet. It reads the store directly, unaffected by store faults.
 func (l localFleet) Peek(key string) (storer.Item, error) {
 	item, ok := l.Store.Peek(key)
--- a/loader/monitor.go
+++ b/loader/monitor.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/imitator"
 	"monsoonswitch/storer"
@@ -63,6 +64,8 @@
 	// seen holds the start of the last ejection of each SERVICE/BACKEND.
 	seen      map[string]time.Time
 	ejections []Ejection
+	// entries holds the number of entries that were added to the list of each service.
+	entries map[string]int
 	// breaches counts the checks that found fewer backend servers than the floor.
 	breaches int
 	// unread holds the error of the last check of each service that could not read its
@@ -83,6 +86,7 @@
 		done:       make(chan struct{}),
 		seen:       make(map[string]time.Time),
 		unread:     make(map[string]error),
+		entries:    make(map[string]int),
 	}
 	go func() {
 		defer close(m.done)
@@ -90,8 +94,8 @@
 		defer ticker.Stop()
 		for {
 			select {
-			case now := <-ticker.C:
-				m.check(now)
+			case <-ticker.C:
+				m.check()
 			case <-ctx.Done():
 				return
 			}
@@ -104,7 +108,7 @@
 func (m *monitor) stop() {
 	m.cancel()
 	<-m.done
-	m.check(time.Now())
+	m.check()
 }
 
 // ejected returns the number of backend servers ejected now.
@@ -129,11 +133,14 @@
 	m.drains = append(m.drains, &drainingBackend{backend: b, since: time.Now()})
 }
 
-func (m *monitor) check(now time.Time) {
+func (m *monitor) check() {
 	active := 0
 	for _, s := range m.deployment.services {
-		active += m.checkEjections(s.Name, s.MinRemaining(m.deployment.sizes[s.Name]), now)
+		list, err := m.ejectionsOf(s.Name)
+		// The list may come late, and holds what was in force when it was read.
+		active += m.checkEjections(s, list, err, time.Now())
 	}
+	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.active = active
@@ -151,10 +158,17 @@
 	}
 }
 
+// expectEntry records that an entry was added to the list of a service.
+func (m *monitor) expectEntry(service string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.entries[service]++
+}
+
 // checkEjections records new ejections of a service, checks its floor and returns
 // the number of ejections in force.
-func (m *monitor) checkEjections(service string, keep int, now time.Time) int {
-	list, err := m.ejectionsOf(service)
+func (m *monitor) checkEjections(declared declarer.Service, list []descriptor.Ejection, err error, now time.Time) int {
+	service := declared.Name
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.unread[service] = err
@@ -176,7 +190,7 @@
 			Gray:    m.markEjected(e, now),
 		})
 	}
-	if m.deployment.sizes[service]-active < keep {
+	if size := m.deployment.sizes[service] + m.entries[service]; size-active < declared.MinRemaining(size) {
 		m.breaches++
 	}
 	return active
--- a/loader/record.go
+++ b/loader/record.go
@@ -65,6 +65,10 @@
 	poisonSent uint64
 	// failures describes the faults that were not injected.
 	failures []string
+	// cut lists the requests whose answer began and broke off, unanswered those that were
+	// the first on their connection without an answer when it broke.
+	cut, unanswered []string
+	grays           []GrayResult
 }
 
 func newRecord(s Scenario) *record {
@@ -165,6 +169,23 @@
 	}
 }
 
+// addBroken records a request whose connection broke before its answer was complete.
+func (r *record) addBroken(text string, begun bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if begun {
+		r.cut = append(r.cut, text)
+	} else {
+		r.unanswered = append(r.unanswered, text)
+	}
+}
+
+func (r *record) addGray(g GrayResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.grays = append(r.grays, g)
+}
+
 func (r *record) addPoison(t *tally, result caller.Result) {
 	r.poisonSent++
 	if result.Reason == "poisoned" {
--- a/loader/remote.go
+++ b/loader/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -146,6 +147,14 @@
 	return exchange(b.listed.Address, imitator.FaultPath, f, nil)
 }
 
+// Crash implements backend.
+func (b remoteBackend) Crash() error {
+	return exchange(b.listed.Address, imitator.CrashPath, struct{}{}, nil)
+}
+
+// Entry implements backend.
+func (b remoteBackend) Entry() descriptor.Backend { return b.listed }
+
 // Counts implements backend.
 func (b remoteBackend) Counts() (imitator.BackendCounts, error) {
 	var c imitator.BackendCounts
@@ -167,6 +176,16 @@
 	return exchange(r.addresses.Store, imitator.FaultPath, f, nil)
 }
 
+// Register implements fleet.
+func (r *remoteFleet) Register(service string, b descriptor.Backend) error {
+	return exchange(r.addresses.Store, imitator.RegisterPath+service+"/"+b.ID, b, nil)
+}
+
+// Deregister implements fleet.
+func (r *remoteFleet) Deregister(service, id string) error {
+	return exchangeWith(http.MethodDelete, r.addresses.Store, imitator.RegisterPath+service+"/"+id, nil, nil)
+}
+
 // Peek implements fleet. It fails while the store is unavailable.
 func (r *remoteFleet) Peek(key string) (storer.Item, error) {
 	return r.client.Get(context.Background(), key)
--- a/loader/result.go
+++ b/loader/result.go
@@ -54,6 +54,7 @@
 	Work       []WorkResult `json:"work"`
 	Detections []Detection  `json:"detections"`
 	Ejections  []Ejection   `json:"ejections"`
+	Grays      []GrayResult `json:"grays"`
 	// FalseEjections counts ejections of backend servers without a fault.
 	FalseEjections int `json:"falseejections"`
 	// Violations describes the broken guarantees.
@@ -63,6 +64,12 @@
 	PoisonSent    uint64 `json:"poisonsent"`
 	PoisonRefused uint64 `json:"poisonrefused"`
 	Crashes       uint64 `json:"crashes"`
+	// Copies counts the refusals that backend servers wrote once more. Cut and Unanswered
+	// count the pipelined requests whose answer broke off, and those that had run when
+	// their connection broke without an answer.
+	Copies     uint64 `json:"copies"`
+	Cut        int    `json:"cut"`
+	Unanswered int    `json:"unanswered"`
 	// Received is the number of requests in the fleet's own tallies; Tries is the
 	// number that the callers sent, including repeats.
 	Received uint64 `json:"received"`
@@ -81,6 +88,7 @@
 		result.Tries += r.record.tallies[i].tries
 		result.PoisonRefused += r.record.tallies[i].poisonRefused
 	}
+	result.Grays = r.record.grays
 	result.PoisonSent = r.record.poisonSent
 	r.addObservations(&result)
 	r.verify(&result)
@@ -158,6 +166,7 @@
 	if r.PoisonSent > 0 {
 		fmt.Fprintf(w, "poisonous requests\t%d sent\t%d refused as such\t%d crashes\n", r.PoisonSent, r.PoisonRefused, r.Crashes)
 	}
+	fmt.Fprintf(w, "copies of refusals\t%d\t%d answers cut\t%d not answered\n", r.Copies, r.Cut, r.Unanswered)
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "BROKEN PROMISE\t%s\n", v)
 	}
--- a/loader/verify.go
+++ b/loader/verify.go
@@ -33,7 +33,9 @@
 		result.violate("instances: %d of %d answered after the load", r.answering, r.fleet.Size())
 	}
 	r.verifyServed(result)
-	r.verifyRuns(result, r.verifyBackends(result))
+	runs := r.verifyBackends(result)
+	r.verifyRuns(result, runs)
+	r.verifyBroken(result, runs)
 	r.verifyAnswers(result)
 	r.verifyPoison(result)
 	r.verifyMonitor(result)
@@ -72,6 +74,10 @@
 			result.violate("counts: %s: %v", b.ID(), err)
 		}
 		result.Crashes += counts.Crashes
+		result.Copies += counts.Copies
+		if counts.Altered > 0 {
+			result.violate("whole bodies: %s ran %d requests with another body than their callers sent", b.ID(), counts.Altered)
+		}
 		if counts.Pressed > maxPressed {
 			result.violate("pause: %s received %d requests of instances that it had asked for a pause", b.ID(), counts.Pressed)
 		}
@@ -104,6 +110,20 @@
 	}
 }
 
+// verifyBroken counts the pipelined requests whose answers are missing. It adds a violation if
+// all that happened was planned.
+func (r *Runner) verifyBroken(result *Result, runs map[string]int) {
+	result.Cut = len(r.record.cut)
+	for _, t := range r.record.unanswered {
+		if runs[t] > 0 {
+			result.Unanswered++
+		}
+	}
+	if r.scenario.Planned && result.Cut+result.Unanswered > 0 {
+		result.violate("planned stops: %d answers broke off, and %d requests that ran were not answered", result.Cut, result.Unanswered)
+	}
+}
+
 // verifyAnswers adds a violation for answers and refusals that are not whole.
 func (r *Runner) verifyAnswers(result *Result) {
 	for i, w := range r.scenario.Work {
