--- a/loader/record.go
+++ b/loader/record.go
@@ -42,8 +42,10 @@
 // token identifies a request whose runs at backend servers are checked at the end.
 type token struct {
 	text string
-	// notRun reports whether an instance refused the request as not run.
-	notRun bool
+	// reason is that of an instance that refused the request as not run, and tries how often
+	// it had been sent.
+	reason string
+	tries  int
 }
 
 // record collects the outcomes that callers observed. It is safe for use by many
@@ -174,7 +176,7 @@
 	switch result.Outcome {
 	case "not-run":
 		t.notRun++
-		r.notRun = append(r.notRun, token{text: text, notRun: true})
+		r.notRun = append(r.notRun, token{text: text, reason: result.Reason, tries: result.Tries})
 	case "may-have-run":
 		t.mayHaveRun++
 	default:
--- a/loader/result.go
+++ b/loader/result.go
@@ -185,22 +185,22 @@
 	}
 	r.verifyServed(result)
 	r.verifyBroken(result, runs)
-	duplicates, falseRefusals := 0, 0
+	var duplicates, falseRefusals []string
 	for _, t := range r.record.keyed {
 		if runs[t.text] > 1 {
-			duplicates++
+			duplicates = append(duplicates, t.text)
 		}
 	}
 	for _, t := range r.record.notRun {
 		if runs[t.text] > 0 {
-			falseRefusals++
+			falseRefusals = append(falseRefusals, fmt.Sprintf("%s (%s, sent %d times)", t.text, t.reason, t.tries))
 		}
 	}
-	if duplicates > 0 {
-		result.violate("at most once: %d keyed requests ran twice", duplicates)
+	if len(duplicates) > 0 {
+		result.violate("at most once: %d keyed requests ran twice: %s", len(duplicates), firstOf(duplicates))
 	}
-	if falseRefusals > 0 {
-		result.violate("true refusals: %d requests ran although they were refused as not run", falseRefusals)
+	if len(falseRefusals) > 0 {
+		result.violate("true refusals: %d requests ran although they were refused as not run: %s", len(falseRefusals), firstOf(falseRefusals))
 	}
 	for i, w := range r.scenario.Work {
 		if corrupt := r.record.tallies[i].corrupt; corrupt > 0 {
@@ -213,6 +213,12 @@
 	r.verifyTallies(result)
 }
 
+// firstOf joins the first names of a list.
+func firstOf(names []string) string { return strings.Join(names[:min(len(names), maxNamed)], ", ") }
+
+// maxNamed bounds the requests that a violation names.
+const maxNamed = 5
+
 // verifyBroken counts the pipelined requests whose answers are missing. It adds a violation if
 // all that happened was planned.
 func (r *Runner) verifyBroken(result *Result, runs map[string]int) {
--- a/soak_test.go
+++ b/soak_test.go
@@ -34,15 +34,25 @@
 
 // TestSoak plays short soaks with real processes. SOAK_SEEDS adds a number of fresh seeds.
 func TestSoak(t *testing.T) {
-	declarations, err := loader.WriteDeclarations("pelletier")
-	asserter.NoError(t, "write declarations", err)
-	t.Cleanup(func() { _ = os.RemoveAll(declarations) })
 	seeds := soakSeeds
 	if n, err := strconv.Atoi(os.Getenv("SOAK_SEEDS")); err == nil {
 		for i := range n {
 			seeds = append(seeds, soakSeed{uint64(time.Now().UnixNano()) + uint64(i), shortSoak})
 		}
 	}
+	playSoaks(t, seeds)
+}
+
+// TestSoakStarting guards against a refusal as not run for a request with a key, or for one that
+// may be repeated, whose first sending ran at an instance that was killed, by an instance that is
+// starting and knows nothing of it.
+func TestSoakStarting(t *testing.T) { playSoaks(t, []soakSeed{{5020, 16 * time.Second}}) }
+
+// playSoaks plays seeds, and checks that every guarantee held.
+func playSoaks(t *testing.T, seeds []soakSeed) {
+	declarations, err := loader.WriteDeclarations("pelletier")
+	asserter.NoError(t, "write declarations", err)
+	t.Cleanup(func() { _ = os.RemoveAll(declarations) })
 	for _, c := range seeds {
 		t.Run(strconv.FormatUint(c.seed, 10), func(t *testing.T) {
 			result, err := soaker.Run(context.Background(), soaker.Options{
