--- a/loader/record.go
+++ b/loader/record.go
@@ -48,6 +48,14 @@
 	latency         *hdrhistogram.Histogram
 }
 
+// refusedWork is a request that was refused as not run.
+type refusedWork struct {
+	token string
+	// reason is that of the instance that refused it, and tries how often it had been sent.
+	reason string
+	tries  int
+}
+
 // record collects the outcomes that callers observed. It is safe for use by many
 // goroutines.
 type record struct {
@@ -58,9 +66,11 @@
 	targets []time.Duration
 	// once reports for each kind of work whether its requests may run at most once.
 	once []bool
-	// atMostOnce, served and notRun list the tokens of the requests that may run at
-	// most once, that were served and that were refused as not run.
-	atMostOnce, served, notRun []string
+	// atMostOnce and served list the tokens of the requests that may run at most once and
+	// that were served.
+	atMostOnce, served []string
+	// notRun lists the requests that were refused as not run.
+	notRun []refusedWork
 	// poisonSent counts the poison requests sent.
 	poisonSent uint64
 	// failures describes the faults that were not injected.
@@ -207,7 +217,7 @@
 	switch result.Outcome {
 	case "not-run":
 		t.notRun++
-		r.notRun = append(r.notRun, text)
+		r.notRun = append(r.notRun, refusedWork{token: text, reason: result.Reason, tries: result.Tries})
 	case "may-have-run":
 		t.mayHaveRun++
 	case "ran":
--- a/loader/verify.go
+++ b/loader/verify.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -90,26 +93,32 @@
 
 // verifyRuns compares the outcomes of requests with their numbers of runs.
 func (r *Runner) verifyRuns(result *Result, runs map[string]int) {
-	count := func(tokens []string, broken func(runs int) bool) int {
-		n := 0
-		for _, t := range tokens {
-			if broken(runs[t]) {
-				n++
-			}
-		}
-		return n
+	broken := func(tokens []string, is func(runs int) bool) []string {
+		return slices.DeleteFunc(slices.Clone(tokens), func(t string) bool { return !is(runs[t]) })
+	}
+	if list := broken(r.record.atMostOnce, func(runs int) bool { return runs > 1 }); len(list) > 0 {
+		result.violate("at most once: %d requests that may run once ran twice: %s", len(list), firstOf(list))
 	}
-	if n := count(r.record.atMostOnce, func(runs int) bool { return runs > 1 }); n > 0 {
-		result.violate("at most once: %d requests that may run once ran twice", n)
+	var refused []string
+	for _, w := range r.record.notRun {
+		if runs[w.token] > 0 {
+			refused = append(refused, fmt.Sprintf("%s (%s, sent %d times)", w.token, w.reason, w.tries))
+		}
 	}
-	if n := count(r.record.notRun, func(runs int) bool { return runs > 0 }); n > 0 {
-		result.violate("true refusals: %d requests ran although they were refused as not run", n)
+	if len(refused) > 0 {
+		result.violate("true refusals: %d requests ran although they were refused as not run: %s", len(refused), firstOf(refused))
 	}
-	if n := count(r.record.served, func(runs int) bool { return runs == 0 }); n > 0 {
-		result.violate("whole answers: %d requests were answered that ran at no backend server", n)
+	if list := broken(r.record.served, func(runs int) bool { return runs == 0 }); len(list) > 0 {
+		result.violate("whole answers: %d requests were answered that ran at no backend server: %s", len(list), firstOf(list))
 	}
 }
 
+// maxNamed bounds the requests that a violation names.
+const maxNamed = 5
+
+// firstOf joins the first names of a list.
+func firstOf(names []string) string { return strings.Join(names[:min(len(names), maxNamed)], ", ") }
+
 // verifyBroken counts the pipelined requests whose answers are missing. It adds a violation if
 // all that happened was planned.
 func (r *Runner) verifyBroken(result *Result, runs map[string]int) {
