An instance that starts does not promise that work with a key did not run

Callers with idempotency keys were told 'starting, not-run' for work that had run.

Cause: the promise of a key covers all requests with it. All instances were killed, callers sent again with the same key, and an instance that was starting knew nothing of the first sending.

Change: with a key, such a refusal says that the work may have run.

Before: TestStartingRefusal 'outcome: got not-run, want may-have-run'. After: passes.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -381,7 +381,7 @@
 	}
 	s, ok := d.served.Get(e.Service)
 	if !ok {
-		d.refuse(e, d.refusalReason(declared), descriptor.NotRun, 0)
+		d.refuseUnserved(e, d.refusalReason(declared))
 		return
 	}
 	if d.options.Routing {
@@ -402,6 +402,16 @@
 	d.resumeRequest(keeper.Resolved{Arrived: e, Decision: decision})
 }
 
+// refuseUnserved refuses a request for a service that this instance does not serve. One that is
+// starting doesn't know whether an earlier request with the same key ran elsewhere.
+func (d *Decider[E, D, P, L]) refuseUnserved(e descriptor.Arrived, reason descriptor.Reason) {
+	outcome := descriptor.NotRun
+	if reason == descriptor.Starting && e.Key != "" && !d.options.Routing {
+		outcome = descriptor.MayHaveRun
+	}
+	d.refuse(e, reason, outcome, 0)
+}
+
 // refusalReason returns why work for a service that this instance does not serve
 // is refused.
 func (d *Decider[E, D, P, L]) refusalReason(s declarer.Service) descriptor.Reason {
