--- a/decider/driver_test.go
+++ b/decider/driver_test.go
@@ -39,6 +39,9 @@
 	writes     []descriptor.Action
 	left       map[string]bool
 	claims     map[string]bool
+	// onSend takes the messages instead of their receivers, unless it is nil. Nothing is
+	// logged then.
+	onSend func(from string, a descriptor.Send)
 }
 
 func newDriver(t *testing.T, n int) *driver {
@@ -109,7 +112,7 @@
 		return
 	}
 	actions := append([]descriptor.Action(nil), instance.Step(e)...)
-	if id == d.order[0] {
+	if id == d.order[0] && d.onSend == nil {
 		d.recorded = append(d.recorded, e)
 		d.write("event", e)
 		for _, a := range actions {
@@ -137,6 +140,10 @@
 			d.link(id, p.ID)
 		}
 	case descriptor.Send:
+		if d.onSend != nil {
+			d.onSend(id, a)
+			return
+		}
 		d.step(a.To.ID, descriptor.Received{At: d.now, From: id, Message: a.Message})
 	case descriptor.Dispatch:
 		d.dispatched = append(d.dispatched, a)
--- a/decider/model_test.go
+++ b/decider/model_test.go
@@ -30,6 +30,8 @@
 	actCut     action = "cut"
 	actHeal    action = "heal"
 	actJoin    action = "join"
+	actAnswer  action = "answer"
+	actLeave   action = "leave"
 )
 
 // modelStep is one step of a model. Messages are named by what they are and not by a number, so
@@ -76,19 +78,24 @@
 // whether and in which order they arrive. All others arrive at once.
 type modelFleet struct {
 	*routedFleet
-	holds func(descriptor.Message) bool
-	held  []routedMessage
+	mailbox
 	// reading is set if instances that watch the store read it at each tick.
 	reading bool
 	// restarts counts the restarts so far.
 	restarts int
+}
+
+// mailbox holds the messages between the instances of a model that a search delivers.
+type mailbox struct {
+	holds func(descriptor.Message) bool
+	held  []routedMessage
 	// violation is the first violation seen, or nil.
 	violation error
 }
 
 // newModelFleet returns a fleet whose instances are ready and know each other.
 func newModelFleet(n int, prepare func(*routedFleet), holds func(descriptor.Message) bool) *modelFleet {
-	f := &modelFleet{routedFleet: newRoutedFleet(0), holds: func(descriptor.Message) bool { return false }}
+	f := &modelFleet{routedFleet: newRoutedFleet(0), mailbox: mailbox{holds: func(descriptor.Message) bool { return false }}}
 	f.sentBytes = nil
 	prepare(f.routedFleet)
 	for i := range n {
@@ -123,7 +130,7 @@
 }
 
 // decoded returns a message as its receiver decodes it.
-func (f *modelFleet) decoded(m descriptor.Message) descriptor.Message {
+func (f *mailbox) decoded(m descriptor.Message) descriptor.Message {
 	data, err := messenger.Encode(m)
 	if err == nil {
 		m, err = messenger.Decode(data)
@@ -157,7 +164,7 @@
 }
 
 // heldSteps returns the steps that deliver a held message. One that is never delivered is lost.
-func (f *modelFleet) heldSteps() []modelStep {
+func (f *mailbox) heldSteps() []modelStep {
 	var list []modelStep
 	for _, m := range f.held {
 		s := modelStep{action: actDeliver, id: m.to, from: m.from, message: m.message.Type()}
@@ -170,7 +177,7 @@
 }
 
 // take removes the held message that a step names.
-func (f *modelFleet) take(s modelStep) routedMessage {
+func (f *mailbox) take(s modelStep) routedMessage {
 	n := s.n
 	for i, m := range f.held {
 		if m.to != s.id || m.from != s.from || m.message.Type() != s.message {
@@ -206,14 +213,14 @@
 }
 
 // violate records a violation unless there was one.
-func (f *modelFleet) violate(err error) {
+func (f *mailbox) violate(err error) {
 	if f.violation == nil {
 		f.violation = err
 	}
 }
 
 // Check returns the first violation.
-func (f *modelFleet) Check() error { return f.violation }
+func (f *mailbox) Check() error { return f.violation }
 
 // digestOf hashes the instances, the held messages and what a model adds.
 func (f *modelFleet) digestOf(more ...any) uint64 {
