Check of refusals: a repeatable request may have run before its last sending

Without a key a refusal covers the sending that it answers. All other work is checked as before, and with a key each sending is. TestChecks has both cases.

--- a/loader/checks_test.go
+++ b/loader/checks_test.go
@@ -55,6 +55,8 @@
 	work := Work{Name: "note", Service: "ledger", Class: "note", Keyed: true, Size: size}
 	served := caller.Result{Status: 200, Body: []byte(imitator.Body(token, size)), Tries: 1}
 	refused := caller.Result{Status: 503, Reason: "overloaded", Outcome: "not-run", Tries: 1}
+	again := refused
+	again.Tries = 2
 	other := served
 	other.Body = []byte(imitator.Body("t-2", size))
 	short := served
@@ -73,13 +75,17 @@
 		planned bool
 		// cut and unanswered report whether the answer broke off or never came.
 		cut, unanswered bool
-		want            string
+		// repeatable is set if the work may run twice.
+		repeatable bool
+		want       string
 	}{
 		{name: "served once", result: served, counts: ran(1, 0), planned: true},
 		{name: "refused and not run", result: refused, counts: ran(0, 0), planned: true},
 		{name: "run twice at one", result: served, counts: ran(2, 0), want: "at most once"},
 		{name: "run at two", result: served, counts: ran(1, 1), want: "at most once"},
 		{name: "refused and run", result: refused, counts: ran(0, 1), want: "true refusals"},
+		{name: "refused when sent again with its key, and run", result: again, counts: ran(1, 0), want: "true refusals"},
+		{name: "refused when sent again, and run before, which it may", result: again, counts: ran(1, 0), repeatable: true},
 		{name: "the answer to another request", result: other, counts: ran(1), want: "whole answers"},
 		{name: "a short answer", result: short, counts: ran(1), want: "whole answers"},
 		{name: "another body", result: served, counts: []imitator.BackendCounts{{Altered: 1, Keys: map[string]int{token: 1}}}, want: "whole bodies"},
@@ -90,6 +96,8 @@
 		{name: "no answer to what did not run", result: served, counts: ran(0), planned: true, unanswered: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			work := work
+			work.Keyed, work.Idempotent = !c.repeatable, c.repeatable
 			s := Scenario{Deployment: "pelletier", Duration: time.Second, Disturbed: true, Planned: c.planned, Work: []Work{work}}
 			d, err := deploymentOf(s.Deployment)
 			asserter.NoError(t, "deployment", err)
--- a/loader/record.go
+++ b/loader/record.go
@@ -54,8 +54,14 @@
 	// reason is that of the instance that refused it, and tries how often it had been sent.
 	reason string
 	tries  int
+	// repeatable is set if its caller sends it again without a key. The refusal covers the last
+	// sending alone then.
+	repeatable bool
 }
 
+// mayHaveRun reports whether an earlier sending may have run.
+func (w refusedWork) mayHaveRun() bool { return w.repeatable && w.tries > 1 }
+
 // record collects the outcomes that callers observed. It is safe for use by many
 // goroutines.
 type record struct {
@@ -166,7 +172,7 @@
 		s.refused++
 	case result.Refused():
 		s.refused++
-		r.addRefusal(t, text, result, r.targets[index])
+		r.addRefusal(t, text, w, result, r.targets[index])
 	default:
 		r.addServed(t, s, text, w, result)
 	}
@@ -212,12 +218,12 @@
 	return s
 }
 
-func (r *record) addRefusal(t *tally, text string, result caller.Result, target time.Duration) {
+func (r *record) addRefusal(t *tally, text string, w Work, result caller.Result, target time.Duration) {
 	t.reasons[result.Reason]++
 	switch result.Outcome {
 	case "not-run":
 		t.notRun++
-		r.notRun = append(r.notRun, refusedWork{token: text, reason: result.Reason, tries: result.Tries})
+		r.notRun = append(r.notRun, refusedWork{token: text, reason: result.Reason, tries: result.Tries, repeatable: w.Idempotent && !w.Keyed})
 	case "may-have-run":
 		t.mayHaveRun++
 	case "ran":
