--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -195,7 +195,8 @@
 }
 
 // readAhead buffers the body until its end, or until the buffer is full, there is no memory for
-// more, reading fails or the deadline passes. A zero deadline means that there is none. No attempt may read yet.
+// more, reading fails or the deadline passes. A zero deadline means that there is none. No attempt
+// may read yet.
 func (b *callerBody) readAhead(deadline time.Time) {
 	chunk := buffers.Get().(*[]byte)
 	defer buffers.Put(chunk)
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -232,13 +232,13 @@
 
 // refuseUnlocated refuses a request for which no service or class was found.
 func (s *session) refuseUnlocated(reason descriptor.Reason) {
-	refusal := descriptor.Refuse{Reason: reason}
+	a := descriptor.Refuse{Reason: reason}
 	if reason == descriptor.Starting && s.r.Header.Get(headerKey) != "" {
 		// The promise of a key covers all requests with it. This instance doesn't know yet
 		// whether an earlier one ran elsewhere.
-		refusal.Outcome = descriptor.MayHaveRun
+		a.Outcome = descriptor.MayHaveRun
 	}
-	s.refuse(refusal)
+	s.refuse(a)
 	event := descriptor.Unlocated{At: time.Now(), Request: s.id, Label: s.label, Reason: reason, Latency: time.Since(s.started)}
 	if s.located != nil && s.located.Routes != nil {
 		event.Version = s.located.Routes.Routing().Version
