Soak: a fault of a backend server that another fault has crashed

Cause: since a scenario fails where a fault is not injected, a fault that began within the second in which another one had crashed its backend server counted as such. Change: where a scenario crashes backend servers, a fault is tried for 3 s. Other faults that are not confirmed fail at once as before.

--- a/loader/checks_test.go
+++ b/loader/checks_test.go
@@ -163,3 +163,40 @@
 		})
 	}
 }
+
+// downBackend is a backend server that confirms no fault until it is back.
+type downBackend struct {
+	backend
+	back  time.Time
+	fault imitator.BackendFault
+}
+
+func (b *downBackend) SetFault(f imitator.BackendFault) error {
+	if time.Now().Before(b.back) {
+		return errBroken
+	}
+	b.fault = f
+	return nil
+}
+
+// TestFaultOfCrashed guards against a fault that counts as not injected because another one had
+// just crashed the backend server.
+func TestFaultOfCrashed(t *testing.T) {
+	fault := imitator.BackendFault{Copy: true}
+	for name, c := range map[string]struct {
+		faults []Fault
+		down   time.Duration
+		want   error
+	}{
+		"back in time":         {[]Fault{{Kind: FaultCrash}}, 2 * downPollInterval, nil},
+		"not back":             {[]Fault{{Kind: FaultCrash}}, 2 * downTimeout, errBroken},
+		"none crashes by plan": {nil, 2 * downPollInterval, errBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := &downBackend{back: time.Now().Add(c.down)}
+			err := (&Runner{scenario: Scenario{Faults: c.faults}}).setFault(b, fault)
+			asserter.Equal(t, "error", err, c.want)
+			asserter.Equal(t, "set", b.fault.Copy, c.want == nil)
+		})
+	}
+}
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -74,7 +74,7 @@
 	default:
 		r.monitor.expectGray(b, now, f.Found)
 	}
-	if err := b.SetFault(f.ofBackend()); err != nil {
+	if err := r.setFault(b, f.ofBackend()); err != nil {
 		return err
 	}
 	if err := r.restart(b, f); err != nil {
@@ -89,13 +89,34 @@
 			return err
 		}
 	}
-	return b.SetFault(imitator.BackendFault{})
+	return r.setFault(b, imitator.BackendFault{})
+}
+
+const (
+	// downTimeout bounds the wait until a backend server that crashed confirms a fault.
+	downTimeout = 3 * time.Second
+	// downPollInterval is the time between two tries.
+	downPollInterval = 100 * time.Millisecond
+)
+
+// setFault sets the fault of a backend server. Where backend servers crash, one may be down because
+// of another fault, and confirms this one when it is back.
+func (r *Runner) setFault(b backend, f imitator.BackendFault) error {
+	err := b.SetFault(f)
+	if !r.scenario.crashes() {
+		return err
+	}
+	for deadline := time.Now().Add(downTimeout); err != nil && time.Now().Before(deadline); {
+		time.Sleep(downPollInterval)
+		err = b.SetFault(f)
+	}
+	return err
 }
 
 // restart crashes a backend server if the fault does so, and lists it anew if it comes back under
 // another ID.
 func (r *Runner) restart(b backend, f Fault) error {
-	if f.Kind != FaultCrash && f.Kind != FaultRestart {
+	if !f.crashes() {
 		return nil
 	}
 	if err := b.Crash(); err != nil || f.Kind == FaultCrash {
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -10,6 +10,7 @@
 	"os"
 	"path"
 	"path/filepath"
+	"slices"
 	"strings"
 	"time"
 
@@ -146,6 +147,12 @@
 	return false
 }
 
+// crashes reports whether the fault crashes a backend server.
+func (f Fault) crashes() bool { return f.Kind == FaultCrash || f.Kind == FaultRestart }
+
+// crashes reports whether a fault of the scenario crashes a backend server.
+func (s Scenario) crashes() bool { return slices.ContainsFunc(s.Faults, Fault.crashes) }
+
 // Load reads a scenario from a file, or the embedded scenario of that name. It
 // returns an error that wraps ErrScenario if there is neither or it is invalid.
 func Load(name string) (Scenario, error) {
