Tests: one accept loop for raw backend servers; a clearer name beside gray

Three new tests and an old one had the same loop, which acceptAll holds now. In the loader isGray stood beside gray with another meaning; it is staysGray. No assertion changed.

--- a/endless_test.go
+++ b/endless_test.go
@@ -43,15 +43,7 @@
 	asserter.NoError(t, "listen", err)
 	b := &endlessBackend{listener: l, closedAt: make(map[string]time.Time)}
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(conn)
-		}
-	}()
+	acceptAll(l, b.serve)
 	return b
 }
 
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -80,7 +80,7 @@
 	if err := r.restart(b, f); err != nil {
 		return err
 	}
-	if f.isGray() {
+	if f.staysGray() {
 		r.watchGray(ctx, f, b)
 	}
 	sleepUntil(ctx, r.started.Add(f.To))
--- a/loader/gray.go
+++ b/loader/gray.go
@@ -23,9 +23,9 @@
 	Others float64 `json:"others"`
 }
 
-// isGray reports whether a fault is one that health checks don't show and that no answer
+// staysGray reports whether a fault is one that health checks don't show and that no answer
 // announces, and lasts.
-func (f Fault) isGray() bool { return f.Kind == FaultStall || f.Kind == FaultErrors }
+func (f Fault) staysGray() bool { return f.Kind == FaultStall || f.Kind == FaultErrors }
 
 // watchGray counts the requests of a gray backend server and of the others of its service
 // each second until the fault ends.
--- a/platform_copy_test.go
+++ b/platform_copy_test.go
@@ -43,15 +43,7 @@
 	asserter.NoError(f.t, "listen", err)
 	f.t.Cleanup(func() { _ = l.Close() })
 	b := &movingBackend{fleet: f, listener: l, refusal: refusal, refusedOn: make(map[string]net.Conn)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(conn)
-		}
-	}()
+	acceptAll(l, b.serve)
 	return b
 }
 
--- a/platform_fragment_test.go
+++ b/platform_fragment_test.go
@@ -32,15 +32,7 @@
 	asserter.NoError(t, "listen", err)
 	t.Cleanup(func() { _ = l.Close() })
 	b := &fragmentBackend{listener: l, fragment: fragment, status: status, ran: make(map[string]int)}
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go b.serve(conn)
-		}
-	}()
+	acceptAll(l, b.serve)
 	return b
 }
 
--- a/platform_log_test.go
+++ b/platform_log_test.go
@@ -23,15 +23,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	asserter.NoError(t, "listen", err)
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerTwice(conn)
-		}
-	}()
+	acceptAll(l, answerTwice)
 	f.store.set("op/config", routing(2, "ledger", "moving"))
 	f.store.set("servers/twice", map[string]any{
 		"service": "moving", "address": l.Addr().String(), "zone": "a", "version": "v1",
--- a/standin_test.go
+++ b/standin_test.go
@@ -281,3 +281,16 @@
 	}
 	return total, maximum
 }
+
+// acceptAll serves each connection of a listener in a goroutine of its own until it is closed.
+func acceptAll(l net.Listener, serve func(net.Conn)) {
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+}
