Core types of customers, quotas and proofs of a recent configuration

Cause: no package knows customers, API keys or quotas, and event times leave out the time for which a machine was suspended, so an age can't be bounded from above.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"monsoonswitch/descriptor"
+	"monsoonswitch/timekeeper"
 )
 
 // Parameters of the control goroutine.
@@ -166,7 +167,7 @@
 			}
 			l.handle(in)
 		case now := <-timer.C:
-			l.step(descriptor.Ticked{At: now})
+			l.step(descriptor.Ticked{At: now, Uptime: timekeeper.Uptime()})
 			timer.Reset(l.tickInterval())
 		case <-c.stop:
 			return
--- a/declarer/routing.go
+++ b/declarer/routing.go
@@ -26,6 +26,22 @@
 	Class Class
 	// Parts is not empty.
 	Parts []Part
+	// Public reports whether requests need no API key although the routing requires keys.
+	Public bool `json:",omitempty" cbor:",omitempty"`
+}
+
+// Customer is an account to which requests belong by their API keys.
+type Customer struct {
+	// Name is unique within the routing.
+	Name string
+	// Keys are the API keys. No two customers have one in common.
+	Keys []string
+	// Rank orders customers by urgency before the ranks of classes do; 0 is the most urgent.
+	Rank int `json:",omitempty" cbor:",omitempty"`
+	// Rate is the number of requests a second that the customer may send to all instances
+	// together, and Burst the number beyond that at once. A Rate of 0 means no limit.
+	Rate  float64 `json:",omitempty" cbor:",omitempty"`
+	Burst float64 `json:",omitempty" cbor:",omitempty"`
 }
 
 // RequestLimits holds the limits on requests of callers.
@@ -58,6 +74,10 @@
 	Routes   []HostRoute
 	Services []Upstream
 	Limits   RequestLimits
+	// Keyed reports whether requests need the API key of a customer, unless their route is
+	// public. Customers is empty if it is not set.
+	Keyed     bool       `json:",omitempty" cbor:",omitempty"`
+	Customers []Customer `json:",omitempty" cbor:",omitempty"`
 }
 
 // Derive returns the declarations of the services. A routing declares no floors, so
@@ -91,12 +111,19 @@
 	routing Routing
 	// hosts holds, for each host, the positions of its routes by path.
 	hosts map[string]map[string]int
+	// keys holds the position of the customer of each API key.
+	keys map[string]int
 }
 
 // NewRouteIndex returns the index of a routing. Of several routes with the same host
 // and path the first one is used.
 func NewRouteIndex(r Routing) *RouteIndex {
-	m := &RouteIndex{routing: r, hosts: make(map[string]map[string]int)}
+	m := &RouteIndex{routing: r, hosts: make(map[string]map[string]int), keys: make(map[string]int)}
+	for i, c := range r.Customers {
+		for _, key := range c.Keys {
+			m.keys[key] = i
+		}
+	}
 	for i, route := range r.Routes {
 		paths, ok := m.hosts[route.Host]
 		if !ok {
@@ -113,6 +140,15 @@
 // Routing returns the indexed routing.
 func (m *RouteIndex) Routing() Routing { return m.routing }
 
+// Customer returns the customer with an API key, and false if there is none.
+func (m *RouteIndex) Customer(key string) (Customer, bool) {
+	i, ok := m.keys[key]
+	if !ok {
+		return Customer{}, false
+	}
+	return m.routing.Customers[i], true
+}
+
 // Match returns the route of the host whose path is the longest prefix of the path
 // of a request. A port in host is ignored.
 func (m *RouteIndex) Match(host, path string) (HostRoute, bool) {
--- a/descriptor/enums.go
+++ b/descriptor/enums.go
@@ -55,6 +55,13 @@
 	Unsupported
 	// UploadsFull means that the instance has no memory left to pass the body on.
 	UploadsFull
+	// Unauthorized means that the request carries no API key of a customer.
+	Unauthorized
+	// StaleConfiguration means that the instance can't prove that its configuration is recent
+	// enough to tell whether the API key was withdrawn.
+	StaleConfiguration
+	// QuotaExceeded means that the customer has used up its quota.
+	QuotaExceeded
 	reasonCount
 )
 
@@ -81,6 +88,10 @@
 	Starting:         "starting",
 	Unsupported:      "unsupported",
 	UploadsFull:      "uploads-full",
+
+	Unauthorized:       "unauthorized",
+	StaleConfiguration: "stale-configuration",
+	QuotaExceeded:      "quota-exceeded",
 }
 
 // String returns the name used in responses to callers and in reports.
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -16,6 +16,15 @@
 	Class   string
 	// Caller identifies the caller for fair queueing.
 	Caller string
+	// Customer is the name of the customer whose API key the request carries, or empty.
+	// CustomerRank is its rank.
+	Customer     string `json:",omitempty"`
+	CustomerRank int    `json:",omitempty"`
+	// Routing is the version of the routing in which the route and the customer were looked
+	// up, or 0.
+	Routing uint64 `json:",omitempty"`
+	// Uptime is the uptime of the machine when the request had arrived; see Received.
+	Uptime time.Duration `json:",omitempty"`
 	// Key is the idempotency key, or empty.
 	Key string
 	// Fingerprint is a hash that is equal for requests for the same work. Their bodies may
@@ -119,13 +128,20 @@
 }
 
 // Ticked is the periodic timer event.
-type Ticked struct{ At time.Time }
+type Ticked struct {
+	At time.Time
+	// Uptime is as in Received.
+	Uptime time.Duration `json:",omitempty"`
+}
 
 // Received reports a message from another instance.
 type Received struct {
 	At      time.Time
 	From    string
 	Message Message
+	// Uptime is the uptime of the machine when the message had arrived, including the time for
+	// which the machine was suspended. At may leave that out.
+	Uptime time.Duration `json:",omitempty"`
 }
 
 // LinkOpened reports that a link to an instance is open.
@@ -154,6 +170,9 @@
 	// Revision is the store's revision at that time.
 	AsOf     time.Time `json:",omitzero"`
 	Revision uint64    `json:",omitzero"`
+	// Uptime is the uptime of the machine at the time AsOf; see Received. It is 0 if that is
+	// not known.
+	Uptime time.Duration `json:",omitempty"`
 }
 
 // Written reports the result of a write to the platform's store.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -34,6 +34,9 @@
 	TypeFreshness
 	TypeOutcomes
 	TypeSuspicionList
+	TypeClockStamp
+	TypeQuotaDemand
+	TypeQuotaGrant
 	messageTypeCount
 )
 
@@ -62,6 +65,9 @@
 	TypeFreshness:     "freshness",
 	TypeOutcomes:      "outcomes",
 	TypeSuspicionList: "suspicionlist",
+	TypeClockStamp:    "clockstamp",
+	TypeQuotaDemand:   "quotademand",
+	TypeQuotaGrant:    "quotagrant",
 }
 
 // String returns the name used in logs and metrics.
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -236,6 +236,10 @@
 		return http.StatusBadGateway
 	case descriptor.Unsupported:
 		return http.StatusNotImplemented
+	case descriptor.Unauthorized:
+		return http.StatusUnauthorized
+	case descriptor.QuotaExceeded:
+		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -12,6 +12,7 @@
 
 	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/timekeeper"
 )
 
 // session is one request of a caller.
@@ -292,6 +293,7 @@
 		Size:        s.r.ContentLength,
 		Deadline:    s.deadline,
 		Label:       s.label,
+		Uptime:      timekeeper.Uptime(),
 	}
 }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -14,6 +14,7 @@
 
 	"monsoonswitch/descriptor"
 	"monsoonswitch/messenger"
+	"monsoonswitch/timekeeper"
 )
 
 const (
@@ -221,7 +222,7 @@
 			}
 			return
 		}
-		k.linker.poster.Post(descriptor.Received{At: time.Now(), From: k.peer.ID, Message: m})
+		k.linker.poster.Post(descriptor.Received{At: time.Now(), From: k.peer.ID, Message: m, Uptime: timekeeper.Uptime()})
 	}
 }
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -134,6 +134,9 @@
 	descriptor.TypeFreshness:     decode[descriptor.Freshness],
 	descriptor.TypeOutcomes:      decodeWith(descriptor.Outcomes.WithList),
 	descriptor.TypeSuspicionList: decodeWith(descriptor.SuspicionList.WithList),
+	descriptor.TypeClockStamp:    decode[descriptor.ClockStamp],
+	descriptor.TypeQuotaDemand:   decode[descriptor.QuotaDemand],
+	descriptor.TypeQuotaGrant:    decode[descriptor.QuotaGrant],
 }
 
 // decodeWith returns a decoding function that also expands the compact form of a message.
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"monsoonswitch/descriptor"
+	"monsoonswitch/timekeeper"
 )
 
 // Delays after failed calls.
@@ -159,7 +160,7 @@
 // step lists the feed first and then watches it for changes. If the history of the
 // changes was compacted, the next step lists again.
 func (c *feedReader) step(ctx context.Context) error {
-	started := time.Now()
+	uptime, started := timekeeper.Uptime(), time.Now()
 	page, listed, err := c.call(ctx)
 	now := time.Now()
 	if errors.Is(err, ErrCompacted) {
@@ -171,7 +172,8 @@
 	}
 	c.complete = true
 	c.after = max(c.after, page.Revision)
-	c.post(page, listed, c.asOf(started, now, listed, len(page.Items)), now)
+	asOf := c.asOf(started, now, listed, len(page.Items))
+	c.post(page, listed, descriptor.DocumentsRead{At: now, AsOf: asOf, Uptime: uptime + asOf.Sub(started)})
 	if !listed && len(page.Items) > 0 {
 		_ = sleep(ctx, c.follower.pace.Gap)
 	}
@@ -197,13 +199,15 @@
 	return started
 }
 
-// post posts the documents of an answer, one event for each part of the feed.
-func (c *feedReader) post(page Page, listed bool, asOf, now time.Time) {
+// post posts the documents of an answer, one event for each part of the feed. read holds the
+// times of the answer.
+func (c *feedReader) post(page Page, listed bool, read descriptor.DocumentsRead) {
 	if listed {
 		c.forgetMalformed(page)
 	}
 	for _, p := range c.feed.Parts {
-		e := descriptor.DocumentsRead{At: now, Kind: p.Kind, Complete: listed, AsOf: asOf, Revision: page.Revision}
+		e := read
+		e.Kind, e.Complete, e.Revision = p.Kind, listed, page.Revision
 		if items := page.withPrefix(p.Prefix); p.DecodeEntry != nil {
 			e.Documents = c.entries(p, items, listed)
 		} else {
--- /dev/null
+++ b/timekeeper/timekeeper.go
@@ -0,0 +1,2 @@
+// Package timekeeper reads clocks that the standard library does not offer.
+package timekeeper
