Admission by urgency and by customer in an overload

Cause: an instance refuses at its own queue only. One with little urgent work fills the backend servers with less urgent work while more urgent work of the service is refused elsewhere; a customer that sends many times its usual has the requests of all customers refused alike; all are told to return after 1 s. Change: queues are divided by the rank of the customer and take customers in turn; a customer with the most queued requests gives way to one with fewer; refusals for lack of room travel with the outcomes and make less urgent work of customers yield while no slot is free; refused callers of customers return spread over the target of their class. Requests without a customer are decided as before.

--- a/balancer/arrive.go
+++ b/balancer/arrive.go
@@ -19,17 +19,19 @@
 func (b *Balancer[E, D, P, L]) Arrive(e descriptor.Arrived) {
 	b.advance(e.At)
 	r := request{
-		id:          e.Request,
-		label:       e.Label,
-		class:       b.classIndex(e.Class),
-		caller:      e.Caller,
-		fingerprint: e.Fingerprint,
-		content:     e.Content,
-		replayable:  e.Replayable,
-		body:        e.Body,
-		size:        e.Size,
-		deadline:    e.Deadline,
-		arrived:     e.At,
+		id:           e.Request,
+		label:        e.Label,
+		class:        b.classIndex(e.Class),
+		caller:       e.Caller,
+		customer:     e.Customer,
+		customerRank: e.CustomerRank,
+		fingerprint:  e.Fingerprint,
+		content:      e.Content,
+		replayable:   e.Replayable,
+		body:         e.Body,
+		size:         e.Size,
+		deadline:     e.Deadline,
+		arrived:      e.At,
 	}
 	if b.options.PooledOutcomes {
 		b.budget = b.budget.WithTime(e.At, b.terms).WithRequest(b.terms)
@@ -78,10 +80,14 @@
 	b.scanAfterIdleTime()
 	b.trace(r, descriptor.NoteAdmitted, 0, "", "", 0)
 	b.updateRepeatableShare(r)
-	if (b.queued == 0 || b.options.PooledOutcomes && b.ahead(r.class) == 0) && b.mayStart(r.class) && b.start(r) {
+	if b.yields(r) {
+		b.refuseForRoom(r, retryAfter)
 		return
 	}
-	maxWait := b.limiter.MaxWait(b.queueState(r.class))
+	if (b.queued == 0 || b.options.PooledOutcomes && b.ahead(r.level()) == 0) && b.mayStart(r.class) && b.start(r) {
+		return
+	}
+	maxWait := b.limiter.MaxWait(b.queueState(r.level()))
 	expires := r.arrived.Add(maxWait)
 	if !r.deadline.IsZero() && r.deadline.Before(expires) {
 		expires = r.deadline
@@ -90,50 +96,52 @@
 		b.refuse(r, descriptor.Expired, descriptor.NotRun, 0)
 		return
 	}
-	if wait, ok := b.turnedAwayBeyond(r.class, expires); ok {
+	if wait, ok := b.turnedAwayBeyond(r.level(), expires); ok {
 		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, wait)
 		return
 	}
-	if !b.limiter.Admits(b.queueState(r.class)) {
-		b.refuse(r, descriptor.Overloaded, descriptor.NotRun, retryAfter)
+	if !b.limiter.Admits(b.queueState(r.level())) && !b.displace(r) {
+		b.refuseForRoom(r, retryAfter)
 		return
 	}
 	r = r.WithQueued(expires)
 	b.requests.Put(r.id, r)
 	b.queued++
 	b.trace(r, descriptor.NoteQueued, 0, "", "", 0)
-	b.queues[r.class].Push(r.caller, r.id)
+	b.queues[r.class].At(r.customerRank).Push(r.owner(), r.id)
 	b.startQueued()
 }
 
 // turnedAwayBeyond reports whether the backend servers themselves, by pauses or limits, leave no
-// request for one of class c before expires. It also returns the wait to ask its caller for.
-func (b *Balancer[E, D, P, L]) turnedAwayBeyond(c int, expires time.Time) (time.Duration, bool) {
+// request for one of level l before expires. It also returns the wait to ask its caller for.
+func (b *Balancer[E, D, P, L]) turnedAwayBeyond(l level, expires time.Time) (time.Duration, bool) {
 	if wait, ok := b.pausedBeyond(expires); ok {
 		return wait, true
 	}
-	return b.limitedBeyond(c, expires)
+	return b.limitedBeyond(l, expires)
 }
 
-// queueState describes the queue of a class for the limiter.
-func (b *Balancer[E, D, P, L]) queueState(c int) limiter.QueueState {
-	declared := b.classes[c].declared
+// queueState describes the queue of a level for the limiter.
+func (b *Balancer[E, D, P, L]) queueState(l level) limiter.QueueState {
+	declared := b.classes[l.class].declared
 	return limiter.QueueState{
 		Target:  declared.Target,
-		Typical: b.references[c].Quantile(0.5, 0),
-		Oldest:  b.oldest(c),
-		// Less urgent classes start after c and are not counted.
-		Ahead:    b.ahead(c),
+		Typical: b.references[l.class].Quantile(0.5, 0),
+		Oldest:  b.oldest(l),
+		// Less urgent levels start after l and are not counted.
+		Ahead:    b.ahead(l),
 		InFlight: b.inFlight(),
 	}
 }
 
-// ahead counts the queued requests of classes at least as urgent as c.
-func (b *Balancer[E, D, P, L]) ahead(c int) int {
+// ahead counts the queued requests of levels at least as urgent as l.
+func (b *Balancer[E, D, P, L]) ahead(l level) int {
 	n := 0
-	for i := range b.queues {
-		if b.classes[i].declared.Rank <= b.classes[c].declared.Rank {
-			n += b.queues[i].Len()
+	for i, q := range b.queues {
+		for _, rank := range q.Ranks() {
+			if !b.urgencyOf(l).Before(b.urgencyOf(level{rank, i})) {
+				n += q.At(rank).Len()
+			}
 		}
 	}
 	return n
@@ -147,11 +155,11 @@
 	return n
 }
 
-// oldest returns how long the oldest queued request of a class has waited. As the
+// oldest returns how long the oldest queued request of a level has waited. As the
 // queue serves callers in turn, the first request of the next caller is taken as the
 // oldest.
-func (b *Balancer[E, D, P, L]) oldest(c int) time.Duration {
-	id, ok := b.queues[c].Front()
+func (b *Balancer[E, D, P, L]) oldest(l level) time.Duration {
+	id, ok := b.queues[l.class].At(l.customer).Front()
 	if !ok {
 		return 0
 	}
@@ -305,7 +313,7 @@
 	}
 	for b.queued > 0 && b.preferred.Len()+b.lastResort.Len() > 0 {
 		c := b.nextClass()
-		if c < 0 || !b.startNext(c) {
+		if c < 0 || !b.startNext(level{class: c}) {
 			return
 		}
 	}
@@ -322,40 +330,45 @@
 	}
 }
 
-// startQueuedPooled starts queued requests of all classes, the most urgent class
-// first. A request that waits for a healthy backend server does not block other
-// classes.
+// startQueuedPooled starts queued requests of all levels, the most urgent level first. A
+// request that waits for a healthy backend server does not block other levels.
 func (b *Balancer[E, D, P, L]) startQueuedPooled() {
-	for _, c := range b.byRank() {
-		for b.queues[c].Len() > 0 && b.preferred.Len()+b.lastResort.Len() > 0 && b.startNext(c) {
+	for _, l := range b.byUrgency() {
+		queue := b.queues[l.class].At(l.customer)
+		for queue.Len() > 0 && b.preferred.Len()+b.lastResort.Len() > 0 && b.startNext(l) {
 		}
 	}
 }
 
-// byRank lists the classes with queued requests by rank. Among classes of one rank,
-// the one whose oldest request is closest to its target comes first.
-func (b *Balancer[E, D, P, L]) byRank() []int {
-	var list []int
-	for c := range b.classes {
-		if b.queues[c].Len() > 0 {
-			list = append(list, c)
+// byUrgency lists the levels with queued requests by urgency. Among levels of one urgency, the
+// one whose oldest request is closest to its target comes first.
+func (b *Balancer[E, D, P, L]) byUrgency() []level {
+	var list []level
+	for c, q := range b.queues {
+		for _, rank := range q.Ranks() {
+			list = append(list, level{rank, c})
 		}
 	}
 	sort.SliceStable(list, func(i, j int) bool {
-		x, y := b.classes[list[i]].declared, b.classes[list[j]].declared
-		if x.Rank != y.Rank {
-			return x.Rank < y.Rank
+		x, y := b.urgencyOf(list[i]), b.urgencyOf(list[j])
+		if x != y {
+			return x.Before(y)
 		}
-		return x.Target-b.oldest(list[i]) < y.Target-b.oldest(list[j])
+		return b.slack(list[i]) < b.slack(list[j])
 	})
 	return list
 }
 
-// startNext starts the next queued request of class c and reports whether one left
-// the queue.
-func (b *Balancer[E, D, P, L]) startNext(c int) bool {
-	newestFirst := b.limiter.NewestFirst(b.queueState(c))
-	id, ok := b.queues[c].Pop(newestFirst)
+// slack returns the time until the oldest queued request of a level misses its target.
+func (b *Balancer[E, D, P, L]) slack(l level) time.Duration {
+	return b.classes[l.class].declared.Target - b.oldest(l)
+}
+
+// startNext starts the next queued request of a level and reports whether one left the queue.
+func (b *Balancer[E, D, P, L]) startNext(l level) bool {
+	newestFirst := b.limiter.NewestFirst(b.queueState(l))
+	queue := b.queues[l.class].At(l.customer)
+	id, ok := queue.Pop(newestFirst)
 	if !ok {
 		return false
 	}
@@ -370,7 +383,7 @@
 	if b.refusePoisoned(r) || b.start(r) {
 		return true
 	}
-	b.queues[c].PutBack(r.caller, id, newestFirst)
+	queue.PutBack(r.owner(), id, newestFirst)
 	return false
 }
 
@@ -388,7 +401,7 @@
 		if declared.Long && b.longInFlight() < b.limiter.ReservedLongSlots(b.slots) {
 			return c
 		}
-		slack := declared.Target - b.oldest(c)
+		slack := b.slack(level{class: c})
 		if best < 0 || slack < bestSlack {
 			best, bestSlack = c, slack
 		}
@@ -410,5 +423,9 @@
 	if !r.deadline.IsZero() && !b.now.Before(r.deadline) {
 		reason = descriptor.Expired
 	}
+	if reason == descriptor.Overloaded {
+		b.refuseForRoom(r, b.waitHint())
+		return
+	}
 	b.refuse(r, reason, r.outcome(), b.waitHint())
 }
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -102,11 +102,12 @@
 	service  declarer.Service
 	revision uint64
 	// classes has an entry for each class that was ever declared. references and
-	// queues are indexed like classes. classPositions holds the index of each name.
+	// queues are indexed like classes; a queue is divided by the ranks of customers.
+	// classPositions holds the index of each name.
 	classes        []class
 	classPositions map[string]int
 	references     []detector.Reference
-	queues         []*container.FairQueue[string, descriptor.RequestID]
+	queues         []*container.RankedQueue[string, descriptor.RequestID]
 	queued         int
 	// pooled is the service-time distribution over all short classes. It replaces the
 	// distribution of a class with few observations.
@@ -161,6 +162,11 @@
 	// unsentUnserved counts the requests that ended without an answer and were not
 	// yet reported to the other instances.
 	unsentUnserved int
+	// yield is the share of less urgent requests that is refused for more urgent ones, and
+	// unsentRefusal the urgency of the most urgent request that was refused for lack of room and
+	// not yet reported to the other instances, or nil.
+	yield         limiter.Yield[descriptor.Urgency]
+	unsentRefusal *descriptor.Urgency
 	// recentOutcomes counts the latest outcomes at all instances.
 	recentOutcomes window
 	// lastPauseEnd is the end of the pause that ends last; see recordPause.
@@ -174,6 +180,8 @@
 	repeatableShare float64
 	// crowded is set when most slots of the backend servers in use are taken.
 	crowded bool
+	// full is set when all of them are and requests wait at them.
+	full bool
 	// spreadThreshold is the estimated probability of serving a request from which a
 	// backend server gets work to increase the number in use.
 	spreadThreshold float64
@@ -257,7 +265,7 @@
 			b.classPositions[declared.Name] = c
 			b.classes = append(b.classes, class{})
 			b.references = append(b.references, detector.Reference{})
-			b.queues = append(b.queues, container.NewFairQueue[string, descriptor.RequestID]())
+			b.queues = append(b.queues, container.NewRankedQueue[string, descriptor.RequestID]())
 		}
 		b.classes[c] = b.classes[c].WithDeclared(declared)
 	}
--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -140,11 +140,11 @@
 	if b.start(r) {
 		return
 	}
-	expires := b.now.Add(b.limiter.MaxWait(b.queueState(r.class)) / 2)
+	expires := b.now.Add(b.limiter.MaxWait(b.queueState(r.level())) / 2)
 	if !r.deadline.IsZero() && r.deadline.Before(expires) {
 		expires = r.deadline
 	}
-	if wait, ok := b.turnedAwayBeyond(r.class, expires); ok {
+	if wait, ok := b.turnedAwayBeyond(r.level(), expires); ok {
 		b.refuse(r, descriptor.Overloaded, r.outcome(), wait)
 		return
 	}
--- a/balancer/limit.go
+++ b/balancer/limit.go
@@ -74,9 +74,9 @@
 }
 
 // limitedBeyond reports whether the limits of all backend servers leave no request for one of
-// class c until it can no longer be served before expires. It also returns the wait to ask its
+// level l until it can no longer be served before expires. It also returns the wait to ask its
 // caller for.
-func (b *Balancer[E, D, P, L]) limitedBeyond(c int, expires time.Time) (time.Duration, bool) {
+func (b *Balancer[E, D, P, L]) limitedBeyond(l level, expires time.Time) (time.Duration, bool) {
 	rate, ok := b.limitedRate()
 	if !ok {
 		return 0, false
@@ -86,7 +86,7 @@
 	}
 	// The allowances are due at random times, so that the mean wait for one is half of the time
 	// between two.
-	wait := time.Duration((float64(b.ahead(c)) + 0.5) / rate * float64(time.Second))
+	wait := time.Duration((float64(b.ahead(l)) + 0.5) / rate * float64(time.Second))
 	if !b.now.Add(wait).After(expires) {
 		return 0, false
 	}
--- a/balancer/outcome.go
+++ b/balancer/outcome.go
@@ -19,6 +19,9 @@
 	// crowdedThreshold is the part of the slots in use above which a service is
 	// crowded.
 	crowdedThreshold = 0.6
+	// fullThreshold is the number of requests for each slot above which less urgent requests yield.
+	// Below it slots are free, and what yields would be lost without use to others.
+	fullThreshold = 1
 )
 
 // queueOutcome records how a request ended, to be sent to the other instances. A
@@ -93,8 +96,8 @@
 	for _, o := range list {
 		b.unsentOutcomes.Delete(o.Backend)
 	}
-	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unsentUnserved, Limits: b.limitsOf(list)}
-	b.unsentUnserved = 0
+	m := descriptor.Outcomes{Service: b.service.Name, List: list, Unserved: b.unsentUnserved, Limits: b.limitsOf(list), Refused: b.unsentRefusal}
+	b.unsentUnserved, b.unsentRefusal = 0, nil
 	if b.position >= 0 {
 		b.sendByDomain(m)
 		return
@@ -271,6 +274,7 @@
 		}
 	}
 	b.crowded = requests > crowdedThreshold*float64(slots)
+	b.full = requests > fullThreshold*float64(slots)
 }
 
 // maxOutcomes bounds the outcomes of one kind used from one message. More of them
@@ -288,6 +292,9 @@
 		b.recentOutcomes = b.recentOutcomes.WithOutcome(now, true)
 	}
 	b.applyLimits(m.Limits)
+	if m.Refused != nil {
+		b.applyRoomRefusal(*m.Refused, m.Relay)
+	}
 	if m.Relay {
 		b.unsentUnserved += max(0, m.Unserved)
 	}
--- a/balancer/replay_test.go
+++ b/balancer/replay_test.go
@@ -60,6 +60,14 @@
 	// member reports whether an instance is a slot owner at a time; nil means that all are. Work
 	// arrives only at slot owners.
 	member func(instance int, at time.Duration) bool
+	// customer returns the customer of a request, for a random number from 0 to 1; nil means that
+	// requests have none.
+	customer func(draw float64, at time.Duration) string
+	// onceRank is the rank of the class of work that may not run twice. The other one has rank 0.
+	onceRank int
+	// readsAt is the number of instances at which work of the class with rank 0 arrives; 0 means
+	// all. Other work then arrives at the others.
+	readsAt int
 }
 
 // tally counts how requests ended.
@@ -86,8 +94,16 @@
 	// limitedArrivals counts the attempts at limited backend servers, and overLimit those of
 	// them that exceeded what the operators allow; see limitWatch.
 	limitedArrivals, overLimit int
+	// ofCustomer and ofClass count the requests by customer and by class.
+	ofCustomer, ofClass map[string]part
 }
 
+// part counts the requests of a customer or a class.
+type part struct{ sent, served int }
+
+// share returns the share of the requests that was served.
+func (p part) share() float64 { return float64(p.served) / float64(p.sent) }
+
 const (
 	replayWork   = 200 * time.Millisecond
 	replayTarget = time.Second
@@ -137,6 +153,8 @@
 // replayed is one request of a replay.
 type replayed struct {
 	idempotent bool
+	customer   string
+	class      string
 	runs       int
 	arrived    time.Duration
 	failed     bool
@@ -155,13 +173,14 @@
 		f.lastSentAt, f.ownFailureAt, f.lossPossibleAt = append(f.lastSentAt, -lossExclusion), append(f.ownFailureAt, -lossExclusion), append(f.lossPossibleAt, -lossExclusion)
 	}
 	f.tally.used = make(map[int]time.Duration)
+	f.tally.ofCustomer, f.tally.ofClass = make(map[string]part), make(map[string]part)
 	for i := range l.instances {
 		f.members = append(f.members, descriptor.Member{ID: fmt.Sprintf("entry-%d", i)})
 	}
 	members := f.members
 	service := declarer.Service{Name: "billing", Share: 1, Classes: []declarer.Class{
 		{Name: "read", Target: replayTarget, Timeout: replayTimeout, Idempotent: true, Attempts: 3},
-		{Name: "once", Target: replayTarget, Timeout: replayTimeout, Attempts: 1},
+		{Name: "once", Target: replayTarget, Timeout: replayTimeout, Attempts: 1, Rank: l.onceRank},
 	}}
 	for i := range l.instances {
 		b := New[detector.Evidence, detector.Sequential, P, limiter.Bounded](service, Options{
@@ -219,15 +238,25 @@
 		for l := f.load; l.member != nil && !l.member(instance, at); {
 			instance = f.random.IntN(l.instances)
 		}
-		f.schedule(at, func() { f.arrive(request, instance, class) })
+		if n := f.load.readsAt; n > 0 && class == "read" {
+			instance %= n
+		} else if n > 0 {
+			instance = n + instance%(f.load.instances-n)
+		}
+		customer := ""
+		if f.load.customer != nil {
+			customer = f.load.customer(f.random.Float64(), at)
+		}
+		f.schedule(at, func() { f.arrive(request, instance, class, customer) })
 	}
 }
 
-func (f *simulation[P]) arrive(id descriptor.RequestID, instance int, class string) {
+func (f *simulation[P]) arrive(id descriptor.RequestID, instance int, class, customer string) {
 	f.tally.sent++
-	f.requests[id] = &replayed{idempotent: class == "read", arrived: f.now}
+	f.requests[id] = &replayed{idempotent: class == "read", customer: customer, class: class, arrived: f.now}
+	f.count(f.requests[id], part{sent: 1})
 	f.instances[instance].Arrive(descriptor.Arrived{
-		At: f.time(), Request: id, Class: class, Caller: "c", Replayable: true, Fingerprint: uint64(id), Deadline: f.time().Add(4 * time.Second),
+		At: f.time(), Request: id, Class: class, Caller: "c", Customer: customer, Replayable: true, Fingerprint: uint64(id), Deadline: f.time().Add(4 * time.Second),
 	})
 	f.collect(instance)
 }
@@ -341,6 +370,17 @@
 	f.collect(instance)
 }
 
+// count adds to the counts of the customer and the class of a request.
+func (f *simulation[P]) count(r *replayed, p part) {
+	for _, c := range []struct {
+		counts map[string]part
+		name   string
+	}{{f.tally.ofCustomer, r.customer}, {f.tally.ofClass, r.class}} {
+		before := c.counts[c.name]
+		c.counts[c.name] = part{before.sent + p.sent, before.served + p.served}
+	}
+}
+
 func (f *simulation[P]) end(e Ended) {
 	r := f.requests[e.Request]
 	f.ends = append(f.ends, replayEnd{f.now, e.Reason == descriptor.Served && !r.failed})
@@ -352,6 +392,7 @@
 		f.tally.failed++
 	default:
 		f.tally.served++
+		f.count(r, part{served: 1})
 		if e.Latency <= replayTarget {
 			f.tally.inTarget++
 		}
--- a/balancer/request.go
+++ b/balancer/request.go
@@ -34,6 +34,9 @@
 	// descriptor.Arrived.
 	caller      string
 	fingerprint uint64
+	// customer and customerRank are as in descriptor.Arrived.
+	customer     string
+	customerRank int
 	// content is a hash of the body, or 0 if it is not known.
 	content    uint64
 	replayable bool
@@ -69,6 +72,17 @@
 	status int
 }
 
+// level returns the level of urgency of r.
+func (r request) level() level { return level{customer: r.customerRank, class: r.class} }
+
+// owner returns by whom r shares the room: its customer, or its caller if it has none.
+func (r request) owner() string {
+	if r.customer != "" {
+		return r.customer
+	}
+	return r.caller
+}
+
 // WithAttempt returns r with a new open attempt at a backend server.
 func (r request) WithAttempt(backend string, now time.Time) request {
 	a := attempt{id: r.last + 1, backend: backend}
--- a/container/fair.go
+++ b/container/fair.go
@@ -65,6 +65,39 @@
 	return f.queues[f.order[0]][0], true
 }
 
+// LenOf returns the number of entries of an owner.
+func (f *FairQueue[K, V]) LenOf(owner K) int { return len(f.queues[owner]) }
+
+// Longest returns the owner with the most entries and their number. Of several such owners it
+// returns the one that is served next. The number is 0 if the queue is empty.
+func (f *FairQueue[K, V]) Longest() (K, int) {
+	var longest K
+	n := 0
+	for _, owner := range f.order {
+		if len(f.queues[owner]) > n {
+			longest, n = owner, len(f.queues[owner])
+		}
+	}
+	return longest, n
+}
+
+// PopNewestOf removes and returns the newest entry of an owner. It returns false if the owner has
+// none.
+func (f *FairQueue[K, V]) PopNewestOf(owner K) (V, bool) {
+	q := f.queues[owner]
+	if len(q) == 0 {
+		var zero V
+		return zero, false
+	}
+	v := q[len(q)-1]
+	f.size--
+	if f.queues[owner] = q[:len(q)-1]; len(q) == 1 {
+		delete(f.queues, owner)
+		f.order = without(f.order, owner)
+	}
+	return v, true
+}
+
 // PutBack undoes a Pop: it puts the entry back at the same end of its owner's queue
 // and makes that owner the next one. newest must be the argument of the Pop.
 func (f *FairQueue[K, V]) PutBack(owner K, v V, newest bool) {
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -145,6 +145,9 @@
 	Unserved int `cbor:",omitempty"`
 	// Limits holds the limits that backend servers in List named or dropped lately.
 	Limits []BackendLimit `cbor:",omitempty" json:",omitempty"`
+	// Refused is the urgency of the most urgent request of a customer that was refused at the
+	// sender for lack of room since its last message.
+	Refused *Urgency `cbor:",omitempty" json:",omitempty"`
 }
 
 // BackendLimit is the limit of a backend server on the requests of all instances together.
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -33,6 +33,7 @@
 	NoteCrash            = 4011
 	NoteCrashWithdrawn   = 4012
 	NoteLimit            = 4013
+	NoteYield            = 4017
 	NoteAdmitted         = 6001
 	NoteQueued           = 6002
 	NoteDispatched       = 6003
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -51,6 +51,7 @@
 	descriptor.NotePoison:           {logrus.ErrorLevel, "request crashes backend servers"},
 	descriptor.NoteCrash:            {logrus.WarnLevel, "backend server crashed under a request"},
 	descriptor.NoteLimit:            {logrus.InfoLevel, "backend server changed its limit"},
+	descriptor.NoteYield:            {logrus.InfoLevel, "less urgent requests yield"},
 	descriptor.NoteCrashWithdrawn:   {logrus.InfoLevel, "crash under a request withdrawn"},
 	descriptor.NoteTrial:            {logrus.InfoLevel, "backend server on trial"},
 	descriptor.NoteAdmitted:         {logrus.InfoLevel, "request admitted"},
