Customers by API keys: decoding, look-up, refusal, spreading

Cause: keys were passed to backend servers unchanged, requests with unknown keys were served, and a change of customers alone had the same content hash and was not sent in differences. Change: the platform's table of customers and public routes are decoded; the session looks up the customer beside the route and refuses an unknown key with 401 once a confirmation is younger than the request, with 503 otherwise; where the routing has customers, the caller's key and customer name are removed and the name is set; the content hash and the differences of routings include customers and public routes, without customers the hash is as before; a request that was looked up in another version of a routing with customers is located again.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -374,6 +374,10 @@
 		d.emit(descriptor.Relocate{Request: e.Request})
 		return
 	}
+	if d.identifiedBefore(e) {
+		d.emit(descriptor.Relocate{Request: e.Request})
+		return
+	}
 	d.counter.Receive(e.At, e.Service)
 	if d.arrivesTooLate(e) {
 		d.refuse(e, descriptor.Misdirected, descriptor.NotRun, 0)
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -20,6 +20,8 @@
 	// CustomerRank is its rank.
 	Customer     string `json:",omitempty"`
 	CustomerRank int    `json:",omitempty"`
+	// Public reports whether the request needs no customer although others do.
+	Public bool `json:",omitempty"`
 	// Routing is the version of the routing in which the route and the customer were looked
 	// up, or 0.
 	Routing uint64 `json:",omitempty"`
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -168,9 +168,12 @@
 	// Base is 0 in a complete document. Otherwise the document holds only the
 	// difference to the list or routing with the content hash Base: Backends or the
 	// routes of Routing are those that were added or changed, and Removed are the IDs or
-	// class names of those that were removed. Sum is the content hash of the result.
+	// class names of those that were removed. Likewise, Customers of Routing are those that
+	// were added or changed, and Closed are the names of those that were removed. Sum is the
+	// content hash of the result.
 	Base    uint64   `json:",omitzero" cbor:",omitempty"`
 	Removed []string `json:",omitempty" cbor:",omitempty"`
+	Closed  []string `json:",omitempty" cbor:",omitempty"`
 	Sum     uint64   `json:",omitzero" cbor:",omitempty"`
 	// Ejections is set for KindEjections, oldest first.
 	Ejections []Ejection `cbor:",omitempty"`
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -192,6 +192,7 @@
 	h := make(http.Header, len(s.r.Header)+4)
 	copyHeader(h, s.r.Header)
 	t.expectedID = s.forwarder.dialect.PrepareRequest(h, s.r, t.backend, s.timeLeft(time.Now()))
+	s.setCustomer(h)
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value prevents net/http from adding its default.
 		h["User-Agent"] = []string{""}
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -29,6 +29,11 @@
 	// there is none. It returns the identifier that the answer repeats, or "" if the
 	// request has none.
 	PrepareRequest(h http.Header, r *http.Request, to descriptor.Backend, left time.Duration) string
+	// APIKey returns the API key of a request, or "" if it has none.
+	APIKey(r *http.Request) string
+	// SetCustomer removes the API key from the headers of a request to a backend server and sets
+	// the name of the customer. It removes the name that the caller sent also if customer is "".
+	SetCustomer(h http.Header, customer string)
 	// ParseHead returns the information in the head of a backend server's answer.
 	ParseHead(response *http.Response, e Expected) Head
 	// AddAnswerHeaders adds the fleet's headers to an answer that is delivered to a
@@ -113,6 +118,12 @@
 	return id
 }
 
+// APIKey implements Dialect. This dialect has no customers.
+func (StandardDialect) APIKey(*http.Request) string { return "" }
+
+// SetCustomer implements Dialect.
+func (StandardDialect) SetCustomer(http.Header, string) {}
+
 // ParseHead implements Dialect. Only a refusal must repeat the identifier of the attempt:
 // an earlier one that is written again would otherwise pass work off as not run.
 func (StandardDialect) ParseHead(response *http.Response, e Expected) Head {
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -22,10 +22,12 @@
 	r         *http.Request
 	id        descriptor.RequestID
 	started   time.Time
-	entry     *descriptor.ServiceEntry
-	class     declarer.Class
-	service   string
-	body      *callerBody
+	// uptime is the uptime of the machine once the head of the request was read.
+	uptime  time.Duration
+	entry   *descriptor.ServiceEntry
+	class   declarer.Class
+	service string
+	body    *callerBody
 	// admitted is set if there is memory for the body. The request is refused otherwise.
 	admitted bool
 	// label is the caller's identifier of the request.
@@ -34,6 +36,8 @@
 	// relocations is how often they were taken from a newer one.
 	located     *snapshot
 	relocations int
+	// identity is the customer of the request.
+	identity identity
 	// callerDeadline is when the caller stops waiting; zero means that there is no deadline.
 	// deadline is that or the end of the route's timeout, whichever is earlier.
 	callerDeadline, deadline time.Time
@@ -61,6 +65,7 @@
 		r:          r,
 		id:         descriptor.RequestID(f.requests.Add(1)),
 		started:    time.Now(),
+		uptime:     timekeeper.Uptime(),
 		callerDone: r.Context().Done(),
 		attempts:   make(map[descriptor.AttemptID]*attempt),
 		copied:     make(chan delivery, 1),
@@ -90,27 +95,19 @@
 	return descriptor.Served, true
 }
 
-// locateRoute finds the route of the request by host and path. An unknown route may be
-// new, so it is refused as unknown only once the directory reflects a state of the
-// platform's store that is newer than the request. After a wait of routeUpdateWait the
-// request is refused with the reason Starting.
+// locateRoute finds the route of the request by host and path, and its customer. An unknown
+// route or API key may be new, so it is refused as unknown only once the directory reflects a
+// state of the platform's store that is newer than the request. After a wait of routeUpdateWait
+// the request is refused with the reason Starting.
 func (s *session) locateRoute(d *snapshot) (descriptor.Reason, bool) {
 	timer := time.NewTimer(routeUpdateWait)
 	defer timer.Stop()
 	s.deadline = s.callerDeadline
 	for {
 		s.located = d
-		if route, ok := d.Routes.Match(s.r.Host, s.r.URL.EscapedPath()); ok {
-			s.service = route.ChooseService(s.forwarder.countRoute(route.Class.Name))
-			s.class = route.Class
-			s.entry = d.Services[s.service]
-			if t := s.started.Add(route.Class.Timeout); route.Class.Timeout > 0 && (s.deadline.IsZero() || t.Before(s.deadline)) {
-				s.deadline = t
-			}
-			return descriptor.Served, true
-		}
-		if d.Current.After(s.started) {
-			return descriptor.UnknownRoute, false
+		reason := s.match(d)
+		if reason == descriptor.Served || d.Current.After(s.started) {
+			return reason, reason == descriptor.Served
 		}
 		if d.Leaving {
 			// The process may end before the directory is updated.
@@ -127,6 +124,25 @@
 	}
 }
 
+// match finds the route and the customer of the request in a directory. It returns the reason why
+// the request must be refused if the directory holds the newest configuration, or Served.
+func (s *session) match(d *snapshot) descriptor.Reason {
+	route, ok := d.Routes.Match(s.r.Host, s.r.URL.EscapedPath())
+	if !ok {
+		return descriptor.UnknownRoute
+	}
+	if !s.identify(d.Routes, route) {
+		return descriptor.Unauthorized
+	}
+	s.service = route.ChooseService(s.forwarder.countRoute(route.Class.Name))
+	s.class = route.Class
+	s.entry = d.Services[s.service]
+	if t := s.started.Add(route.Class.Timeout); route.Class.Timeout > 0 && (s.deadline.IsZero() || t.Before(s.deadline)) {
+		s.deadline = t
+	}
+	return descriptor.Served
+}
+
 // relocate finds the service and the class of the request anew, in a newer directory than
 // the one they were taken from. It returns the reason Starting if none comes within
 // routeUpdateWait, or after maxRelocations.
@@ -278,7 +294,7 @@
 	if hasBody && s.admitted && s.forwarder.snapshot.Load().Suspected[fingerprint] {
 		s.body.readAhead(s.deadline)
 	}
-	return descriptor.Arrived{
+	return s.identity.apply(descriptor.Arrived{
 		At:          time.Now(),
 		Request:     s.id,
 		Service:     s.service,
@@ -293,8 +309,8 @@
 		Size:        s.r.ContentLength,
 		Deadline:    s.deadline,
 		Label:       s.label,
-		Uptime:      timekeeper.Uptime(),
-	}
+		Uptime:      s.uptime,
+	})
 }
 
 // caller returns the identity of the caller, by which fair shares are computed.
--- a/spreader/routing.go
+++ b/spreader/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -21,25 +22,38 @@
 type routingChange struct {
 	// sum is the content hash of the version.
 	sum uint64
-	// names lists the routes that were changed, added or removed with the next version.
-	names []string
+	// names lists the routes, and customers the customers, that were changed, added or removed
+	// with the next version.
+	names, customers []string
 }
 
 // withSortedRoutes returns d with the routes of its routing ordered by the names of their
-// classes. All instances then hold them in the same order, whether they read them from the
-// store, in the order of the operators, or applied a difference.
+// classes, and the customers by their names. All instances then hold them in the same order,
+// whether they read them from the store, in the order of the operators, or applied a difference.
 func withSortedRoutes(d descriptor.Document) descriptor.Document {
-	if d.Kind != descriptor.KindRouting || d.Routing == nil || slices.IsSortedFunc(d.Routing.Routes, compareRoutes) {
+	if d.Kind != descriptor.KindRouting || d.Routing == nil {
 		return d
 	}
 	routing := *d.Routing
-	routing.Routes = slices.Clone(routing.Routes)
-	slices.SortStableFunc(routing.Routes, compareRoutes)
+	routing.Routes = sorted(routing.Routes, routeName)
+	routing.Customers = sorted(routing.Customers, customerName)
 	d.Routing = &routing
 	return d
 }
 
-func compareRoutes(a, b declarer.HostRoute) int { return strings.Compare(a.Class.Name, b.Class.Name) }
+// sorted returns list in the order of the names. It doesn't change list.
+func sorted[T any](list []T, name func(T) string) []T {
+	byName := func(a, b T) int { return strings.Compare(name(a), name(b)) }
+	if slices.IsSortedFunc(list, byName) {
+		return list
+	}
+	list = slices.Clone(list)
+	slices.SortStableFunc(list, byName)
+	return list
+}
+
+func routeName(r declarer.HostRoute) string   { return r.Class.Name }
+func customerName(c declarer.Customer) string { return c.Name }
 
 // routingSum returns the content hash of a routing, which is never 0.
 func routingSum(r declarer.Routing) uint64 {
@@ -66,39 +80,71 @@
 			number(int64(p.Weight))
 		}
 	}
+	addCustomers(r, text, number)
 	return max(1, h.Sum64())
 }
 
-// routesByName returns the routes of a routing by the names of their classes.
-func routesByName(r *declarer.Routing) map[string]declarer.HostRoute {
-	routes := make(map[string]declarer.HostRoute, len(r.Routes))
+// addCustomers adds the customers of a routing to a content hash. Without customers the hash is
+// that of earlier builds.
+func addCustomers(r declarer.Routing, text func(string), number func(int64)) {
+	if !r.Keyed {
+		return
+	}
+	text("customers")
 	for _, route := range r.Routes {
-		routes[route.Class.Name] = route
+		text(strconv.FormatBool(route.Public))
+	}
+	for _, c := range r.Customers {
+		text(c.Name)
+		number(int64(c.Rank))
+		number(int64(math.Float64bits(c.Rate)))
+		number(int64(math.Float64bits(c.Burst)))
+		number(int64(len(c.Keys)))
+		for _, key := range c.Keys {
+			text(key)
+		}
 	}
-	return routes
 }
 
 func equalRoutes(a, b declarer.HostRoute) bool {
-	return a.Host == b.Host && a.Path == b.Path && a.Class == b.Class && slices.Equal(a.Parts, b.Parts)
+	return a.Host == b.Host && a.Path == b.Path && a.Class == b.Class && a.Public == b.Public && slices.Equal(a.Parts, b.Parts)
 }
 
-// changedRoutes returns the names of the routes in which two routings differ.
-func changedRoutes(from, to *declarer.Routing) []string {
-	before := routesByName(from)
+func equalCustomers(a, b declarer.Customer) bool {
+	return a.Name == b.Name && a.Rank == b.Rank && a.Rate == b.Rate && a.Burst == b.Burst && slices.Equal(a.Keys, b.Keys)
+}
+
+// changed returns the names of the items in which two lists differ.
+func changed[T any](from, to []T, name func(T) string, equal func(a, b T) bool) []string {
+	before := make(map[string]T, len(from))
+	for _, v := range from {
+		before[name(v)] = v
+	}
 	var names []string
-	for _, route := range to.Routes {
-		name := route.Class.Name
-		if old, ok := before[name]; !ok || !equalRoutes(old, route) {
-			names = append(names, name)
+	for _, v := range to {
+		if old, ok := before[name(v)]; !ok || !equal(old, v) {
+			names = append(names, name(v))
 		}
-		delete(before, name)
+		delete(before, name(v))
 	}
-	for name := range before {
-		names = append(names, name)
+	for n := range before {
+		names = append(names, n)
 	}
 	return names
 }
 
+// withNames returns the items of list whose names are in names, and the sorted names of those that
+// list lacks.
+func withNames[T any](list []T, names map[string]bool, name func(T) string) (found []T, missing []string) {
+	for _, v := range list {
+		if n := name(v); names[n] {
+			found = append(found, v)
+			delete(names, n)
+		}
+	}
+	return found, slices.Sorted(maps.Keys(names))
+}
+
 // rememberRouting keeps how a routing that is about to be replaced differs from the next one.
 func (s *Spreader) rememberRouting(k key, h held, next descriptor.Document) {
 	if h.sum == 0 || next.Routing == nil {
@@ -109,56 +155,61 @@
 		changes = container.NewRing[routingChange](routingHistoryLength)
 		s.routingChanges.Put(k, changes)
 	}
-	changes.Add(routingChange{sum: h.sum, names: changedRoutes(h.document.Routing, next.Routing)})
+	from, to := h.document.Routing, next.Routing
+	changes.Add(routingChange{
+		sum:       h.sum,
+		names:     changed(from.Routes, to.Routes, routeName, equalRoutes),
+		customers: changed(from.Customers, to.Customers, customerName, equalCustomers),
+	})
 }
 
 // routingDifference returns the routing h as the difference to the version with the content
-// hash base, or complete if nearly all routes changed. It returns false if that version is
-// not known.
+// hash base, or complete if nearly all routes and customers changed. It returns false if that
+// version is not known.
 func (s *Spreader) routingDifference(k key, h held, base uint64) (descriptor.Document, bool) {
-	names, ok := s.routesChangedSince(k, base)
-	if !ok || len(names) >= len(h.document.Routing.Routes) {
-		return h.document, ok
-	}
+	names, customers, ok := s.changedSince(k, base)
 	d := h.document
-	routing := *d.Routing
-	routing.Routes = nil
-	for _, route := range d.Routing.Routes {
-		if names[route.Class.Name] {
-			routing.Routes = append(routing.Routes, route)
-			delete(names, route.Class.Name)
-		}
+	if !ok || len(names)+len(customers) >= len(d.Routing.Routes)+len(d.Routing.Customers) {
+		return d, ok
 	}
-	d.Removed = slices.Sorted(maps.Keys(names))
+	routing := *d.Routing
+	routing.Routes, d.Removed = withNames(routing.Routes, names, routeName)
+	routing.Customers, d.Closed = withNames(routing.Customers, customers, customerName)
 	d.Routing, d.Base, d.Sum = &routing, base, h.sum
 	return d, true
 }
 
-// routesChangedSince returns the names of the routes that changed since the version with the
-// content hash base, and whether that version is known.
-func (s *Spreader) routesChangedSince(k key, base uint64) (map[string]bool, bool) {
+// changedSince returns the names of the routes and customers that changed since the version with
+// the content hash base, and whether that version is known.
+func (s *Spreader) changedSince(k key, base uint64) (names, customers map[string]bool, ok bool) {
 	changes, ok := s.routingChanges.Get(k)
 	if !ok {
-		return nil, false
+		return nil, nil, false
 	}
 	list := changes.Slice()
-	names := make(map[string]bool)
+	names, customers = make(map[string]bool), make(map[string]bool)
 	for i := len(list) - 1; i >= 0; i-- {
 		for _, name := range list[i].names {
 			names[name] = true
 		}
+		for _, name := range list[i].customers {
+			customers[name] = true
+		}
 		if list[i].sum == base {
-			return names, true
+			return names, customers, true
 		}
 	}
-	return nil, false
+	return nil, nil, false
 }
 
 // completeRouting returns the complete routing for a difference to the one that is held. It
 // returns false if the result is not the expected routing.
 func completeRouting(d descriptor.Document, base declarer.Routing) (descriptor.Document, bool) {
 	sum, routing := d.Sum, *d.Routing
-	routing.Routes = merged(base.Routes, routing.Routes, d.Removed, func(r declarer.HostRoute) string { return r.Class.Name })
-	d.Routing, d.Base, d.Removed, d.Sum = &routing, 0, nil, 0
+	routing.Routes = merged(base.Routes, routing.Routes, d.Removed, routeName)
+	if routing.Keyed {
+		routing.Customers = merged(base.Customers, routing.Customers, d.Closed, customerName)
+	}
+	d.Routing, d.Base, d.Removed, d.Closed, d.Sum = &routing, 0, nil, nil, 0
 	return d, routingSum(routing) == sum
 }
