Proof of a recent configuration for work with API keys

Cause: an instance that is cut off, frozen or suspended accepted a withdrawn key for as long as it held an older configuration. Change: relayer.Prover keeps the uptime as of which the store held nothing newer than the routing held. Reads of the store give it as of the start of their call; announcements carry it, mapped to the clock of each receiver by the receiver's own stamp. With [customers] strict, decider refuses work with a key as not run (StaleConfiguration) without a proof that is at most withdraw older than the arrival of the request; it asks linked instances for a proof, and then the store. An unknown key is refused with 401 only once a proof is younger than the request. A store without a readable configuration, or with an older one than the one held, proves nothing.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -42,7 +42,7 @@
 	maxNotes = 64
 )
 
-// Options are the settings of a decider. Only Retries and Grace change while it runs.
+// Options are the settings of a decider. Only Retries, Grace and Withdraw change while it runs.
 type Options struct {
 	// Self is the first member record of this instance.
 	Self descriptor.Member
@@ -59,6 +59,9 @@
 	// Grace is the time from the shutdown request until the platform kills the
 	// process; 0 means that it never does.
 	Grace time.Duration
+	// Withdraw is how old the proof of a recent routing may be for work with an API key; 0
+	// means that none is needed.
+	Withdraw time.Duration
 }
 
 // kinds returns the kinds of documents that are read from the store.
@@ -96,6 +99,9 @@
 	census  *allocator.Census
 	heard   float64
 	relayer *relayer.Relayer
+	// prover keeps the proof that the routing is recent.
+	prover    *relayer.Prover
+	customers customers
 	// routes is nil unless a routing is in force.
 	routes *declarer.RouteIndex
 	// fullyRead holds the kinds of which all documents were read from the store.
@@ -177,6 +183,7 @@
 		census:    allocator.NewCensus(),
 		heard:     1,
 		relayer:   relayer.New(),
+		prover:    relayer.NewProver(o.Self, o.Seed),
 		fullyRead: container.NewTable[descriptor.Kind, bool](),
 		children:  make(map[string][]descriptor.Member),
 		declared:  container.NewTable[string, declaration](),
@@ -225,6 +232,7 @@
 	case descriptor.Probed:
 		d.onService(e.Service, func(s *balancer.Balancer[E, D, P, L]) { s.Probed(e) })
 	case descriptor.Ticked:
+		d.prover.Advance(e.Uptime)
 		d.tick()
 	case descriptor.Received:
 		d.handleMessage(e)
@@ -266,8 +274,9 @@
 
 // applySettings puts changed settings in force.
 func (d *Decider[E, D, P, L]) applySettings(e descriptor.SettingsChanged) {
-	d.options.Grace = e.Grace
+	d.options.Grace, d.options.Withdraw = e.Grace, e.Withdraw
 	d.options.Retries = retrier.Bounds{Ratio: e.RetryRatio, Extra: e.RetryExtra, Window: e.RetryWindow}
+	d.timeDirty = true
 	for _, s := range d.served.All {
 		s.SetRetries(d.options.Retries)
 	}
@@ -388,6 +397,10 @@
 		d.refuseUnserved(e, d.refusalReason(declared))
 		return
 	}
+	if d.lacksProof(e) {
+		d.refuse(e, descriptor.StaleConfiguration, descriptor.NotRun, 0)
+		return
+	}
 	if d.options.Routing {
 		d.admit(e, s)
 		return
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -20,6 +20,7 @@
 		d.fullyRead.Put(e.Kind, true)
 	}
 	d.confirmFresh(e)
+	d.proveRead(e)
 	if !d.synced && d.configurationRead() {
 		d.setSynced("store")
 	}
@@ -124,8 +125,7 @@
 		})
 		d.updateServing(services[i].Name)
 	}
-	d.routes = declarer.NewRouteIndex(*document.Routing)
-	d.publishNow()
+	d.holdRouting(*document.Routing)
 }
 
 func (d *Decider[E, D, P, L]) applyBackends(document descriptor.Document) {
@@ -361,6 +361,7 @@
 	next.Leaving = d.shutdown.started
 	next.MembersKnown = d.options.Routing && d.membersKnown
 	next.Current = d.relayer.Current(d.options.kinds())
+	next.Strict, next.Seen = d.strict(), d.prover.Seen()
 	d.published = next
 	return next
 }
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -12,6 +12,7 @@
 // handleMessage handles a message from another instance.
 func (d *Decider[E, D, P, L]) handleMessage(e descriptor.Received) {
 	d.gossiper.RecordReceived(e.At, e.From)
+	d.prover.Advance(e.Uptime)
 	from, ok := d.gossiper.Member(e.From)
 	if !ok {
 		return
@@ -34,7 +35,10 @@
 			d.send(from, part)
 		}
 	case descriptor.Freshness:
+		d.handleProof(from, m, e.Uptime)
 		d.handleFreshness(from, m)
+	case descriptor.ClockStamp:
+		d.handleStamp(from, m, e.Uptime)
 	case descriptor.SuspicionList:
 		d.handleSuspicionList(m)
 	case descriptor.TallyReport:
@@ -90,6 +94,9 @@
 // digest to the instance that it came from if the announced hash sum differs from
 // that of the documents held.
 func (d *Decider[E, D, P, L]) handleFreshness(from descriptor.Member, m descriptor.Freshness) {
+	if m.Origin == "" {
+		return
+	}
 	next, ok := d.relayer.HandleFreshness(d.now, m)
 	if !ok {
 		return
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -39,6 +39,7 @@
 		d.updateWatching()
 		d.sendSuspicions()
 		d.updateHeard()
+		d.updateProof()
 	}
 	if d.now.Sub(d.lastTallyAt) >= tallyInterval {
 		d.lastTallyAt = d.now
@@ -98,6 +99,7 @@
 	}
 	if d.options.Routing && d.synced {
 		alone = d.relayer.MustQuery(d.now, d.options.kinds(), substitute)
+		alone = alone || d.mustProve() && (substitute || !d.relayer.StoreAway(d.now))
 	}
 	active := (chosen || alone) && !d.shutdown.started
 	if active == d.watching {
@@ -137,6 +139,9 @@
 		d.children[origin] = children
 	}
 	for _, m := range children {
+		if f, ok := message.(descriptor.Freshness); ok {
+			message = d.prover.WithProof(m.ID, f)
+		}
 		d.send(m, message)
 	}
 }
--- a/descriptor/directory.go
+++ b/descriptor/directory.go
@@ -26,6 +26,10 @@
 	// Current is the latest time at which the platform's store is known to have
 	// held nothing newer than this snapshot.
 	Current time.Time `json:",omitzero"`
+	// Strict reports whether work with an API key needs a proof that the routing is recent. Seen
+	// is the uptime of the machine as of which the routing is proved to have been the newest.
+	Strict bool          `json:",omitempty"`
+	Seen   time.Duration `json:",omitempty"`
 	// Suspected holds the fingerprints of requests under which backend servers crashed. The
 	// bodies of such requests are compared too.
 	Suspected map[uint64]bool `json:",omitempty"`
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -172,9 +172,13 @@
 	// Revision is the store's revision at that time.
 	AsOf     time.Time `json:",omitzero"`
 	Revision uint64    `json:",omitzero"`
-	// Uptime is the uptime of the machine at the time AsOf; see Received. It is 0 if that is
-	// not known.
+	// Uptime is the uptime of the machine at the start of the call, and Seen that at the time
+	// AsOf; see Received. They are 0 if that is not known.
 	Uptime time.Duration `json:",omitempty"`
+	Seen   time.Duration `json:",omitempty"`
+	// Unreadable reports whether a document of this kind was removed or could not be decoded, so
+	// that the store may hold another one than the last one read.
+	Unreadable bool `json:",omitempty"`
 }
 
 // Written reports the result of a write to the platform's store.
@@ -204,6 +208,9 @@
 	// together; see retrier.Bounds.
 	RetryRatio, RetryExtra float64
 	RetryWindow            time.Duration
+	// Withdraw is how old the proof of a recent routing may be for work with an API key; 0 means
+	// that none is needed.
+	Withdraw time.Duration
 }
 
 // ShutdownRequested reports that a shutdown of the instance was requested.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -126,6 +126,17 @@
 	// Age is the time since the store was read, in milliseconds, when the origin
 	// sends the message. Instances that forward it do not change Age.
 	Age int64
+	// Stamp is the last ClockStamp of the receiver, which the sender had held for Held
+	// milliseconds. Proof milliseconds before the sender composed the message, a read of the
+	// store began that found Version as the newest version of the routing, and Seen milliseconds
+	// before it the newest one of these reads was current. Each instance that forwards the
+	// message sets the five. Stamp is 0 if the sender has no stamp or no proof. Without an Origin the message
+	// holds only the proof and is not forwarded.
+	Stamp   int64  `json:",omitempty" cbor:",omitempty"`
+	Held    int64  `json:",omitempty" cbor:",omitempty"`
+	Proof   int64  `json:",omitempty" cbor:",omitempty"`
+	Seen    int64  `json:",omitempty" cbor:",omitempty"`
+	Version uint64 `json:",omitempty" cbor:",omitempty"`
 }
 
 // Outcomes reports how the latest requests at the backend servers of a service
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -16,6 +16,8 @@
 	NoteStoreReachable   = 2003
 	NoteDocumentInvalid  = 2004
 	NoteWatching         = 2005
+	NoteProofLost        = 2006
+	NoteProofFound       = 2007
 	NoteMemberNew        = 3001
 	NoteMemberSuspect    = 3002
 	NoteMemberDead       = 3003
--- a/descriptor/quota.go
+++ b/descriptor/quota.go
@@ -4,8 +4,10 @@
 // it. The sender then knows an upper bound of the age of what it is sent, whatever the link did to
 // it, and no two clocks are compared.
 type ClockStamp struct {
-	// Stamp is the sender's uptime in microseconds.
+	// Stamp is the sender's uptime in microseconds, plus a number that only the sender knows.
 	Stamp int64
+	// Asks is set if the sender needs a proof and wants an answer; see Freshness.
+	Asks bool `json:",omitempty" cbor:",omitempty"`
 }
 
 // QuotaDemand asks an instance for permits of the customers whose quotas it grants.
--- a/forwarder/identity.go
+++ b/forwarder/identity.go
@@ -44,3 +44,13 @@
 		s.forwarder.dialect.SetCustomer(h, s.identity.customer.Name)
 	}
 }
+
+// confirmed reports whether a directory is newer than the request, so that a route or an API key
+// that it lacks does not exist. A late announcement may make Current too late, which is accepted
+// for routes. Where keys are strict, a key needs the proof.
+func (s *session) confirmed(d *snapshot, reason descriptor.Reason) bool {
+	if reason == descriptor.Unauthorized && d.Strict && d.Seen <= s.uptime {
+		return false
+	}
+	return d.Current.After(s.started)
+}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -106,7 +106,7 @@
 	for {
 		s.located = d
 		reason := s.match(d)
-		if reason == descriptor.Served || d.Current.After(s.started) {
+		if reason == descriptor.Served || s.confirmed(d, reason) {
 			return reason, reason == descriptor.Served
 		}
 		if d.Leaving {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -154,7 +154,7 @@
 	if now.Sub(r.announced) >= maxConfirmationAge {
 		r.steadySince = time.Time{}
 		r.querying = r.querying || now.Sub(r.Current(kinds)) >= maxConfirmationAge
-		r.querying = r.querying && (substitute || !r.storeAway(now))
+		r.querying = r.querying && (substitute || !r.StoreAway(now))
 		return r.querying
 	}
 	if r.steadySince.IsZero() {
@@ -164,8 +164,8 @@
 	return r.querying
 }
 
-// storeAway reports whether announcements arrive and tell that the store does not answer.
-func (r *Relayer) storeAway(now time.Time) bool {
+// StoreAway reports whether announcements arrive and tell that the store does not answer.
+func (r *Relayer) StoreAway(now time.Time) bool {
 	return now.Sub(r.heardAt) < maxConfirmationAge && now.Sub(r.newestAsOf) >= maxConfirmationAge
 }
 
--- a/server/reload.go
+++ b/server/reload.go
@@ -11,7 +11,7 @@
 )
 
 // Reload puts changed settings in force: the seeds, the log's level and limits, the grace
-// time and the bounds of retries. It logs the sections with other changes, which need a
+// time, the bounds of retries and the settings of customers. It logs the sections with other changes, which need a
 // restart. The settings must have been checked.
 func (s *Server) Reload(settings configurer.Settings) {
 	s.reloadMu.Lock()
@@ -22,6 +22,7 @@
 	pending.Log.Notable, pending.Log.Sampled = settings.Log.Notable, settings.Log.Sampled
 	pending.Limits.Grace = settings.Limits.Grace
 	pending.Retries = settings.Retries
+	pending.Customers = settings.Customers
 	s.settings = pending
 	s.linker.SetSeeds(settings.Inner.Seeds)
 	s.controller.Post(descriptor.SettingsChanged{
@@ -30,6 +31,7 @@
 		RetryRatio:  settings.Retries.Ratio,
 		RetryExtra:  settings.Retries.Extra,
 		RetryWindow: settings.Retries.Window,
+		Withdraw:    settings.Customers.ProofAge(),
 	})
 	limits := logger.RequestLimits{Notable: settings.Log.Notable, Sampled: settings.Log.Sampled}
 	if err := s.log.SetLimits(settings.Log.Level, limits); err != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -188,7 +188,12 @@
 }
 
 func (s *Server) pace() storer.Pace {
-	return storer.Pace{Wait: s.settings.Platform.Wait, Gap: s.settings.Platform.Gap}
+	wait := s.settings.Platform.Wait
+	if age := s.settings.Customers.ProofAge(); age > 0 {
+		// A watch proves something only as of its start.
+		wait = min(wait, age/5)
+	}
+	return storer.Pace{Wait: wait, Gap: s.settings.Platform.Gap}
 }
 
 // dialect returns the HTTP dialect of callers and backend servers.
@@ -208,6 +213,7 @@
 		Routing:  s.usesRouting(),
 		Retries:  retrier.Bounds(s.settings.Retries),
 		Grace:    s.settings.Limits.Grace,
+		Withdraw: s.settings.Customers.ProofAge(),
 	}
 	switch s.settings.Limits.Policy {
 	case configurer.PolicyRoundRobin:
--- a/storer/client.go
+++ b/storer/client.go
@@ -34,6 +34,8 @@
 	ErrTooLarge = eris.New("value too large")
 	// ErrCompacted reports that the requested history is no longer stored.
 	ErrCompacted = eris.New("history compacted")
+	// ErrRemoved reports a document that was deleted.
+	ErrRemoved = eris.New("document removed")
 	// ErrMalformed reports a malformed answer of the platform or a malformed value.
 	ErrMalformed = eris.New("malformed answer of platform")
 )
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -60,8 +60,8 @@
 	Prefix string
 	// Kind is the kind of the documents, or of the first of them if there are several.
 	Kind descriptor.Kind
-	// DecodeDocument returns the document of an item, and false if the item holds none.
-	// It is nil for a feed of entries.
+	// DecodeDocument returns the document of an item, and false if the item holds none. It
+	// returns ErrRemoved if the item held one that was deleted. It is nil for a feed of entries.
 	DecodeDocument func(Item) (descriptor.Document, bool, error)
 	// DecodeEntry returns the entry of a backend server in an item. It is nil for a
 	// feed of documents.
@@ -173,7 +173,7 @@
 	c.complete = true
 	c.after = max(c.after, page.Revision)
 	asOf := c.asOf(started, now, listed, len(page.Items))
-	c.post(page, listed, descriptor.DocumentsRead{At: now, AsOf: asOf, Uptime: uptime + asOf.Sub(started)})
+	c.post(page, listed, descriptor.DocumentsRead{At: now, AsOf: asOf, Uptime: uptime, Seen: uptime + asOf.Sub(started)})
 	if !listed && len(page.Items) > 0 {
 		_ = sleep(ctx, c.follower.pace.Gap)
 	}
@@ -211,7 +211,7 @@
 		if items := page.withPrefix(p.Prefix); p.DecodeEntry != nil {
 			e.Documents = c.entries(p, items, listed)
 		} else {
-			e.Documents = c.documents(p, items)
+			e.Documents, e.Unreadable = c.documents(p, items)
 		}
 		c.follower.poster.Post(e)
 	}
@@ -248,11 +248,15 @@
 	c.malformed = kept
 }
 
-// documents returns the documents of an answer and reports those that can't be decoded.
-func (c *feedReader) documents(p Part, page Page) []descriptor.Document {
-	var result []descriptor.Document
+// documents returns the documents of an answer and reports those that can't be decoded. It also
+// returns whether there are such documents, or documents were removed.
+func (c *feedReader) documents(p Part, page Page) (result []descriptor.Document, unreadable bool) {
 	for _, item := range page.Items {
 		d, ok, err := p.DecodeDocument(item)
+		unreadable = unreadable || err != nil
+		if errors.Is(err, ErrRemoved) {
+			continue
+		}
 		if err != nil {
 			c.reportMalformed(item, err)
 			continue
@@ -261,7 +265,7 @@
 			result = append(result, d)
 		}
 	}
-	return result
+	return result, unreadable
 }
 
 // entries applies the entries of an answer and returns the lists of backend servers
