Quotas of customers: shares, permits and their place in the decisions

Cause: nothing checks the limits of customers. Change: package rationer. Each of the N instances owns an N-th of every limit and pledges it to the grantors of its plan (at most eight of the instances that callers are sent to) for 3 s at a time; the grantor of a customer, chosen by rendezvous hashing, grants permits at the rate of the shares that it holds. Two grantors with different views of the fleet therefore never use the same share. A holder asks ahead for what it expects, makes requests wait up to 0.1 s for a permit, and else uses its own share if it is not pledged. limiter.Bucket is one token bucket, used by Allowance too. QuotaDemand and QuotaGrant carry plans (pledges) or lists of permits. Section [quotas], metrics quotas.*, events 4014 to 4016.

--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -26,6 +26,7 @@
 	Log       Log
 	Limits    Limits
 	Retries   Retries
+	Quotas    Quotas
 }
 
 // loaders holds the loading function of each section.
@@ -38,6 +39,7 @@
 	"log":       loadLog,
 	"limits":    loadLimits,
 	"retries":   loadRetries,
+	"quotas":    loadQuotas,
 }
 
 // Load reads the settings file at path. It returns ErrInvalid if the file can't be read or
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -18,6 +18,7 @@
 	"monsoonswitch/limiter"
 	"monsoonswitch/picker"
 	"monsoonswitch/quarantiner"
+	"monsoonswitch/rationer"
 	"monsoonswitch/relayer"
 	"monsoonswitch/retrier"
 	"monsoonswitch/spreader"
@@ -56,6 +57,8 @@
 	Routing bool
 	// Retries bounds the retries of all instances together, under a routing.
 	Retries retrier.Bounds
+	// Quotas is the rule for the limits of customers, under a routing.
+	Quotas rationer.Rule
 	// Grace is the time from the shutdown request until the platform kills the
 	// process; 0 means that it never does.
 	Grace time.Duration
@@ -146,6 +149,11 @@
 	// instances.
 	crashSequence uint64
 	shutdown      shutdownState
+	quotas        *rationer.Rationer
+	quotaCounts   descriptor.QuotaCounts
+	// uptime is the latest uptime of an event, and uptimeGiven whether any event had one.
+	uptime      time.Duration
+	uptimeGiven bool
 
 	actions []descriptor.Action
 	ended   []balancer.Ended
@@ -181,6 +189,7 @@
 		children:  make(map[string][]descriptor.Member),
 		declared:  container.NewTable[string, declaration](),
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
+		quotas:    rationer.New(o.Self.ID, o.Quotas, 0),
 		crashes:   quarantiner.NewRegister(),
 		departed:  balancer.NewDeparted(),
 		requests:  container.NewTable[descriptor.RequestID, string](),
@@ -209,7 +218,7 @@
 }
 
 // Busy reports whether there are open requests.
-func (d *Decider[E, D, P, L]) Busy() bool { return d.requests.Len() > 0 }
+func (d *Decider[E, D, P, L]) Busy() bool { return d.requests.Len() > 0 || d.quotas.Waiting() > 0 }
 
 // Step handles one event and returns the actions that follow from it. The slice
 // is valid until the next call.
@@ -217,6 +226,7 @@
 	clear(d.actions)
 	d.actions = d.actions[:0]
 	d.now = event.When()
+	d.setUptime(event)
 	switch e := event.(type) {
 	case descriptor.Arrived:
 		d.arrive(e)
@@ -242,6 +252,7 @@
 	case descriptor.SettingsChanged:
 		d.applySettings(e)
 	}
+	d.flushQuotas()
 	d.applyMemberChanges()
 	return d.actions
 }
@@ -344,6 +355,7 @@
 		d.requests.Delete(e.Request)
 		d.counter.End(d.now, service, e.Class, e.Reason, e.Outcome, e.Bytes, e.Latency)
 		d.emitAll(d.keeper.End(e.Request, e.Outcome))
+		d.quotas.End(d.uptime, e.Request, e.Outcome)
 		d.emitTrace(service, e)
 	}
 }
@@ -385,7 +397,9 @@
 		return
 	}
 	if d.options.Routing {
-		d.admit(e, s)
+		if d.checkQuota(e) {
+			d.admit(e, s)
+		}
 		return
 	}
 	class, ok := declared.Class(e.Class)
@@ -465,5 +479,9 @@
 		d.refuse(arrived, descriptor.Abandoned, descriptor.NotRun, 0)
 		return
 	}
+	if arrived, ok := d.quotas.Cancel(e.Request); ok {
+		d.refuse(arrived, descriptor.Abandoned, descriptor.NotRun, 0)
+		return
+	}
 	d.onRequest(e.Request, func(s *balancer.Balancer[E, D, P, L]) { s.Gone(e) })
 }
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -125,6 +125,7 @@
 		d.updateServing(services[i].Name)
 	}
 	d.routes = declarer.NewRouteIndex(*document.Routing)
+	d.quotas.SetLimits(document.Routing.Customers)
 	d.publishNow()
 }
 
--- a/decider/leave.go
+++ b/decider/leave.go
@@ -95,7 +95,7 @@
 		d.emit(descriptor.ShutdownComplete{})
 		return
 	}
-	if d.requests.Len() > 0 || d.keeper.Waiting() > 0 || d.now.Sub(s.at) < redirectTime {
+	if d.Busy() || d.keeper.Waiting() > 0 || d.now.Sub(s.at) < redirectTime {
 		return
 	}
 	if s.idleAt.IsZero() {
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -37,6 +37,10 @@
 		d.handleFreshness(from, m)
 	case descriptor.SuspicionList:
 		d.handleSuspicionList(m)
+	case descriptor.QuotaDemand:
+		d.quotas.HandleDemand(d.uptime, from, m)
+	case descriptor.QuotaGrant:
+		d.quotas.HandleGrant(d.uptime, e.From, m)
 	case descriptor.TallyReport:
 		d.writer.Merge(m.Tally)
 	case descriptor.TallyReceipt:
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -39,7 +39,9 @@
 		d.updateWatching()
 		d.sendSuspicions()
 		d.updateHeard()
+		d.updateQuotas()
 	}
+	d.quotas.Tick(d.uptime)
 	if d.now.Sub(d.lastTallyAt) >= tallyInterval {
 		d.lastTallyAt = d.now
 		d.reportTallies()
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -33,6 +33,9 @@
 	NoteCrash            = 4011
 	NoteCrashWithdrawn   = 4012
 	NoteLimit            = 4013
+	NoteQuotaExceeded    = 4014
+	NoteQuotaSilent      = 4015
+	NoteQuotaPlan        = 4016
 	NoteAdmitted         = 6001
 	NoteQueued           = 6002
 	NoteDispatched       = 6003
--- a/descriptor/quota.go
+++ b/descriptor/quota.go
@@ -8,11 +8,17 @@
 	Stamp int64
 }
 
-// QuotaDemand asks an instance for permits of the customers whose quotas it grants.
+// QuotaDemand asks an instance for permits of the customers whose quotas it grants. With a plan it
+// asks for the receiver's share of the limits of all customers whose quotas the sender grants.
 type QuotaDemand struct {
-	// Stamp is the sender's uptime in microseconds when it asked. The answer repeats it.
+	// Stamp is the sender's uptime in microseconds when it asked. It is different in each demand
+	// of a sender, and the answer repeats it.
 	Stamp int64
-	List  []CustomerDemand
+	// Plan is the hash of the list of grantors that the sender knows, or 0 if List asks for
+	// permits.
+	Plan uint64 `cbor:",omitempty"`
+	// List is empty if Plan is set.
+	List []CustomerDemand `cbor:",omitempty"`
 }
 
 // CustomerDemand is the number of permits that an instance wants for the requests of a customer.
@@ -20,19 +26,22 @@
 	_ struct{} `cbor:",toarray"`
 	// Mark identifies the customer; see MarkOf.
 	Mark uint64
-	// Permits is the number of requests to be permitted.
+	// Permits is the number of requests that wait for a permit.
 	Permits int
-	// Returned is the number of permits that were granted to the sender and not used.
-	Returned int
+	// Ahead is the number of permits wanted for requests that are expected next.
+	Ahead int
 }
 
 // QuotaGrant answers a QuotaDemand.
 type QuotaGrant struct {
-	// Stamp is that of the demand. The permits end Life milliseconds after it on the clock of the
-	// instance that asked, so that a late answer is worth less and never more.
+	// Stamp is that of the demand.
 	Stamp int64
-	Life  int64
-	List  []CustomerGrant
+	// Plan is that of the demand. If it is not 0, the sender gives its share of all limits to the
+	// receiver, and Fleet is the number of instances that it divides the limits among.
+	Plan  uint64 `cbor:",omitempty"`
+	Fleet int    `cbor:",omitempty"`
+	// List is empty if Plan is set.
+	List []CustomerGrant `cbor:",omitempty"`
 }
 
 // CustomerGrant is the number of requests of a customer that the receiver may send.
@@ -42,10 +51,29 @@
 	Mark uint64
 	// Permits is the number of requests that are permitted.
 	Permits int
-	// Wait is the time in milliseconds until more can be granted, if fewer were than asked for.
+	// Life is the time in milliseconds after the stamp, on the clock of the instance that asked,
+	// at which the permits end. A late answer is therefore valid for a shorter time.
+	Life int64
+	// Wait is the time in milliseconds until one more can be granted, or 0 if all requests that
+	// wait were permitted.
 	Wait int64
 }
 
+// QuotaCounts holds the numbers of decisions of an instance about quotas since its start.
+type QuotaCounts struct {
+	// Granted is the number of permits that it granted to itself and others.
+	Granted uint64
+	// Used is the number of requests that took a permit, and Static those of them that took one
+	// without a grantor. Returned is the number of permits that were free again because their
+	// request did not run.
+	Used, Static, Returned uint64
+	// Waited is the number of requests that waited for a permit, and Refused that of those that
+	// got none.
+	Waited, Refused uint64
+}
+
+func (QuotaCounts) action() {}
+
 // Type implements Message.
 func (ClockStamp) Type() MessageType { return TypeClockStamp }
 
--- a/limiter/allowance.go
+++ b/limiter/allowance.go
@@ -27,9 +27,8 @@
 	NamedAt time.Time
 	// Rate is the number of requests a second that this instance may send.
 	Rate float64
-	// left is the number of requests that may be sent at leftAt, from 0 to maxBurst.
-	left   float64
-	leftAt time.Time
+	// bucket holds the requests that may be sent, up to maxBurst.
+	bucket Bucket
 }
 
 // Part returns the part of a limit that an instance may send, where count instances share it and
@@ -53,7 +52,7 @@
 		return a
 	}
 	if !a.Active(now) {
-		a.left, a.leftAt = 0, now
+		a.bucket = NewBucket(now)
 	}
 	a = a.at(now)
 	a.Limit, a.NamedAt = limit, at
@@ -70,7 +69,7 @@
 // WithRequest returns a after a request was sent at now.
 func (a Allowance) WithRequest(now time.Time) Allowance {
 	a = a.at(now)
-	a.left = max(0, a.left-1)
+	a.bucket = a.bucket.WithRequests(1)
 	return a
 }
 
@@ -80,13 +79,10 @@
 }
 
 // Open reports whether a request may be sent at now.
-func (a Allowance) Open(now time.Time) bool { return !a.Active(now) || a.at(now).left >= 1 }
+func (a Allowance) Open(now time.Time) bool { return !a.Active(now) || a.at(now).bucket.Left() >= 1 }
 
 // at returns a with the requests that may be sent at now.
 func (a Allowance) at(now time.Time) Allowance {
-	if elapsed := now.Sub(a.leftAt); elapsed > 0 {
-		a.left = min(maxBurst, a.left+a.Rate*elapsed.Seconds())
-		a.leftAt = now
-	}
+	a.bucket = a.bucket.WithTime(now, a.Rate, maxBurst)
 	return a
 }
--- /dev/null
+++ b/rationer/rationer.go
@@ -0,0 +1,406 @@
+package rationer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"monsoonswitch/allocator"
+	"monsoonswitch/container"
+	"monsoonswitch/declarer"
+	"monsoonswitch/descriptor"
+	"monsoonswitch/limiter"
+)
+
+const (
+	// maxGrantors bounds the number of grantors. Each asks every instance for its share once in
+	// pollInterval.
+	maxGrantors = 8
+	// maxWait is the longest time that a request waits for a permit, and waitPart the largest part
+	// of the time that its caller still waits.
+	maxWait  = 100 * time.Millisecond
+	waitPart = 0.25
+	// answerTimeout is the time after which a demand is taken to be lost.
+	answerTimeout = 100 * time.Millisecond
+	// minEmptyTime and maxEmptyTime bound the time for which a grantor that had no permit left is
+	// not asked again. Shorter ones cost a message for each refused request.
+	minEmptyTime = 20 * time.Millisecond
+	maxEmptyTime = 200 * time.Millisecond
+	// countInterval is the time between two counts of the shares that are held.
+	countInterval = 50 * time.Millisecond
+	// sweepInterval is the time between two searches for state that is no longer needed, and
+	// idleTime the time without arrivals after which a customer's is not.
+	sweepInterval = 5 * time.Second
+	idleTime      = 5 * time.Minute
+	// noteInterval is the time between two log events about refusals of a customer.
+	noteInterval = time.Minute
+)
+
+// View is what an instance knows of the fleet.
+type View struct {
+	// Callers are the instances that callers are sent to, and Members all that are ready.
+	Callers, Members []descriptor.Member
+	// Fleet is the number of instances of the fleet, including those that are not heard of.
+	Fleet int
+	// Ready reports whether this instance serves callers and its view is taken to be complete.
+	Ready bool
+}
+
+// Verdict is the decision about a request.
+type Verdict int
+
+// Verdicts.
+const (
+	// Permitted means that the request may run.
+	Permitted Verdict = iota
+	// Refused means that the customer has used up its quota.
+	Refused
+	// Waiting means that the request waits for a permit.
+	Waiting
+)
+
+// Resolved is the decision about a request that waited.
+type Resolved struct {
+	Arrived descriptor.Arrived
+	Verdict Verdict
+	// Retry is the time until a request may be permitted, if the verdict is Refused.
+	Retry time.Duration
+}
+
+// customer is the limit of a customer that has one.
+type customer struct {
+	name  string
+	terms Terms
+}
+
+// flight is a demand that was sent.
+type flight struct {
+	to    string
+	at    time.Duration
+	marks []uint64
+}
+
+// permit is a permit that an open request has taken.
+type permit struct {
+	mark uint64
+	ends time.Duration
+}
+
+// Rationer decides about the quotas at one instance. All times are its uptimes. It must be used by
+// one goroutine only.
+type Rationer struct {
+	rule Rule
+	self string
+	// now is the latest uptime that was passed to a method.
+	now       time.Duration
+	customers map[uint64]customer
+	view      View
+	// grantors are the grantors of the plan, sorted by ID, and plan is the hash of the list.
+	grantors []descriptor.Member
+	plan     uint64
+	// fleet is the largest number of instances known in the last two pledge lives, and lowerSince
+	// the time since which fewer are known, or negative.
+	fleet      int
+	lowerSince time.Duration
+	given      *given
+	// held and buckets are nil unless this instance is a grantor. buckets holds the customers
+	// whose bucket may not be full.
+	held      *held
+	buckets   *container.Table[uint64, limiter.Bucket]
+	accounts  *container.Table[uint64, *account]
+	flights   *container.Table[int64, flight]
+	open      *container.Table[string, int64]
+	wanted    *container.Table[uint64, bool]
+	taken     *container.Table[descriptor.RequestID, permit]
+	lastStamp int64
+	waiting   int
+	countedAt time.Duration
+	sweptAt   time.Duration
+	silentAt  time.Duration
+	counts    descriptor.QuotaCounts
+	actions   []descriptor.Action
+	resolved  []Resolved
+}
+
+// New returns the rationer of an instance that starts at now.
+func New(self string, rule Rule, now time.Duration) *Rationer {
+	return &Rationer{
+		rule: rule, self: self, now: now, lowerSince: -1, silentAt: -noteInterval,
+		given:    newGiven(now),
+		accounts: container.NewTable[uint64, *account](),
+		flights:  container.NewTable[int64, flight](),
+		open:     container.NewTable[string, int64](),
+		wanted:   container.NewTable[uint64, bool](),
+		taken:    container.NewTable[descriptor.RequestID, permit](),
+	}
+}
+
+// Start records that the uptime of the machine is now, where earlier uptimes were not those of the
+// machine.
+func (r *Rationer) Start(now time.Duration) {
+	r.now = now
+	r.given = newGiven(now)
+}
+
+// setTime returns the present uptime. Events that wait in a queue are not in order.
+func (r *Rationer) setTime(now time.Duration) time.Duration {
+	r.now = max(r.now, now)
+	return r.now
+}
+
+// SetLimits puts the limits of a routing in force.
+func (r *Rationer) SetLimits(list []declarer.Customer) {
+	r.customers = make(map[uint64]customer)
+	if !r.rule.Enabled() {
+		return
+	}
+	for _, c := range list {
+		if c.Rate > 0 {
+			r.customers[descriptor.MarkOf(c.Name)] = customer{c.Name, TermsFor(r.rule, Limit{Rate: c.Rate, Burst: c.Burst})}
+		}
+	}
+}
+
+// Active reports whether any customer has a limit.
+func (r *Rationer) Active() bool { return len(r.customers) > 0 }
+
+// Waiting returns the number of requests that wait for a permit.
+func (r *Rationer) Waiting() int { return r.waiting }
+
+// Counts returns the numbers of decisions since the start.
+func (r *Rationer) Counts() descriptor.QuotaCounts { return r.counts }
+
+// Flush returns the actions and decisions since the last call. The slices are valid until the next
+// call of another method.
+func (r *Rationer) Flush() ([]descriptor.Action, []Resolved) {
+	r.sendDemands()
+	actions, resolved := r.actions, r.resolved
+	r.actions, r.resolved = nil, nil
+	return actions, resolved
+}
+
+// SetView records what this instance knows of the fleet.
+func (r *Rationer) SetView(now time.Duration, v View) {
+	now = r.setTime(now)
+	r.view = v
+	r.setFleet(now, v.Fleet)
+	grantors := slices.Clone(v.Callers[:min(len(v.Callers), maxGrantors)])
+	slices.SortFunc(grantors, func(a, b descriptor.Member) int { return strings.Compare(a.ID, b.ID) })
+	plan := planOf(grantors)
+	r.grantors = grantors
+	if plan == r.plan {
+		return
+	}
+	r.plan = plan
+	r.replaceHeld(now)
+	r.open = container.NewTable[string, int64]()
+	for i := range r.accounts.Len() {
+		mark, a := r.accounts.At(i)
+		a.asked = false
+		if len(a.waiting) > 0 {
+			r.want(mark, a)
+		}
+	}
+	r.note(descriptor.NoteQuotaPlan, "", fmt.Sprintf("%d grantors, %d instances", len(grantors), r.fleet))
+}
+
+// setFleet records the number of instances. It falls late, because an instance that has ended may
+// have given its share to a grantor.
+func (r *Rationer) setFleet(now time.Duration, n int) {
+	switch {
+	case n >= r.fleet:
+		r.fleet, r.lowerSince = n, -1
+	case r.lowerSince < 0:
+		r.lowerSince = now
+	case now-r.lowerSince >= 2*pledgeLife:
+		r.fleet, r.lowerSince = n, -1
+	}
+}
+
+// planOf returns the hash of a list of grantors. It is not 0.
+func planOf(grantors []descriptor.Member) uint64 {
+	h := xxhash.New()
+	for _, m := range grantors {
+		_, _ = h.WriteString(m.ID)
+		_, _ = h.Write([]byte{0})
+	}
+	return max(1, h.Sum64())
+}
+
+// replaceHeld gives back the shares that were held by the former plan and starts with none.
+func (r *Rationer) replaceHeld(now time.Duration) {
+	former := r.held
+	r.held, r.buckets = nil, nil
+	if r.isGrantor(r.self) {
+		r.held = newHeld(now, r.plan, r.nextStamp(now))
+		r.buckets = container.NewTable[uint64, limiter.Bucket]()
+	}
+	if former == nil {
+		return
+	}
+	// A demand by another plan tells the others that their shares are free. Grantors of the new
+	// plan send one to every instance anyway.
+	for _, m := range r.view.Members {
+		if r.held == nil && former.byMember.Has(m.ID) {
+			r.poll(now, m)
+		}
+	}
+}
+
+func (r *Rationer) isGrantor(id string) bool {
+	return slices.ContainsFunc(r.grantors, func(m descriptor.Member) bool { return m.ID == id })
+}
+
+// grantorOf returns the grantor of a customer, or false if none is known.
+func (r *Rationer) grantorOf(mark uint64) (descriptor.Member, bool) {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], mark)
+	var best descriptor.Member
+	var most uint64
+	for _, m := range r.grantors {
+		if w := allocator.Weight(string(key[:]), m.ID); best.ID == "" || w > most {
+			best, most = m, w
+		}
+	}
+	return best, best.ID != ""
+}
+
+// nextStamp returns a stamp that is larger than all before.
+func (r *Rationer) nextStamp(now time.Duration) int64 {
+	r.lastStamp = max(r.lastStamp+1, now.Microseconds())
+	return r.lastStamp
+}
+
+func (r *Rationer) note(number int, subject, detail string) {
+	r.actions = append(r.actions, descriptor.Note{Number: number, Subject: subject, Detail: detail})
+}
+
+func (r *Rationer) send(to descriptor.Member, m descriptor.Message) {
+	r.actions = append(r.actions, descriptor.Send{To: to, Message: m})
+}
+
+// poll asks an instance for its share.
+func (r *Rationer) poll(now time.Duration, m descriptor.Member) {
+	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Plan: r.plan}
+	if m.ID != r.self {
+		r.send(m, demand)
+		return
+	}
+	if reply, ok := r.answerPoll(now, m.ID, demand); ok {
+		r.HandleGrant(now, m.ID, reply)
+	}
+}
+
+// answerPoll gives this instance's share to a grantor.
+func (r *Rationer) answerPoll(now time.Duration, from string, m descriptor.QuotaDemand) (descriptor.QuotaGrant, bool) {
+	own := r.plan
+	if !r.view.Ready {
+		own = 0
+	}
+	if !r.given.give(now, from, m.Stamp, m.Plan, own) {
+		return descriptor.QuotaGrant{}, false
+	}
+	return descriptor.QuotaGrant{Stamp: m.Stamp, Plan: m.Plan, Fleet: r.fleet}, true
+}
+
+// HandleDemand answers a demand of another instance.
+func (r *Rationer) HandleDemand(now time.Duration, from descriptor.Member, m descriptor.QuotaDemand) {
+	now = r.setTime(now)
+	if m.Plan != 0 {
+		if reply, ok := r.answerPoll(now, from.ID, m); ok {
+			r.send(from, reply)
+		}
+		return
+	}
+	if reply, ok := r.grant(now, m); ok {
+		r.send(from, reply)
+	}
+}
+
+// grant grants permits for a demand, and reports whether this instance is a grantor. Customers whose
+// grantor is another one, or whose limit is not known, are left out.
+func (r *Rationer) grant(now time.Duration, m descriptor.QuotaDemand) (descriptor.QuotaGrant, bool) {
+	reply := descriptor.QuotaGrant{Stamp: m.Stamp}
+	if r.held == nil {
+		return reply, false
+	}
+	r.held.advance(now)
+	for _, d := range m.List {
+		c, ok := r.customers[d.Mark]
+		grantor, _ := r.grantorOf(d.Mark)
+		if !ok || grantor.ID != r.self {
+			continue
+		}
+		b, ok := r.buckets.Get(d.Mark)
+		if !ok {
+			b = limiter.NewBucket(epoch)
+		}
+		b, n, wait := r.held.grant(b, c.terms, d.Permits, d.Ahead)
+		r.buckets.Put(d.Mark, b)
+		r.counts.Granted += uint64(n)
+		reply.List = append(reply.List, descriptor.CustomerGrant{
+			Mark: d.Mark, Permits: n, Life: c.terms.Life.Milliseconds(), Wait: wait.Milliseconds(),
+		})
+	}
+	return reply, true
+}
+
+// Tick does the work that depends on time alone.
+func (r *Rationer) Tick(now time.Duration) {
+	now = r.setTime(now)
+	r.tickHeld(now)
+	r.expireFlights(now)
+	r.tickAccounts(now)
+	if now-r.sweptAt >= sweepInterval {
+		r.sweptAt = now
+		r.sweep(now)
+	}
+}
+
+// tickHeld counts the shares that this instance holds and asks for those of others.
+func (r *Rationer) tickHeld(now time.Duration) {
+	if r.held == nil {
+		return
+	}
+	if !r.Active() {
+		return
+	}
+	if now-r.countedAt >= countInterval {
+		r.countedAt = now
+		r.held.count(now, r.fleet)
+	}
+	for _, m := range r.view.Members {
+		if r.held.mustPoll(now, m.ID) {
+			r.poll(now, m)
+		}
+	}
+}
+
+// sweep removes full buckets and customers without arrivals.
+func (r *Rationer) sweep(now time.Duration) {
+	if r.held != nil {
+		var full []uint64
+		for mark, b := range r.buckets.All {
+			t := r.customers[mark].terms
+			if b = r.held.fill(b, t); b.Left() >= t.Size*r.held.part {
+				full = append(full, mark)
+			}
+		}
+		for _, mark := range full {
+			r.buckets.Delete(mark)
+		}
+	}
+	var idle []uint64
+	for mark, a := range r.accounts.All {
+		if now-a.usedAt >= idleTime && len(a.waiting) == 0 {
+			idle = append(idle, mark)
+		}
+	}
+	for _, mark := range idle {
+		r.accounts.Delete(mark)
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -6,6 +6,7 @@
 	"io"
 	"sort"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -38,6 +39,8 @@
 	// changed before it was decided upon.
 	relocations metrics.Counter
 	bytes       metrics.Counter
+	// quotas holds the numbers of decisions about quotas, or nil.
+	quotas atomic.Pointer[descriptor.QuotaCounts]
 }
 
 // New returns a recorder whose metrics are zero.
@@ -59,6 +62,7 @@
 	r.register("withheld", r.withheld)
 	r.register("relocations", r.relocations)
 	r.register("bytes", r.bytes)
+	r.registerQuotas()
 	for _, reason := range descriptor.Reasons() {
 		c := metrics.NewCounter()
 		r.ended = append(r.ended, c)
@@ -107,6 +111,28 @@
 // Relocate counts a request that is located anew.
 func (r *Recorder) Relocate() { r.relocations.Inc(1) }
 
+// registerQuotas adds the counters of decisions about quotas.
+func (r *Recorder) registerQuotas() {
+	for name, count := range map[string]func(*descriptor.QuotaCounts) uint64{
+		"granted":  func(c *descriptor.QuotaCounts) uint64 { return c.Granted },
+		"used":     func(c *descriptor.QuotaCounts) uint64 { return c.Used },
+		"static":   func(c *descriptor.QuotaCounts) uint64 { return c.Static },
+		"returned": func(c *descriptor.QuotaCounts) uint64 { return c.Returned },
+		"waited":   func(c *descriptor.QuotaCounts) uint64 { return c.Waited },
+		"refused":  func(c *descriptor.QuotaCounts) uint64 { return c.Refused },
+	} {
+		r.AddGauge("quotas."+name, func() int64 {
+			if c := r.quotas.Load(); c != nil {
+				return int64(count(c))
+			}
+			return 0
+		})
+	}
+}
+
+// SetQuotas records the numbers of decisions about quotas since the start.
+func (r *Recorder) SetQuotas(c descriptor.QuotaCounts) { r.quotas.Store(&c) }
+
 // quantiles are the written quantiles of the latency of served requests.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -17,6 +17,7 @@
 	r.Begin()
 	r.End(descriptor.NoBackend, time.Millisecond, 0)
 	r.AddGauge("links.sentbytes", func() int64 { return 7 })
+	r.SetQuotas(descriptor.QuotaCounts{Granted: 5, Refused: 2})
 	var out bytes.Buffer
 	r.Write(&out)
 	for _, line := range []string{
@@ -26,6 +27,8 @@
 		`monsoonswitch_served_seconds_count 1`,
 		`monsoonswitch_links_sentbytes 7`,
 		`monsoonswitch_bytes 100`,
+		`monsoonswitch_quotas_granted 5`,
+		`monsoonswitch_quotas_refused 2`,
 	} {
 		asserter.True(t, line, strings.Contains(out.String(), line+"\n"))
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -23,6 +23,7 @@
 	"monsoonswitch/operator"
 	"monsoonswitch/picker"
 	"monsoonswitch/platform"
+	"monsoonswitch/rationer"
 	"monsoonswitch/recorder"
 	"monsoonswitch/retrier"
 	"monsoonswitch/storer"
@@ -207,6 +208,7 @@
 		PeerWait: s.settings.Platform.Patience,
 		Routing:  s.usesRouting(),
 		Retries:  retrier.Bounds(s.settings.Retries),
+		Quotas:   rationer.Rule(s.settings.Quotas),
 		Grace:    s.settings.Limits.Grace,
 	}
 	switch s.settings.Limits.Policy {
@@ -238,6 +240,8 @@
 		s.follower.SetActive(a.Active)
 	case descriptor.Note:
 		s.log.Note(a)
+	case descriptor.QuotaCounts:
+		s.recorder.SetQuotas(a)
 	case descriptor.RequestTrace:
 		s.log.LogRequest(time.Now(), a)
 	case descriptor.ShutdownComplete:
