--- a/descriptor/quota.go
+++ b/descriptor/quota.go
@@ -8,17 +8,16 @@
 	Stamp int64
 }
 
-// QuotaDemand asks an instance for permits of the customers whose quotas it grants. With a plan it
-// asks for the receiver's share of the limits of all customers whose quotas the sender grants.
+// QuotaDemand asks an instance for permits of the customers whose quotas it grants. With an empty
+// list it asks for the receiver's share of the limits of the customers whose quotas the sender grants.
 type QuotaDemand struct {
 	// Stamp is the sender's uptime in microseconds when it asked. It is different in each demand
 	// of a sender, and the answer repeats it.
 	Stamp int64
-	// Plan is the hash of the list of grantors that the sender knows, or 0 if List asks for
-	// permits.
-	Plan uint64 `cbor:",omitempty"`
-	// List is empty if Plan is set.
-	List []CustomerDemand `cbor:",omitempty"`
+	// Slots holds, if List is empty, a bit for each slot of customers whose quotas the sender
+	// grants. It uses no share of the others that it was given before.
+	Slots uint64           `cbor:",omitempty"`
+	List  []CustomerDemand `cbor:",omitempty"`
 }
 
 // CustomerDemand is the number of permits that an instance wants for the requests of a customer.
@@ -36,11 +35,11 @@
 type QuotaGrant struct {
 	// Stamp is that of the demand.
 	Stamp int64
-	// Plan is that of the demand. If it is not 0, the sender gives its share of all limits to the
-	// receiver, and Fleet is the number of instances that it divides the limits among.
-	Plan  uint64 `cbor:",omitempty"`
+	// Slots holds the slots of which the sender gives its share of all limits to the receiver, and
+	// Fleet is the number of instances that it divides the limits among.
+	Slots uint64 `cbor:",omitempty"`
 	Fleet int    `cbor:",omitempty"`
-	// List is empty if Plan is set.
+	// List is empty if Slots is set.
 	List []CustomerGrant `cbor:",omitempty"`
 }
 
--- a/rationer/fleet_test.go
+++ b/rationer/fleet_test.go
@@ -9,6 +9,7 @@
 
 	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/messenger"
 )
 
 // standardRule is the rule of the operators.
@@ -62,14 +63,16 @@
 	// notRun is the share of the permitted requests that end as not run at once.
 	notRun float64
 	next   descriptor.RequestID
-	sent   int
+	// sent is the number of messages, and bytes holds the encoded bytes that each instance sent.
+	sent  int
+	bytes map[string]int
 }
 
 func newTestFleet(seed uint64, n, callers int, customers ...declarer.Customer) *testFleet {
 	f := &testFleet{
 		random: rand.New(rand.NewPCG(seed, 7)), byID: make(map[string]*node), callers: callers, customers: customers,
 		ran: make(map[string][]time.Duration), arrivedAt: make(map[descriptor.RequestID]time.Duration),
-		offered: make(map[string]int), refused: make(map[string]int),
+		offered: make(map[string]int), refused: make(map[string]int), bytes: make(map[string]int),
 	}
 	f.delay = func(testMessage) (time.Duration, bool) { return time.Millisecond, true }
 	for i := range n {
@@ -141,6 +144,9 @@
 
 func (f *testFleet) send(m testMessage) {
 	f.sent++
+	if data, err := messenger.Encode(m.message); err == nil {
+		f.bytes[m.from] += len(data)
+	}
 	d, ok := f.delay(m)
 	if !ok {
 		return
--- a/rationer/holder.go
+++ b/rationer/holder.go
@@ -68,8 +68,7 @@
 
 // useStatic decides about a request by the share that this instance may use without a grantor.
 func (r *Rationer) useStatic(now time.Duration, id descriptor.RequestID, mark uint64, a *account) (Verdict, time.Duration) {
-	grantor, _ := r.grantorOf(mark)
-	free := r.given.freeAt(grantor.ID, r.plan)
+	free := r.given.freeAt(slotOf(mark))
 	a.retryAt = max(a.retryAt, now+unknownWait)
 	if !r.view.Ready || now < free {
 		return Refused, r.refuse(now, mark, a)
@@ -169,27 +168,20 @@
 	}
 	r.flights.Put(m.Stamp, flight{to: to, at: r.now, marks: marks})
 	r.open.Put(to, m.Stamp)
-	if to != r.self {
-		for _, g := range r.grantors {
-			if g.ID == to {
-				r.send(g, m)
-			}
-		}
+	if to == r.self {
+		r.HandleGrant(r.now, to, r.grant(r.now, m))
 		return
 	}
-	if reply, ok := r.grant(r.now, m); ok {
-		r.HandleGrant(r.now, to, reply)
-	}
+	grantor, _ := r.grantorOf(marks[0])
+	r.send(grantor, m)
 }
 
 // HandleGrant handles the answer to a demand.
 func (r *Rationer) HandleGrant(now time.Duration, from string, m descriptor.QuotaGrant) {
 	now = r.setTime(now)
-	if m.Plan != 0 {
-		if r.held != nil {
-			until := time.Duration(m.Stamp)*time.Microsecond + pledgeLife
-			r.held.receive(now, from, pledge{until: until, stamp: m.Stamp, plan: m.Plan, fleet: m.Fleet}, r.lastStamp)
-		}
+	if m.Slots != 0 {
+		until := time.Duration(m.Stamp)*time.Microsecond + pledgeLife
+		r.held.receive(now, from, pledge{until: until, stamp: m.Stamp, slots: slots(m.Slots), fleet: m.Fleet}, r.lastStamp)
 		return
 	}
 	f, ok := r.flights.Get(m.Stamp)
@@ -207,7 +199,7 @@
 	}
 	for _, mark := range f.marks {
 		if a, ok := r.accounts.Get(mark); ok && !answered[mark] {
-			// The next tick asks again: the grantor does not know the plan or the limit yet.
+			// The next tick asks again: the grantor's view or limits differ.
 			a.asked = false
 		}
 	}
--- a/rationer/model_test.go
+++ b/rationer/model_test.go
@@ -40,12 +40,14 @@
 	loss float64
 	// hot holds the instances that callers use.
 	hot []*node
+	// times is the load as a multiple of each rate.
+	times float64
 	// fault is called every 5 ms, unless it is nil.
 	fault func(*quotaModel)
 }
 
 func newQuotaModel(seed uint64) *quotaModel {
-	m := &quotaModel{cut: make(map[[2]string]bool), slow: time.Millisecond}
+	m := &quotaModel{cut: make(map[[2]string]bool), slow: time.Millisecond, times: modelLoad}
 	m.testFleet = newTestFleet(seed, modelNodes, 3, modelCustomers...)
 	m.hot = m.nodes
 	m.delay = func(t testMessage) (time.Duration, bool) {
@@ -133,7 +135,7 @@
 			m.fault(m)
 		}
 		for _, c := range m.customers {
-			for count := modelLoad * c.Rate * step.Seconds(); m.random.Float64() < count; count-- {
+			for count := m.times * c.Rate * step.Seconds(); m.random.Float64() < count; count-- {
 				m.request(m.hot[m.random.IntN(len(m.hot))], c.Name)
 			}
 		}
@@ -184,46 +186,26 @@
 				p.fleet = modelNodes / 2
 			}
 		},
-		"shares that a grantor keeps": func(m *quotaModel) {
-			for _, p := range m.nodes {
-				for i := range heldShares(p) {
-					_, share := p.held.byMember.At(i)
-					share.until = p.now + pledgeLife
-					p.held.byMember.SetAt(i, share)
-				}
-			}
-		},
 	} {
 		t.Run(name, func(t *testing.T) { asserter.True(t, "found", modelBreaks(40, fault)) })
 	}
 }
 
-func heldShares(p *node) int {
-	if p.held == nil {
-		return 0
-	}
-	return p.held.byMember.Len()
-}
-
-// TestQuotaPlans guards against shares that are in use at the grantors of two plans, where a holder
-// and its grantor have not heard of a change that all others have.
-func TestQuotaPlans(t *testing.T) {
+// TestTwoGrantors guards against shares that are in use at two grantors of a customer, where the
+// former one, which has callers, has not heard of a change that all others have.
+func TestTwoGrantors(t *testing.T) {
 	play := func(fault func(*quotaModel)) float64 {
 		m := newQuotaModel(1)
-		m.fault = fault
+		m.fault, m.times = fault, 6
 		m.advance(startWait)
 		grantor, _ := m.nodes[0].grantorOf(descriptor.MarkOf("large"))
-		holder := m.nodes[0]
-		if holder.id == grantor.ID {
-			holder = m.nodes[1]
-		}
-		m.hot = []*node{holder, m.nodes[modelNodes-1]}
+		m.hot = []*node{m.byID[grantor.ID], m.nodes[modelNodes-1]}
 		// The buckets are full then.
 		m.advance(m.now + 3*time.Second)
 		ids := m.ids()
 		next := m.viewOf(append(ids[3:], ids[:3]...))
 		for _, p := range m.nodes {
-			if p.id != grantor.ID && p != holder {
+			if p.id != grantor.ID {
 				m.setView(p, next)
 			}
 		}
@@ -234,13 +216,24 @@
 	t.Run("shares are given once", func(t *testing.T) {
 		asserter.AtMost(t, "requests in a window", play(nil), bound)
 	})
-	t.Run("broken: shares are given twice", func(t *testing.T) {
-		asserter.AtLeast(t, "requests in a window", play(func(m *quotaModel) {
-			for _, p := range m.nodes {
-				p.given = newGiven(m.now + p.offset - startWait)
+	for name, fault := range map[string]func(*node){
+		"broken: shares are given twice": func(p *node) { *p.given = given{} },
+		"broken: a grantor keeps shares": func(p *node) {
+			for i := range p.held.byMember.Len() {
+				_, share := p.held.byMember.At(i)
+				share.until = p.now + pledgeLife
+				p.held.byMember.SetAt(i, share)
 			}
-		}), bound+1)
-	})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			asserter.AtLeast(t, "requests in a window", play(func(m *quotaModel) {
+				for _, p := range m.nodes {
+					fault(p)
+				}
+			}), bound+1)
+		})
+	}
 }
 
 // modelBreaks reports whether the rule is broken in a schedule with a fault.
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -1,14 +1,11 @@
 package rationer
 
 import (
-	"encoding/binary"
 	"fmt"
-	"slices"
-	"strings"
+	"math/bits"
+	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonswitch/allocator"
 	"monsoonswitch/container"
 	"monsoonswitch/declarer"
@@ -99,16 +96,15 @@
 	now       time.Duration
 	customers map[uint64]customer
 	view      View
-	// grantors are the grantors of the plan, sorted by ID, and plan is the hash of the list.
-	grantors []descriptor.Member
-	plan     uint64
+	// grantors holds the grantor of each slot. They are empty if none is known.
+	grantors [slotCount]descriptor.Member
 	// fleet is the largest number of instances known in the last two pledge lives, and lowerSince
 	// the time since which fewer are known, or negative.
 	fleet      int
 	lowerSince time.Duration
 	given      *given
-	// held and buckets are nil unless this instance is a grantor. buckets holds the customers
-	// whose bucket may not be full.
+	// held holds the shares that this instance was given as a grantor, and buckets the customers
+	// of its slots whose bucket may not be full.
 	held      *held
 	buckets   *container.Table[uint64, limiter.Bucket]
 	accounts  *container.Table[uint64, *account]
@@ -131,6 +127,8 @@
 	return &Rationer{
 		rule: rule, self: self, now: now, lowerSince: -1, silentAt: -noteInterval,
 		given:    newGiven(now),
+		held:     newHeld(now),
+		buckets:  container.NewTable[uint64, limiter.Bucket](),
 		accounts: container.NewTable[uint64, *account](),
 		flights:  container.NewTable[int64, flight](),
 		open:     container.NewTable[string, int64](),
@@ -143,7 +141,8 @@
 // machine.
 func (r *Rationer) Start(now time.Duration) {
 	r.now = now
-	r.given = newGiven(now)
+	r.given, r.held = newGiven(now), newHeld(now)
+	r.setOwn(now)
 }
 
 // setTime returns the present uptime. Events that wait in a queue are not in order.
@@ -188,24 +187,30 @@
 	now = r.setTime(now)
 	r.view = v
 	r.setFleet(now, v.Fleet)
-	grantors := slices.Clone(v.Callers[:min(len(v.Callers), maxGrantors)])
-	slices.SortFunc(grantors, func(a, b descriptor.Member) int { return strings.Compare(a.ID, b.ID) })
-	plan := planOf(grantors)
-	r.grantors = grantors
-	if plan == r.plan {
+	candidates := v.Callers[:min(len(v.Callers), maxGrantors)]
+	var changed slots
+	for slot := range slotCount {
+		m := grantorOf(slot, candidates)
+		if m.ID != r.grantors[slot].ID {
+			changed |= slotSet(slot)
+		}
+		r.grantors[slot] = m
+	}
+	if changed == 0 {
 		return
 	}
-	r.plan = plan
-	r.replaceHeld(now)
-	r.open = container.NewTable[string, int64]()
+	r.setOwn(now)
 	for i := range r.accounts.Len() {
 		mark, a := r.accounts.At(i)
+		if changed&slotSet(slotOf(mark)) == 0 {
+			continue
+		}
 		a.asked = false
 		if len(a.waiting) > 0 {
 			r.want(mark, a)
 		}
 	}
-	r.note(descriptor.NoteQuotaPlan, "", fmt.Sprintf("%d grantors, %d instances", len(grantors), r.fleet))
+	r.note(descriptor.NoteQuotaPlan, "", fmt.Sprintf("%d slots of %d, %d grantors, %d instances", bits.OnesCount64(uint64(changed)), slotCount, len(candidates), r.fleet))
 }
 
 // setFleet records the number of instances. It falls late, because an instance that has ended may
@@ -221,52 +226,55 @@
 	}
 }
 
-// planOf returns the hash of a list of grantors. It is not 0.
-func planOf(grantors []descriptor.Member) uint64 {
-	h := xxhash.New()
-	for _, m := range grantors {
-		_, _ = h.WriteString(m.ID)
-		_, _ = h.Write([]byte{0})
-	}
-	return max(1, h.Sum64())
-}
-
-// replaceHeld gives back the shares that were held by the former plan and starts with none.
-func (r *Rationer) replaceHeld(now time.Duration) {
-	former := r.held
-	r.held, r.buckets = nil, nil
-	if r.isGrantor(r.self) {
-		r.held = newHeld(now, r.plan, r.nextStamp(now))
-		r.buckets = container.NewTable[uint64, limiter.Bucket]()
-	}
-	if former == nil {
+// setOwn takes over the slots of which this instance is the grantor now, and drops the others.
+func (r *Rationer) setOwn(now time.Duration) {
+	own := r.slotsOf(r.self)
+	lost := r.held.own &^ own
+	if own == r.held.own {
 		return
 	}
-	// A demand by another plan tells the others that their shares are free. Grantors of the new
-	// plan send one to every instance anyway.
-	for _, m := range r.view.Members {
-		if r.held == nil && former.byMember.Has(m.ID) {
-			r.poll(now, m)
+	r.held.setOwn(now, own, r.nextStamp(now))
+	var gone []uint64
+	for mark := range r.buckets.All {
+		if lost&slotSet(slotOf(mark)) != 0 {
+			gone = append(gone, mark)
 		}
 	}
+	for _, mark := range gone {
+		r.buckets.Delete(mark)
+	}
 }
 
-func (r *Rationer) isGrantor(id string) bool {
-	return slices.ContainsFunc(r.grantors, func(m descriptor.Member) bool { return m.ID == id })
-}
-
-// grantorOf returns the grantor of a customer, or false if none is known.
-func (r *Rationer) grantorOf(mark uint64) (descriptor.Member, bool) {
-	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], mark)
+// grantorOf returns which of the candidates is the grantor of a slot, or an empty member if there
+// are none.
+func grantorOf(slot int, candidates []descriptor.Member) descriptor.Member {
+	key := "~quota/" + strconv.Itoa(slot)
 	var best descriptor.Member
 	var most uint64
-	for _, m := range r.grantors {
-		if w := allocator.Weight(string(key[:]), m.ID); best.ID == "" || w > most {
+	for _, m := range candidates {
+		w := allocator.Weight(key, m.ID)
+		if best.ID == "" || w > most || w == most && m.ID < best.ID {
 			best, most = m, w
 		}
 	}
-	return best, best.ID != ""
+	return best
+}
+
+// slotsOf returns the slots of which an instance is the grantor.
+func (r *Rationer) slotsOf(id string) slots {
+	var result slots
+	for slot, m := range r.grantors {
+		if m.ID == id {
+			result |= slotSet(slot)
+		}
+	}
+	return result
+}
+
+// grantorOf returns the grantor of a customer, or false if none is known.
+func (r *Rationer) grantorOf(mark uint64) (descriptor.Member, bool) {
+	m := r.grantors[slotOf(mark)]
+	return m, m.ID != ""
 }
 
 // nextStamp returns a stamp that is larger than all before.
@@ -285,7 +293,7 @@
 
 // poll asks an instance for its share.
 func (r *Rationer) poll(now time.Duration, m descriptor.Member) {
-	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Plan: r.plan}
+	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own)}
 	if m.ID != r.self {
 		r.send(m, demand)
 		return
@@ -297,56 +305,49 @@
 
 // answerPoll gives this instance's share to a grantor.
 func (r *Rationer) answerPoll(now time.Duration, from string, m descriptor.QuotaDemand) (descriptor.QuotaGrant, bool) {
-	own := r.plan
-	if !r.view.Ready {
-		own = 0
+	var own slots
+	if r.view.Ready {
+		own = r.slotsOf(from)
 	}
-	if !r.given.give(now, from, m.Stamp, m.Plan, own) {
-		return descriptor.QuotaGrant{}, false
-	}
-	return descriptor.QuotaGrant{Stamp: m.Stamp, Plan: m.Plan, Fleet: r.fleet}, true
+	got := r.given.give(now, from, m.Stamp, slots(m.Slots), own)
+	return descriptor.QuotaGrant{Stamp: m.Stamp, Slots: uint64(got), Fleet: r.fleet}, got != 0
 }
 
 // HandleDemand answers a demand of another instance.
 func (r *Rationer) HandleDemand(now time.Duration, from descriptor.Member, m descriptor.QuotaDemand) {
 	now = r.setTime(now)
-	if m.Plan != 0 {
+	if len(m.List) == 0 {
 		if reply, ok := r.answerPoll(now, from.ID, m); ok {
 			r.send(from, reply)
 		}
 		return
 	}
-	if reply, ok := r.grant(now, m); ok {
-		r.send(from, reply)
-	}
+	r.send(from, r.grant(now, m))
 }
 
-// grant grants permits for a demand, and reports whether this instance is a grantor. Customers whose
-// grantor is another one, or whose limit is not known, are left out.
-func (r *Rationer) grant(now time.Duration, m descriptor.QuotaDemand) (descriptor.QuotaGrant, bool) {
+// grant grants permits for a demand. Customers whose grantor is another one, or whose limit is not
+// known, are left out.
+func (r *Rationer) grant(now time.Duration, m descriptor.QuotaDemand) descriptor.QuotaGrant {
 	reply := descriptor.QuotaGrant{Stamp: m.Stamp}
-	if r.held == nil {
-		return reply, false
-	}
 	r.held.advance(now)
 	for _, d := range m.List {
 		c, ok := r.customers[d.Mark]
-		grantor, _ := r.grantorOf(d.Mark)
-		if !ok || grantor.ID != r.self {
+		slot := slotOf(d.Mark)
+		if !ok || r.held.own&slotSet(slot) == 0 {
 			continue
 		}
 		b, ok := r.buckets.Get(d.Mark)
 		if !ok {
 			b = limiter.NewBucket(epoch)
 		}
-		b, n, wait := r.held.grant(b, c.terms, d.Permits, d.Ahead)
+		b, n, wait := r.held.bySlot[slot].grant(b, c.terms, d.Permits, d.Ahead)
 		r.buckets.Put(d.Mark, b)
 		r.counts.Granted += uint64(n)
 		reply.List = append(reply.List, descriptor.CustomerGrant{
 			Mark: d.Mark, Permits: n, Life: c.terms.Life.Milliseconds(), Wait: wait.Milliseconds(),
 		})
 	}
-	return reply, true
+	return reply
 }
 
 // Tick does the work that depends on time alone.
@@ -363,9 +364,6 @@
 
 // tickHeld counts the shares that this instance holds and asks for those of others.
 func (r *Rationer) tickHeld(now time.Duration) {
-	if r.held == nil {
-		return
-	}
 	if !r.Active() {
 		return
 	}
@@ -382,18 +380,17 @@
 
 // sweep removes full buckets and customers without arrivals.
 func (r *Rationer) sweep(now time.Duration) {
-	if r.held != nil {
-		var full []uint64
-		for mark, b := range r.buckets.All {
-			t := r.customers[mark].terms
-			if b = r.held.fill(b, t); b.Left() >= t.Size*r.held.part {
-				full = append(full, mark)
-			}
-		}
-		for _, mark := range full {
-			r.buckets.Delete(mark)
+	r.held.advance(now)
+	var full []uint64
+	for mark, b := range r.buckets.All {
+		s, t := &r.held.bySlot[slotOf(mark)], r.customers[mark].terms
+		if b = s.fill(b, t); b.Left() >= t.Size*s.part {
+			full = append(full, mark)
 		}
 	}
+	for _, mark := range full {
+		r.buckets.Delete(mark)
+	}
 	var idle []uint64
 	for mark, a := range r.accounts.All {
 		if now-a.usedAt >= idleTime && len(a.waiting) == 0 {
--- a/rationer/terms.go
+++ b/rationer/terms.go
@@ -1,10 +1,10 @@
 // Package rationer decides how many requests of each customer an instance may send, so that all
 // instances together keep to the customers' limits. It uses no network, and the time is an argument.
 //
-// Each of the N instances of the fleet owns an N-th of every limit. It gives its share to the
-// grantors of its plan, one of which grants the permits of a customer, for as long as pledgeLife, and
-// to no one else meanwhile. A grantor uses the shares that it holds, so that all grantors together
-// use no more than the whole, however their views of the fleet differ.
+// Each of the N instances of the fleet owns an N-th of every limit. It gives its share of a customer
+// to the instance that it takes for the customer's grantor, for as long as pledgeLife, and to no one
+// else meanwhile. A grantor uses the shares that it holds, so that all grantors together use no more
+// than the whole, however their views of the fleet differ.
 package rationer
 
 import "time"
