--- a/configurer/settings.go
+++ b/configurer/settings.go
@@ -27,6 +27,7 @@
 	Limits    Limits
 	Retries   Retries
 	Customers Customers
+	Quotas    Quotas
 }
 
 // loaders holds the loading function of each section.
@@ -40,6 +41,7 @@
 	"limits":    loadLimits,
 	"retries":   loadRetries,
 	"customers": loadCustomers,
+	"quotas":    loadQuotas,
 }
 
 // Load reads the settings file at path. It returns ErrInvalid if the file can't be read or
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -40,7 +40,9 @@
 		d.sendSuspicions()
 		d.updateHeard()
 		d.updateProof()
+		d.updateQuotas()
 	}
+	d.quotas.Tick(d.uptime)
 	if d.now.Sub(d.lastTallyAt) >= tallyInterval {
 		d.lastTallyAt = d.now
 		d.reportTallies()
