Quotas: tests through the decisions; instances that restart in a part of the fleet

Change: demands for shares and their answers carry the number of instances that the sender knows, and the largest one counts for two pledge lives. An instance that has seeds and hears of no other uses no part of limits. The model of package rationer also changes limits.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -59,6 +59,9 @@
 	Retries retrier.Bounds
 	// Quotas is the rule for the limits of customers, under a routing.
 	Quotas rationer.Rule
+	// Seeded reports whether the instance is to join others. It uses no part of the limits of
+	// customers while it hears of none: it may be cut off from a fleet that uses all of them.
+	Seeded bool
 	// Grace is the time from the shutdown request until the platform kills the
 	// process; 0 means that it never does.
 	Grace time.Duration
--- a/decider/quota.go
+++ b/decider/quota.go
@@ -85,7 +85,7 @@
 	v := rationer.View{
 		Callers: d.index.Get(callersRole),
 		Fleet:   int(math.Ceil(float64(d.index.Members()) / d.heard)),
-		Ready:   d.membersKnown && !d.shutdown.started,
+		Ready:   d.membersKnown && !d.shutdown.started && (d.index.Members() > 1 || !d.options.Seeded),
 	}
 	for _, m := range d.gossiper.Members() {
 		if m.Ready && m.State < descriptor.Dead {
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -13,6 +13,7 @@
 	"monsoonswitch/limiter"
 	"monsoonswitch/messenger"
 	"monsoonswitch/picker"
+	"monsoonswitch/rationer"
 )
 
 // routedFleet runs deciders whose services are declared by a routing, in memory and with a
@@ -29,6 +30,8 @@
 	version, revision uint64
 	// routing returns the routing of a version.
 	routing func(version uint64) declarer.Routing
+	// quotas is the rule for the limits of customers.
+	quotas rationer.Rule
 	// clock is the incarnation of instances that are added.
 	clock int64
 	// partitioned holds the instances whose messages are dropped while their links
@@ -89,7 +92,7 @@
 
 func (f *routedFleet) addWithCapacity(id, domain string, capacity int32) {
 	self := descriptor.Member{ID: id, Incarnation: f.clock, Domain: domain, Public: id + ":80", Inner: id + ":81", Capacity: capacity}
-	f.instances[id] = New[detector.Evidence, detector.Sequential, picker.HighestScore, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true}, f.now)
+	f.instances[id] = New[detector.Evidence, detector.Sequential, picker.HighestScore, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true, Quotas: f.quotas, Seeded: f.quotas.Enabled()}, f.now)
 	if !slices.Contains(f.order, id) {
 		f.order = append(f.order, id)
 	}
--- a/descriptor/quota.go
+++ b/descriptor/quota.go
@@ -16,7 +16,9 @@
 	Stamp int64
 	// Slots holds, if List is empty, a bit for each slot of customers whose quotas the sender
 	// grants. It uses no share of the others that it was given before.
-	Slots uint64           `cbor:",omitempty"`
+	Slots uint64 `cbor:",omitempty"`
+	// Fleet is, if List is empty, the number of instances that the sender knows.
+	Fleet int              `cbor:",omitempty"`
 	List  []CustomerDemand `cbor:",omitempty"`
 }
 
@@ -36,7 +38,7 @@
 	// Stamp is that of the demand.
 	Stamp int64
 	// Slots holds the slots of which the sender gives its share of all limits to the receiver, and
-	// Fleet is the number of instances that it divides the limits among.
+	// Fleet is the number of instances that it knows.
 	Slots uint64 `cbor:",omitempty"`
 	Fleet int    `cbor:",omitempty"`
 	// List is empty if Slots is set.
--- a/rationer/holder.go
+++ b/rationer/holder.go
@@ -76,7 +76,7 @@
 	if start := epoch.Add(free); a.static.At().Before(start) {
 		a.static = limiter.NewBucket(start)
 	}
-	t, n := r.customers[mark].terms, float64(max(1, r.fleet))
+	t, n := r.customers[mark].terms, float64(r.divisor(now))
 	a.static = a.static.WithTime(epoch.Add(now), t.Rate/n, t.Size/n)
 	if a.static.Whole() < 1 {
 		return Refused, r.refuse(now, mark, a)
@@ -180,6 +180,7 @@
 func (r *Rationer) HandleGrant(now time.Duration, from string, m descriptor.QuotaGrant) {
 	now = r.setTime(now)
 	if m.Slots != 0 {
+		r.hearFleet(now, m.Fleet)
 		until := time.Duration(m.Stamp)*time.Microsecond + pledgeLife
 		r.held.receive(now, from, pledge{until: until, stamp: m.Stamp, slots: slots(m.Slots), fleet: m.Fleet}, r.lastStamp)
 		return
--- a/rationer/model_test.go
+++ b/rationer/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -62,7 +63,7 @@
 // step changes one thing at random.
 func (m *quotaModel) step() {
 	p := m.nodes[m.random.IntN(len(m.nodes))]
-	switch m.random.IntN(12) {
+	switch m.random.IntN(13) {
 	case 0:
 		m.partition()
 	case 1:
@@ -94,12 +95,32 @@
 		}
 	case 10:
 		m.notRun = []float64{0, 0, 0.5}[m.random.IntN(3)]
+	case 11:
+		m.changeLimits()
 	default:
 		// A quiet time fills the buckets.
 		m.advance(m.now + time.Duration(m.random.Int64N(int64(8*time.Second))))
 	}
 }
 
+// changeLimits has some instances use lower limits than the others, or all use the highest.
+func (m *quotaModel) changeLimits() {
+	lower := slices.Clone(modelCustomers)
+	for i := range lower {
+		lower[i].Rate /= 2
+		lower[i].Burst /= 4
+	}
+	back := m.random.IntN(2) == 0
+	for _, p := range m.nodes {
+		switch {
+		case back:
+			p.SetLimits(modelCustomers)
+		case m.random.IntN(2) == 0:
+			p.SetLimits(lower)
+		}
+	}
+}
+
 func (m *quotaModel) partition() {
 	m.cut = make(map[[2]string]bool)
 	side := make(map[string]bool)
@@ -154,7 +175,7 @@
 
 // TestQuotaModel guards against more requests of a customer in a window than the rule allows, in
 // random schedules of lost, late and reordered messages, partitions, frozen and restarted
-// instances, and different views of the fleet.
+// instances, different views of the fleet, and changes of limits to at most those that are checked.
 func TestQuotaModel(t *testing.T) {
 	worst := make(map[string]float64)
 	ran, span := make(map[string]int), time.Duration(0)
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -102,6 +102,9 @@
 	// the time since which fewer are known, or negative.
 	fleet      int
 	lowerSince time.Duration
+	// heardFleet is the largest number that others told in that time, last at heardAt.
+	heardFleet int
+	heardAt    time.Duration
 	given      *given
 	// held holds the shares that this instance was given as a grantor, and buckets the customers
 	// of its slots whose bucket may not be full.
@@ -245,6 +248,22 @@
 	}
 }
 
+// hearFleet records the number of instances that another instance knows. One that started again in
+// a part of the fleet does not know the rest of it.
+func (r *Rationer) hearFleet(now time.Duration, n int) {
+	if n >= r.heardFleet || now-r.heardAt > 2*pledgeLife {
+		r.heardFleet, r.heardAt = n, now
+	}
+}
+
+// divisor returns the number of instances among which limits are divided.
+func (r *Rationer) divisor(now time.Duration) int {
+	if now-r.heardAt > 2*pledgeLife {
+		return max(1, r.fleet)
+	}
+	return max(1, r.fleet, r.heardFleet)
+}
+
 // grantorOf returns which of the candidates is the grantor of a slot, or an empty member if there
 // are none.
 func grantorOf(slot int, candidates []descriptor.Member) descriptor.Member {
@@ -293,7 +312,7 @@
 
 // poll asks an instance for its share.
 func (r *Rationer) poll(now time.Duration, m descriptor.Member) {
-	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own)}
+	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own), Fleet: r.fleet}
 	if m.ID != r.self {
 		r.send(m, demand)
 		return
@@ -309,6 +328,7 @@
 	if r.view.Ready {
 		own = r.slotsOf(from)
 	}
+	r.hearFleet(now, m.Fleet)
 	got := r.given.give(now, from, m.Stamp, slots(m.Slots), own)
 	return descriptor.QuotaGrant{Stamp: m.Stamp, Slots: uint64(got), Fleet: r.fleet}, got != 0
 }
@@ -369,7 +389,7 @@
 	}
 	if now-r.countedAt >= countInterval {
 		r.countedAt = now
-		r.held.count(now, r.fleet)
+		r.held.count(now, r.divisor(now))
 	}
 	for _, m := range r.view.Members {
 		if r.held.mustPoll(now, m.ID) {
--- a/server/server.go
+++ b/server/server.go
@@ -209,6 +209,7 @@
 		Routing:  s.usesRouting(),
 		Retries:  retrier.Bounds(s.settings.Retries),
 		Quotas:   rationer.Rule(s.settings.Quotas),
+		Seeded:   len(s.settings.Inner.Seeds) > 0,
 		Grace:    s.settings.Limits.Grace,
 	}
 	switch s.settings.Limits.Policy {
