--- a/rationer/holder.go
+++ b/rationer/holder.go
@@ -15,7 +15,7 @@
 func (r *Rationer) Arrive(now time.Duration, e descriptor.Arrived, left time.Duration) (Verdict, time.Duration) {
 	now = r.setTime(now)
 	mark := descriptor.MarkOf(e.Customer)
-	c, ok := r.customers[mark]
+	c, ok := r.customer(mark)
 	if e.Customer == "" || !ok {
 		return Permitted, 0
 	}
@@ -62,7 +62,8 @@
 	r.counts.Refused++
 	if a.notedAt < 0 || now-a.notedAt >= noteInterval {
 		a.notedAt = now
-		r.note(descriptor.NoteQuotaExceeded, r.customers[mark].name, "requests are refused")
+		c, _ := r.customer(mark)
+		r.note(descriptor.NoteQuotaExceeded, c.name, "requests are refused")
 	}
 	return max(time.Millisecond, a.retryAt-now)
 }
@@ -77,8 +78,9 @@
 	if start := epoch.Add(free); a.static.At().Before(start) {
 		a.static = limiter.NewBucket(start)
 	}
-	t, n := r.customers[mark].terms, float64(r.divisor(now))
-	a.static = a.static.WithTime(epoch.Add(now), t.Rate/n, t.Size/n)
+	c, _ := r.customer(mark)
+	n := float64(r.divisor(now))
+	a.static = a.static.WithTime(epoch.Add(now), c.terms.Rate/n, c.terms.Size/n)
 	if a.static.Whole() < 1 {
 		return Refused, r.refuse(now, mark, a)
 	}
@@ -153,7 +155,7 @@
 	for _, mark := range marks {
 		r.wanted.Delete(mark)
 		a, ok := r.accounts.Get(mark)
-		c, limited := r.customers[mark]
+		c, limited := r.customer(mark)
 		if !ok || !limited {
 			continue
 		}
@@ -292,7 +294,7 @@
 }
 
 func (r *Rationer) tickAccount(now time.Duration, mark uint64, a *account) {
-	if _, ok := r.customers[mark]; !ok {
+	if _, ok := r.limited[mark]; !ok {
 		for _, w := range a.waiting {
 			r.resolve(Resolved{w.arrived, Permitted, 0})
 		}
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -94,9 +94,12 @@
 	rule Rule
 	self string
 	// now is the latest uptime that was passed to a method.
-	now       time.Duration
-	customers map[uint64]customer
-	view      View
+	now time.Duration
+	// listed holds the customers of the routing, and limited the position of each one that has a
+	// limit.
+	listed  []declarer.Customer
+	limited map[uint64]int32
+	view    View
 	// grantors holds the grantor of each slot. They are empty if none is known.
 	grantors [slotCount]descriptor.Member
 	// fleet is the largest number of instances known in the last two pledge lives, and lowerSince
@@ -157,21 +160,31 @@
 	return r.now
 }
 
-// SetLimits puts the limits of a routing in force.
+// SetLimits puts the limits of a routing in force. The list must not change afterwards.
 func (r *Rationer) SetLimits(list []declarer.Customer) {
-	r.customers = make(map[uint64]customer)
+	r.listed, r.limited = list, make(map[uint64]int32)
 	if !r.rule.Enabled() {
 		return
 	}
-	for _, c := range list {
+	for i, c := range list {
 		if c.Rate > 0 {
-			r.customers[descriptor.MarkOf(c.Name)] = customer{c.Name, TermsFor(r.rule, Limit{Rate: c.Rate, Burst: c.Burst})}
+			r.limited[descriptor.MarkOf(c.Name)] = int32(i)
 		}
 	}
 }
 
+// customer returns the customer with a mark, or false if it has no limit.
+func (r *Rationer) customer(mark uint64) (customer, bool) {
+	i, ok := r.limited[mark]
+	if !ok {
+		return customer{}, false
+	}
+	c := r.listed[i]
+	return customer{c.Name, TermsFor(r.rule, Limit{Rate: c.Rate, Burst: c.Burst})}, true
+}
+
 // Active reports whether any customer has a limit.
-func (r *Rationer) Active() bool { return len(r.customers) > 0 }
+func (r *Rationer) Active() bool { return len(r.limited) > 0 }
 
 // Waiting returns the number of requests that wait for a permit.
 func (r *Rationer) Waiting() int { return r.waiting.Len() }
@@ -354,7 +367,7 @@
 	reply := descriptor.QuotaGrant{Stamp: m.Stamp}
 	r.held.advance(now)
 	for _, d := range m.List {
-		c, ok := r.customers[d.Mark]
+		c, ok := r.customer(d.Mark)
 		slot := slotOf(d.Mark)
 		if !ok || r.held.own&slotSet(slot) == 0 {
 			continue
@@ -406,8 +419,9 @@
 	r.held.advance(now)
 	var full []uint64
 	for mark, b := range r.buckets.All {
-		s, t := &r.held.bySlot[slotOf(mark)], r.customers[mark].terms
-		if b = s.fill(b, t); b.Left() >= t.Size*s.part {
+		s := &r.held.bySlot[slotOf(mark)]
+		c, _ := r.customer(mark)
+		if b = s.fill(b, c.terms); b.Left() >= c.terms.Size*s.part {
 			full = append(full, mark)
 		}
 	}
