Quotas: what buckets lose with a share stays lost; unit tests

Cause: a unit test found that a bucket which was not used while a share was elsewhere kept what it had earned above the lower cap, so that a returned share was worth up to its part of the bucket again. Change: a slot keeps the last 16 changes of its part, and a bucket is filled from one to the next with the cap of that time. The replays no longer pause between two changes.

--- a/decider/quota_test.go
+++ b/decider/quota_test.go
@@ -85,7 +85,7 @@
 	f.next++
 	e := descriptor.Arrived{
 		At: f.now, Request: f.next, Service: "ledger", Class: "r0", Caller: "c", Fingerprint: uint64(f.next),
-		Customer: customer, Deadline: f.now.Add(2 * time.Second),
+		Customer: customer, Deadline: f.now.Add(2 * time.Second), Uptime: f.uptimeOf(id),
 	}
 	f.arrived[f.next] = e
 	f.step(id, e)
@@ -238,6 +238,44 @@
 	asserter.Equal(t, "returned", f.counts["entry-0"].Returned, uint64(1))
 }
 
+// TestSuspendedHolder guards against permits that are used after a suspension of the machine, which
+// the monotonic clock leaves out.
+func TestSuspendedHolder(t *testing.T) {
+	f := newQuotaFleet(6, 6, quotaCustomers...)
+	start, suspended := f.now, time.Duration(0)
+	f.uptime = func(id string) time.Duration {
+		if id == f.order[0] {
+			return time.Hour + f.now.Sub(start) + suspended
+		}
+		return 2*time.Hour + f.now.Sub(start)
+	}
+	f.run(quotaReady)
+	id := f.order[0]
+	for range 40 {
+		f.request(id, "large")
+		f.run(routedTick)
+	}
+	for _, suspend := range []bool{false, true} {
+		t.Run(fmt.Sprintf("suspended: %v", suspend), func(t *testing.T) {
+			// Many at once, so that permits are asked ahead.
+			for range 20 {
+				f.request(id, "large")
+			}
+			f.run(routedTick)
+			f.cut = func(from, _ string) bool { return from == id }
+			if suspend {
+				suspended += time.Hour
+			}
+			ran := len(f.ran["large"])
+			f.request(id, "large")
+			asserter.Equal(t, "ran at once", len(f.ran["large"]) > ran, !suspend)
+			f.run(time.Second)
+			f.cut = nil
+			f.run(quotaReady)
+		})
+	}
+}
+
 // TestLoweredLimit guards against a lowered limit that is not binding one window later.
 func TestLoweredLimit(t *testing.T) {
 	f := newQuotaFleet(5, 6, quotaCustomers...)
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -32,6 +32,8 @@
 	routing func(version uint64) declarer.Routing
 	// quotas is the rule for the limits of customers.
 	quotas rationer.Rule
+	// uptime returns the uptime of an instance, or is nil if events have none.
+	uptime func(id string) time.Duration
 	// clock is the incarnation of instances that are added.
 	clock int64
 	// partitioned holds the instances whose messages are dropped while their links
@@ -196,7 +198,7 @@
 			continue
 		}
 		if f.instances[m.to] != nil && !f.partitioned[m.from] && !f.partitioned[m.to] {
-			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message})
+			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message, Uptime: f.uptimeOf(m.to)})
 		}
 	}
 }
@@ -212,11 +214,18 @@
 			if f.watches[id] && !f.storeDown && f.ticks%6 == 0 {
 				f.read(id, f.version)
 			}
-			f.step(id, descriptor.Ticked{At: f.now})
+			f.step(id, descriptor.Ticked{At: f.now, Uptime: f.uptimeOf(id)})
 		}
 	}
 }
 
+func (f *routedFleet) uptimeOf(id string) time.Duration {
+	if f.uptime == nil {
+		return 0
+	}
+	return f.uptime(id)
+}
+
 // watching returns the number of instances that watch the store.
 func (f *routedFleet) watching() int {
 	n := 0
--- a/rationer/replay_test.go
+++ b/rationer/replay_test.go
@@ -76,8 +76,6 @@
 			}
 		}
 	}
-	// Requests that wait are decided.
-	r.advance(r.now + maxWait + 2*testTick)
 }
 
 // poisson returns a random number with a small mean.
@@ -92,6 +90,8 @@
 // check reports the share of what limits allow that was served, and what ran in windows.
 func (r *replay) check(t *testing.T, customers []declarer.Customer) {
 	t.Helper()
+	// Requests that wait are decided.
+	r.advance(r.now + maxWait + 2*testTick)
 	served, allowed, least, worst := 0, 0, math.Inf(1), 0.0
 	for _, c := range customers {
 		served += min(len(r.ran[c.Name]), r.allowed[c.Name])
@@ -196,7 +196,7 @@
 				for i := range at {
 					at[i] = r.nodes[r.random.IntN(replayNodes)]
 				}
-				r.play(500*time.Millisecond-maxWait-2*testTick, streams)
+				r.play(500*time.Millisecond, streams)
 			}
 			r.check(t, customers)
 		})
@@ -269,3 +269,22 @@
 		})
 	}
 }
+
+// TestRollingRestart guards against requests below the limits that are refused because instances
+// that are no grantors start again one after the other.
+func TestRollingRestart(t *testing.T) {
+	customers := replayCustomers()
+	r := newReplay(6, customers...)
+	var streams []stream
+	for _, c := range customers {
+		streams = append(streams, stream{customer: c, rate: 0.8 * c.Rate, at: func(f *testFleet) *node { return f.nodes[f.random.IntN(replayCallers)] }})
+	}
+	const interval, down = 250 * time.Millisecond, time.Second
+	for i := range int(replaySpan / interval) {
+		p := r.nodes[replayCallers+i]
+		r.start(p)
+		p.frozen = r.now + down
+		r.play(interval, streams)
+	}
+	r.check(t, customers)
+}
--- a/rationer/shares.go
+++ b/rationer/shares.go
@@ -103,25 +103,43 @@
 	// full is the integral of part over time: the time in which whole limits would have given the
 	// same number of permits.
 	full time.Duration
-	// lossFull is the value of full at which shares were lost, and lossPart the part that was left
-	// then; 1 if none were.
-	lossFull time.Duration
-	lossPart float64
+	// changes holds the last changes of part, oldest first.
+	changes []change
 }
 
-// lossMemory is the time after which an earlier loss counts no more when shares are lost again.
-const lossMemory = time.Minute
+// change is a change of the part of a slot. At that time, no bucket held more than least of its size.
+type change struct {
+	full  time.Duration
+	least float64
+}
+
+const (
+	// maxChanges bounds the changes that are kept one by one. The oldest ones are merged.
+	maxChanges = 16
+	// changeMemory is the time after which buckets have filled again since a change.
+	changeMemory = 5 * time.Minute
+)
 
-// setPart puts another part in force, and records if shares were lost.
+// setPart puts another part in force.
 func (s *slotState) setPart(part float64) {
-	if part < s.part {
-		least := part
-		if s.full-s.lossFull < lossMemory {
-			least = min(part, s.lossPart)
-		}
-		s.lossFull, s.lossPart = s.full, least
+	if part == s.part {
+		return
 	}
+	next := change{s.full, min(part, s.part)}
 	s.part = part
+	last := len(s.changes) - 1
+	if last >= 0 && s.changes[last].full == next.full {
+		s.changes[last].least = min(s.changes[last].least, next.least)
+		return
+	}
+	s.changes = append(s.changes, next)
+	if len(s.changes) <= maxChanges {
+		return
+	}
+	if s.changes[1].full-s.changes[0].full < changeMemory {
+		s.changes[1].least = min(s.changes[0].least, s.changes[1].least)
+	}
+	s.changes = append(s.changes[:0], s.changes[1:]...)
 }
 
 // epoch is the time of a bucket at which nothing could be granted yet.
@@ -129,8 +147,10 @@
 
 // fill returns the bucket of a customer with what may be granted now.
 func (s *slotState) fill(b limiter.Bucket, t Terms) limiter.Bucket {
-	if at := epoch.Add(s.lossFull); s.lossPart < 1 && !b.At().After(at) {
-		b = b.WithTime(at, t.Rate, t.Size*s.lossPart)
+	for _, c := range s.changes {
+		if at := epoch.Add(c.full); !b.At().After(at) {
+			b = b.WithTime(at, t.Rate, t.Size*c.least)
+		}
 	}
 	return b.WithTime(epoch.Add(s.full), t.Rate, t.Size*s.part)
 }
@@ -184,7 +204,7 @@
 	changed := own ^ h.own
 	h.own = own
 	for slot := range changed.all {
-		h.bySlot[slot] = slotState{since: since, lossPart: 1}
+		h.bySlot[slot] = slotState{since: since}
 	}
 	for i := range h.byMember.Len() {
 		_, p := h.byMember.At(i)
