Quotas: the own share of a freed slot starts empty; half of the surplus in reserve

Cause: a request takes its permit before it waits for a backend server, so that what runs after a wait needs more reserve than a third of what the rule allows beyond the limit. Change: reservedPart is 0.5; a freed slot keeps the time of that. The model also checks that none of the reserve is used.

--- a/rationer/model_test.go
+++ b/rationer/model_test.go
@@ -192,6 +192,7 @@
 			got := float64(m.worst(c.Name))
 			worst[c.Name] = max(worst[c.Name], got/bound)
 			asserter.AtMost(t, fmt.Sprintf("seed %d: requests of %s in a window", seed, c.Name), got, bound)
+			asserter.AtMost(t, fmt.Sprintf("seed %d: requests of %s beside the reserve", seed, c.Name), got, unreserved(c))
 		}
 	}
 	for _, c := range modelCustomers {
@@ -199,6 +200,14 @@
 	}
 }
 
+// unreserved returns how many requests may run in a window if none of the reserve is used. Fractions of
+// a permit may be used where shares come together, and lower limits have slightly longer lives.
+func unreserved(c declarer.Customer) float64 {
+	terms := TermsFor(standardRule, Limit{Rate: c.Rate, Burst: c.Burst})
+	lower := TermsFor(standardRule, Limit{Rate: c.Rate / 2, Burst: c.Burst / 4})
+	return terms.Size + terms.Rate*(standardRule.Window+max(terms.Life, lower.Life)).Seconds() + 1
+}
+
 // TestQuotaModelFindsFaults guards against a model that no fault can break.
 func TestQuotaModelFindsFaults(t *testing.T) {
 	for name, fault := range map[string]func(*quotaModel){
--- a/rationer/shares.go
+++ b/rationer/shares.go
@@ -50,7 +50,7 @@
 }
 
 // gift is a share of one slot that was given to a grantor, until the given time on the clock of the
-// giver. stamp is that of the demand for it.
+// giver. stamp is that of the demand for it. to is empty after the grantor has freed it.
 type gift struct {
 	to    string
 	until time.Duration
@@ -68,7 +68,7 @@
 		last := &g.bySlot[slot]
 		set := slotSet(slot)
 		if last.to == from && wanted&set == 0 && stamp > last.stamp {
-			*last = gift{}
+			*last = gift{until: now}
 		}
 		taken := now < last.until && (last.to != from || stamp <= last.stamp)
 		if wanted&own&set != 0 && !taken && now >= g.notBefore {
--- a/rationer/terms.go
+++ b/rationer/terms.go
@@ -41,7 +41,7 @@
 	// reservedPart is the part of what the rule allows beyond the limit that is not used. It
 	// covers instances that others don't know yet, and requests that wait at this instance after
 	// they took a permit.
-	reservedPart = 1.0 / 3
+	reservedPart = 0.5
 )
 
 // Terms are how the permits of a customer are granted. Permits that are used in a window were
