--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -13,6 +13,7 @@
 	"monsoonswitch/limiter"
 	"monsoonswitch/messenger"
 	"monsoonswitch/picker"
+	"monsoonswitch/rationer"
 )
 
 // routedFleet runs deciders whose services are declared by a routing, in memory and with a
@@ -29,6 +30,10 @@
 	version, revision uint64
 	// routing returns the routing of a version.
 	routing func(version uint64) declarer.Routing
+	// quotas is the rule for the limits of customers.
+	quotas rationer.Rule
+	// uptime returns the uptime of an instance, or is nil if events have none.
+	uptime func(id string) time.Duration
 	// clock is the incarnation of instances that are added.
 	clock int64
 	// partitioned holds the instances whose messages are dropped while their links
@@ -89,7 +94,7 @@
 
 func (f *routedFleet) addWithCapacity(id, domain string, capacity int32) {
 	self := descriptor.Member{ID: id, Incarnation: f.clock, Domain: domain, Public: id + ":80", Inner: id + ":81", Capacity: capacity}
-	f.instances[id] = New[detector.Evidence, detector.Sequential, picker.HighestScore, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true}, f.now)
+	f.instances[id] = New[detector.Evidence, detector.Sequential, picker.HighestScore, limiter.Bounded](Options{Self: self, Seed: 1, Routing: true, Quotas: f.quotas, Seeded: f.quotas.Enabled()}, f.now)
 	if !slices.Contains(f.order, id) {
 		f.order = append(f.order, id)
 	}
@@ -193,7 +198,7 @@
 			continue
 		}
 		if f.instances[m.to] != nil && !f.partitioned[m.from] && !f.partitioned[m.to] {
-			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message})
+			f.step(m.to, descriptor.Received{At: f.now, From: m.from, Message: m.message, Uptime: f.uptimeOf(m.to)})
 		}
 	}
 }
@@ -209,11 +214,18 @@
 			if f.watches[id] && !f.storeDown && f.ticks%6 == 0 {
 				f.read(id, f.version)
 			}
-			f.step(id, descriptor.Ticked{At: f.now})
+			f.step(id, descriptor.Ticked{At: f.now, Uptime: f.uptimeOf(id)})
 		}
 	}
 }
 
+func (f *routedFleet) uptimeOf(id string) time.Duration {
+	if f.uptime == nil {
+		return 0
+	}
+	return f.uptime(id)
+}
+
 // watching returns the number of instances that watch the store.
 func (f *routedFleet) watching() int {
 	n := 0
--- a/rationer/model_test.go
+++ b/rationer/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -62,7 +63,7 @@
 // step changes one thing at random.
 func (m *quotaModel) step() {
 	p := m.nodes[m.random.IntN(len(m.nodes))]
-	switch m.random.IntN(12) {
+	switch m.random.IntN(13) {
 	case 0:
 		m.partition()
 	case 1:
@@ -94,12 +95,32 @@
 		}
 	case 10:
 		m.notRun = []float64{0, 0, 0.5}[m.random.IntN(3)]
+	case 11:
+		m.changeLimits()
 	default:
 		// A quiet time fills the buckets.
 		m.advance(m.now + time.Duration(m.random.Int64N(int64(8*time.Second))))
 	}
 }
 
+// changeLimits has some instances use lower limits than the others, or all use the highest.
+func (m *quotaModel) changeLimits() {
+	lower := slices.Clone(modelCustomers)
+	for i := range lower {
+		lower[i].Rate /= 2
+		lower[i].Burst /= 4
+	}
+	back := m.random.IntN(2) == 0
+	for _, p := range m.nodes {
+		switch {
+		case back:
+			p.SetLimits(modelCustomers)
+		case m.random.IntN(2) == 0:
+			p.SetLimits(lower)
+		}
+	}
+}
+
 func (m *quotaModel) partition() {
 	m.cut = make(map[[2]string]bool)
 	side := make(map[string]bool)
@@ -154,7 +175,7 @@
 
 // TestQuotaModel guards against more requests of a customer in a window than the rule allows, in
 // random schedules of lost, late and reordered messages, partitions, frozen and restarted
-// instances, and different views of the fleet.
+// instances, different views of the fleet, and changes of limits to at most those that are checked.
 func TestQuotaModel(t *testing.T) {
 	worst := make(map[string]float64)
 	ran, span := make(map[string]int), time.Duration(0)
@@ -171,6 +192,7 @@
 			got := float64(m.worst(c.Name))
 			worst[c.Name] = max(worst[c.Name], got/bound)
 			asserter.AtMost(t, fmt.Sprintf("seed %d: requests of %s in a window", seed, c.Name), got, bound)
+			asserter.AtMost(t, fmt.Sprintf("seed %d: requests of %s beside the reserve", seed, c.Name), got, unreserved(c))
 		}
 	}
 	for _, c := range modelCustomers {
@@ -178,6 +200,14 @@
 	}
 }
 
+// unreserved returns how many requests may run in a window if none of the reserve is used. Fractions of
+// a permit may be used where shares come together, and lower limits have slightly longer lives.
+func unreserved(c declarer.Customer) float64 {
+	terms := TermsFor(standardRule, Limit{Rate: c.Rate, Burst: c.Burst})
+	lower := TermsFor(standardRule, Limit{Rate: c.Rate / 2, Burst: c.Burst / 4})
+	return terms.Size + terms.Rate*(standardRule.Window+max(terms.Life, lower.Life)).Seconds() + 1
+}
+
 // TestQuotaModelFindsFaults guards against a model that no fault can break.
 func TestQuotaModelFindsFaults(t *testing.T) {
 	for name, fault := range map[string]func(*quotaModel){
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -27,7 +27,8 @@
 	// not asked again. Shorter ones cost a message for each refused request.
 	minEmptyTime = 20 * time.Millisecond
 	maxEmptyTime = 200 * time.Millisecond
-	// countInterval is the time between two counts of the shares that are held.
+	// countInterval is the time between two counts of the shares that are held, each of which reads
+	// the list of members.
 	countInterval = 50 * time.Millisecond
 	// sweepInterval is the time between two searches for state that is no longer needed, and
 	// idleTime the time without arrivals after which a customer's is not.
@@ -93,15 +94,21 @@
 	rule Rule
 	self string
 	// now is the latest uptime that was passed to a method.
-	now       time.Duration
-	customers map[uint64]customer
-	view      View
+	now time.Duration
+	// listed holds the customers of the routing, and limited the position of each one that has a
+	// limit.
+	listed  []declarer.Customer
+	limited map[uint64]int32
+	view    View
 	// grantors holds the grantor of each slot. They are empty if none is known.
 	grantors [slotCount]descriptor.Member
 	// fleet is the largest number of instances known in the last two pledge lives, and lowerSince
 	// the time since which fewer are known, or negative.
 	fleet      int
 	lowerSince time.Duration
+	// heardFleet is the largest number that others told in that time, last at heardAt.
+	heardFleet int
+	heardAt    time.Duration
 	given      *given
 	// held holds the shares that this instance was given as a grantor, and buckets the customers
 	// of its slots whose bucket may not be full.
@@ -113,7 +120,8 @@
 	wanted    *container.Table[uint64, bool]
 	taken     *container.Table[descriptor.RequestID, permit]
 	lastStamp int64
-	waiting   int
+	// waiting holds the customer of each request that waits.
+	waiting   *container.Table[descriptor.RequestID, uint64]
 	countedAt time.Duration
 	sweptAt   time.Duration
 	silentAt  time.Duration
@@ -134,6 +142,7 @@
 		open:     container.NewTable[string, int64](),
 		wanted:   container.NewTable[uint64, bool](),
 		taken:    container.NewTable[descriptor.RequestID, permit](),
+		waiting:  container.NewTable[descriptor.RequestID, uint64](),
 	}
 }
 
@@ -151,24 +160,34 @@
 	return r.now
 }
 
-// SetLimits puts the limits of a routing in force.
+// SetLimits puts the limits of a routing in force. The list must not change afterwards.
 func (r *Rationer) SetLimits(list []declarer.Customer) {
-	r.customers = make(map[uint64]customer)
+	r.listed, r.limited = list, make(map[uint64]int32)
 	if !r.rule.Enabled() {
 		return
 	}
-	for _, c := range list {
+	for i, c := range list {
 		if c.Rate > 0 {
-			r.customers[descriptor.MarkOf(c.Name)] = customer{c.Name, TermsFor(r.rule, Limit{Rate: c.Rate, Burst: c.Burst})}
+			r.limited[descriptor.MarkOf(c.Name)] = int32(i)
 		}
 	}
 }
 
+// customer returns the customer with a mark, or false if it has no limit.
+func (r *Rationer) customer(mark uint64) (customer, bool) {
+	i, ok := r.limited[mark]
+	if !ok {
+		return customer{}, false
+	}
+	c := r.listed[i]
+	return customer{c.Name, TermsFor(r.rule, Limit{Rate: c.Rate, Burst: c.Burst})}, true
+}
+
 // Active reports whether any customer has a limit.
-func (r *Rationer) Active() bool { return len(r.customers) > 0 }
+func (r *Rationer) Active() bool { return len(r.limited) > 0 }
 
 // Waiting returns the number of requests that wait for a permit.
-func (r *Rationer) Waiting() int { return r.waiting }
+func (r *Rationer) Waiting() int { return r.waiting.Len() }
 
 // Counts returns the numbers of decisions since the start.
 func (r *Rationer) Counts() descriptor.QuotaCounts { return r.counts }
@@ -245,6 +264,22 @@
 	}
 }
 
+// hearFleet records the number of instances that another instance knows. One that started again in
+// a part of the fleet does not know the rest of it.
+func (r *Rationer) hearFleet(now time.Duration, n int) {
+	if n >= r.heardFleet || now-r.heardAt > 2*pledgeLife {
+		r.heardFleet, r.heardAt = n, now
+	}
+}
+
+// divisor returns the number of instances among which limits are divided.
+func (r *Rationer) divisor(now time.Duration) int {
+	if now-r.heardAt > 2*pledgeLife {
+		return max(1, r.fleet)
+	}
+	return max(1, r.fleet, r.heardFleet)
+}
+
 // grantorOf returns which of the candidates is the grantor of a slot, or an empty member if there
 // are none.
 func grantorOf(slot int, candidates []descriptor.Member) descriptor.Member {
@@ -293,7 +328,7 @@
 
 // poll asks an instance for its share.
 func (r *Rationer) poll(now time.Duration, m descriptor.Member) {
-	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own)}
+	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own), Fleet: r.fleet}
 	if m.ID != r.self {
 		r.send(m, demand)
 		return
@@ -309,6 +344,7 @@
 	if r.view.Ready {
 		own = r.slotsOf(from)
 	}
+	r.hearFleet(now, m.Fleet)
 	got := r.given.give(now, from, m.Stamp, slots(m.Slots), own)
 	return descriptor.QuotaGrant{Stamp: m.Stamp, Slots: uint64(got), Fleet: r.fleet}, got != 0
 }
@@ -331,7 +367,7 @@
 	reply := descriptor.QuotaGrant{Stamp: m.Stamp}
 	r.held.advance(now)
 	for _, d := range m.List {
-		c, ok := r.customers[d.Mark]
+		c, ok := r.customer(d.Mark)
 		slot := slotOf(d.Mark)
 		if !ok || r.held.own&slotSet(slot) == 0 {
 			continue
@@ -364,18 +400,18 @@
 
 // tickHeld counts the shares that this instance holds and asks for those of others.
 func (r *Rationer) tickHeld(now time.Duration) {
-	if !r.Active() {
+	if !r.Active() || now-r.countedAt < countInterval {
 		return
 	}
-	if now-r.countedAt >= countInterval {
-		r.countedAt = now
-		r.held.count(now, r.fleet)
-	}
+	r.countedAt = now
 	for _, m := range r.view.Members {
 		if r.held.mustPoll(now, m.ID) {
 			r.poll(now, m)
 		}
 	}
+	if r.held.own != 0 {
+		r.held.count(now, r.divisor(now))
+	}
 }
 
 // sweep removes full buckets and customers without arrivals.
@@ -383,8 +419,9 @@
 	r.held.advance(now)
 	var full []uint64
 	for mark, b := range r.buckets.All {
-		s, t := &r.held.bySlot[slotOf(mark)], r.customers[mark].terms
-		if b = s.fill(b, t); b.Left() >= t.Size*s.part {
+		s := &r.held.bySlot[slotOf(mark)]
+		c, _ := r.customer(mark)
+		if b = s.fill(b, c.terms); b.Left() >= c.terms.Size*s.part {
 			full = append(full, mark)
 		}
 	}
