Quotas: a start of all instances does not wait for pledges that no one holds

Cause: after a start of all instances at once, customers with a limit got 429 for 3.5 s, because each instance waited for the end of what its former incarnation might have given. The number of instances was overestimated for 6 s after a member returned, because the share that is heard of was older. Change: demands for shares and their answers tell that an instance has just started. A grantor that gets this answer from all instances that it knows within 0.4 s tells them, and they give their shares.

--- a/decider/quota.go
+++ b/decider/quota.go
@@ -83,9 +83,11 @@
 	if !d.quotas.Active() {
 		return
 	}
+	// The number of members may have changed since the share that is heard of was computed.
+	d.updateHeard()
 	v := rationer.View{
 		Callers: d.index.Get(callersRole),
-		Fleet:   int(math.Ceil(float64(d.index.Members()) / d.heard)),
+		Fleet:   int(math.Round(float64(d.index.Members()) / d.heard)),
 		Ready:   d.membersKnown && !d.shutdown.started && (d.index.Members() > 1 || !d.options.Seeded),
 	}
 	for _, m := range d.gossiper.Members() {
--- a/decider/quota_test.go
+++ b/decider/quota_test.go
@@ -314,6 +314,21 @@
 	asserter.AtMost(t, "refused", float64(refused), 0.05*float64(f.next-before))
 }
 
+// TestQuotaAfterFullStart guards against shares that stay idle for seconds after all instances have
+// started at once.
+func TestQuotaAfterFullStart(t *testing.T) {
+	f := newQuotaFleet(8, 6, quotaCustomers...)
+	for _, id := range f.order {
+		f.restart(id)
+	}
+	for _, id := range f.order {
+		f.read(id, f.version)
+	}
+	f.run(2500 * time.Millisecond)
+	f.play(quotaRule.Window, 0.5)
+	asserter.AtMost(t, "refused", float64(len(f.refused)), 0.05*float64(f.next))
+}
+
 // TestQuotaSchedules guards against more requests in a window than the rule allows, in random
 // schedules of cuts and restarts with the membership of the fleet itself. Not covered are parts of
 // two or more instances that all start again while they are cut off from the others; see
--- a/descriptor/quota.go
+++ b/descriptor/quota.go
@@ -17,8 +17,10 @@
 	// Slots holds, if List is empty, a bit for each slot of customers whose quotas the sender
 	// grants. It uses no share of the others that it was given before.
 	Slots uint64 `cbor:",omitempty"`
-	// Fleet is, if List is empty, the number of instances that the sender knows.
+	// Fleet is, if List is empty, the number of instances that the sender knows. Fresh is set if
+	// all of them have just started, so that no former grantor still uses shares.
 	Fleet int              `cbor:",omitempty"`
+	Fresh bool             `cbor:",omitempty"`
 	List  []CustomerDemand `cbor:",omitempty"`
 }
 
@@ -38,10 +40,12 @@
 	// Stamp is that of the demand.
 	Stamp int64
 	// Slots holds the slots of which the sender gives its share of all limits to the receiver, and
-	// Fleet is the number of instances that it knows.
+	// Fleet is the number of instances that it knows. Fresh is set if it gives nothing because it
+	// has just started.
 	Slots uint64 `cbor:",omitempty"`
 	Fleet int    `cbor:",omitempty"`
-	// List is empty if Slots is set.
+	Fresh bool   `cbor:",omitempty"`
+	// List is empty if Slots or Fresh is set.
 	List []CustomerGrant `cbor:",omitempty"`
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -41,8 +41,8 @@
 		descriptor.Outcomes{Service: "s", List: []descriptor.BackendOutcomes{{Mark: descriptor.MarkOf("b"), Before: 2, Bad: 1, After: 1}, {Mark: 1 << 63, Late: 1, Reported: true, Work: 0, Age: 40, Leaving: true}}, Local: true},
 		descriptor.SuspicionList{Origin: "a", Incarnation: 1, Sequence: 2, Service: "s", List: []descriptor.Suspicion{{Mark: descriptor.MarkOf("b"), Gray: 0.2}}, Leaving: []uint64{descriptor.MarkOf("c")}},
 		descriptor.ClockStamp{Stamp: 1 << 40},
-		descriptor.QuotaDemand{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, List: []descriptor.CustomerDemand{{Mark: 1 << 63, Permits: 3, Ahead: 1}}},
-		descriptor.QuotaGrant{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, List: []descriptor.CustomerGrant{{Mark: 1 << 63, Permits: 2, Life: 500, Wait: 40}}},
+		descriptor.QuotaDemand{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, Fresh: true, List: []descriptor.CustomerDemand{{Mark: 1 << 63, Permits: 3, Ahead: 1}}},
+		descriptor.QuotaGrant{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, Fresh: true, List: []descriptor.CustomerGrant{{Mark: 1 << 63, Permits: 2, Life: 500, Wait: 40}}},
 		descriptor.Drain{Service: "s", Backend: "b"},
 		descriptor.KeyHandover{Instance: "a", Incarnation: 1, Keys: []descriptor.KeyRecord{{Key: "k", State: 1, Holder: "b"}}, Last: true, Total: 1, Issuers: []descriptor.KeyIssuer{{Instance: "c", Incarnation: 2, Floor: 3}}},
 	}
--- a/rationer/holder.go
+++ b/rationer/holder.go
@@ -189,10 +189,16 @@
 	now = r.setTime(now)
 	if m.Slots != 0 {
 		r.hearFleet(now, m.Fleet)
+		delete(r.fresh, from)
 		until := time.Duration(m.Stamp)*time.Microsecond + pledgeLife
 		r.held.receive(now, from, pledge{until: until, stamp: m.Stamp, slots: slots(m.Slots), fleet: m.Fleet}, r.lastStamp)
 		return
 	}
+	if m.Fresh {
+		r.hearFleet(now, m.Fleet)
+		r.fresh[from] = time.Duration(m.Stamp) * time.Microsecond
+		return
+	}
 	f, ok := r.flights.Get(m.Stamp)
 	if !ok || f.to != from {
 		return
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -34,6 +34,9 @@
 	// idleTime the time without arrivals after which a customer's is not.
 	sweepInterval = 5 * time.Second
 	idleTime      = 5 * time.Minute
+	// freshTime is the time for which an instance that had just started counts as such. It is
+	// shorter than the time in which one can give its share and start again.
+	freshTime = 400 * time.Millisecond
 	// noteInterval is the time between two log events about refusals of a customer.
 	noteInterval = time.Minute
 )
@@ -127,15 +130,20 @@
 	countedAt time.Duration
 	sweptAt   time.Duration
 	silentAt  time.Duration
-	counts    descriptor.QuotaCounts
-	actions   []descriptor.Action
-	resolved  []Resolved
+	// fresh holds when this instance asked those that answered that they had just started.
+	fresh map[string]time.Duration
+	// freshUntil is the time until which it tells them that all have.
+	freshUntil time.Duration
+	counts     descriptor.QuotaCounts
+	actions    []descriptor.Action
+	resolved   []Resolved
 }
 
 // New returns the rationer of an instance that starts at now.
 func New(self string, rule Rule, now time.Duration) *Rationer {
 	return &Rationer{
 		rule: rule, self: self, now: now, lowerSince: -1, silentAt: -noteInterval,
+		fresh:    make(map[string]time.Duration),
 		given:    newGiven(now),
 		held:     newHeld(now),
 		buckets:  container.NewTable[uint64, limiter.Bucket](),
@@ -331,7 +339,7 @@
 
 // poll asks an instance for its share.
 func (r *Rationer) poll(now time.Duration, m descriptor.Member) {
-	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own), Fleet: r.fleet}
+	demand := descriptor.QuotaDemand{Stamp: r.nextStamp(now), Slots: uint64(r.held.own), Fleet: r.fleet, Fresh: r.allFresh(now)}
 	if m.ID != r.self {
 		r.send(m, demand)
 		return
@@ -343,13 +351,36 @@
 
 // answerPoll gives this instance's share to a grantor.
 func (r *Rationer) answerPoll(now time.Duration, from string, m descriptor.QuotaDemand) (descriptor.QuotaGrant, bool) {
-	var own slots
-	if r.view.Ready {
-		own = r.slotsOf(from)
-	}
 	r.hearFleet(now, m.Fleet)
-	got := r.given.give(now, from, m.Stamp, slots(m.Slots), own)
-	return descriptor.QuotaGrant{Stamp: m.Stamp, Slots: uint64(got), Fleet: r.fleet}, got != 0
+	if !r.view.Ready {
+		r.given.give(now, from, m.Stamp, slots(m.Slots), 0)
+		return descriptor.QuotaGrant{}, false
+	}
+	if m.Fresh && m.Fleet == r.fleet {
+		r.given.notBefore = min(r.given.notBefore, now)
+	}
+	got := r.given.give(now, from, m.Stamp, slots(m.Slots), r.slotsOf(from))
+	fresh := now < r.given.notBefore
+	return descriptor.QuotaGrant{Stamp: m.Stamp, Slots: uint64(got), Fleet: r.fleet, Fresh: fresh}, got != 0 || fresh
+}
+
+// allFresh reports whether all instances of the fleet have told this one, which has just started
+// too, that they have just started. Then no former grantor still uses shares, and nobody needs to
+// wait for the end of pledges.
+func (r *Rationer) allFresh(now time.Duration) bool {
+	if now < r.freshUntil {
+		return true
+	}
+	if now >= r.given.notBefore || !r.view.Ready || len(r.view.Members) < 2 || r.divisor(now) != len(r.view.Members) {
+		return false
+	}
+	for _, m := range r.view.Members {
+		if at, ok := r.fresh[m.ID]; !ok || now-at > freshTime {
+			return false
+		}
+	}
+	r.freshUntil = now + freshTime
+	return true
 }
 
 // HandleDemand answers a demand of another instance.
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -207,3 +207,55 @@
 		}
 	})
 }
+
+// TestFullStart guards against refusals after a start of all instances at once that last as long as
+// after the start of one.
+func TestFullStart(t *testing.T) {
+	part := func(f *testFleet) float64 {
+		least := 1.0
+		for slot := range slotCount {
+			g := f.byID[f.nodes[0].grantors[slot].ID]
+			least = min(least, g.held.bySlot[slot].part)
+		}
+		return least
+	}
+	t.Run("all instances give their shares at once", func(t *testing.T) {
+		f := newTestFleet(1, 12, 8)
+		f.limit()
+		f.advance(time.Second)
+		asserter.AtLeast(t, "least part of a slot", part(f), 0.999)
+	})
+	t.Run("one that has not started with them prevents that", func(t *testing.T) {
+		f := newTestFleet(1, 12, 8)
+		f.limit()
+		f.nodes[3].given.notBefore = 0
+		f.advance(time.Second)
+		asserter.AtMost(t, "least part of a slot", part(f), 1.0/12+1e-9)
+	})
+	t.Run("one that is not heard of prevents that", func(t *testing.T) {
+		f := newTestFleet(1, 12, 8)
+		f.limit()
+		f.nodes[3].frozen = time.Hour
+		f.advance(time.Second)
+		asserter.AtMost(t, "least part of a slot", part(f), 0)
+	})
+	t.Run("a single one that starts waits", func(t *testing.T) {
+		f := newTestFleet(1, 12, 8)
+		f.limit()
+		f.advance(10 * time.Second)
+		p := f.nodes[3]
+		f.start(p)
+		f.advance(f.now + startWait - 2*testTick)
+		asserter.Equal(t, "gave to itself", p.given.bySlot[slotOf(0)].until, time.Duration(0))
+		f.advance(f.now + time.Second)
+		asserter.AtLeast(t, "least part of a slot", part(f), 0.999)
+	})
+}
+
+// limit gives a customer a limit.
+func (f *testFleet) limit() {
+	f.customers = []declarer.Customer{{Name: "c", Rate: 306, Burst: 306}}
+	for _, p := range f.nodes {
+		p.SetLimits(f.customers)
+	}
+}
