--- a/decider/customers.go
+++ b/decider/customers.go
@@ -1,8 +1,12 @@
 package decider
 
 import (
+	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 )
@@ -20,6 +24,9 @@
 	// startTime is the time that a starting instance has to hear of a proof before it queries the
 	// store for one.
 	startTime = 1200 * time.Millisecond
+	// proofTurn is the time for which an instance queries the store in its turn, while the store
+	// answers none of the instances that are chosen to query it.
+	proofTurn = 1500 * time.Millisecond
 	// pruneInterval is the time between removals of old stamps.
 	pruneInterval = time.Second
 )
@@ -149,4 +156,34 @@
 	return d.strict() && d.now.Sub(d.syncedAt) >= startTime && !d.prover.Heard(share(queryShare, d.options.Withdraw))
 }
 
+// mayProve reports whether this instance may query the store for a proof although it is not chosen
+// to. While the store answers none of those that are chosen, about substituteCount others query it
+// in each proofTurn, since the store may serve them.
+func (d *Decider[E, D, P, L]) mayProve() bool {
+	if !d.relayer.StoreAway(d.now) {
+		return true
+	}
+	turn := d.options.Self.ID + "/" + strconv.FormatInt(int64(d.now.Sub(d.started)/proofTurn), 10)
+	return xxhash.Sum64String(turn)%uint64(max(1, d.index.Members())) < substituteCount
+}
+
+// mustContinue reports whether this instance continues to query the store, which serves it. Of
+// several such instances only the first in the order of watchers and then of the names continues:
+// if all stopped because they hear of each other, none would give a proof.
+func (d *Decider[E, D, P, L]) mustContinue(watchers []descriptor.Member) bool {
+	if !d.strict() || !d.watching || d.now.Sub(d.relayer.Read(d.options.kinds())) >= proofTurn {
+		return false
+	}
+	rank := func(id string) int {
+		if i := slices.IndexFunc(watchers, func(m descriptor.Member) bool { return m.ID == id }); i >= 0 {
+			return i
+		}
+		return len(watchers)
+	}
+	self := d.options.Self.ID
+	return !d.relayer.Announced(d.now, func(origin string) bool {
+		return rank(origin) < rank(self) || rank(origin) == rank(self) && origin < self
+	})
+}
+
 func share(part float64, of time.Duration) time.Duration { return time.Duration(part * float64(of)) }
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -99,7 +99,7 @@
 	}
 	if d.options.Routing && d.synced {
 		alone = d.relayer.MustQuery(d.now, d.options.kinds(), substitute)
-		alone = alone || d.mustProve() && (substitute || !d.relayer.StoreAway(d.now))
+		alone = alone || d.mustProve() && (substitute || d.mayProve()) || d.mustContinue(watchers)
 	}
 	active := (chosen || alone) && !d.shutdown.started
 	if active == d.watching {
--- a/platform_test.go
+++ b/platform_test.go
@@ -186,6 +186,14 @@
 	n  int
 }
 
+// nextRequestID returns an identifier that no other request has.
+func nextRequestID() string {
+	requests.mu.Lock()
+	defer requests.mu.Unlock()
+	requests.n++
+	return fmt.Sprintf("id%d", requests.n)
+}
+
 // send sends a request with a deadline of 2 s and returns the status and the body.
 func (f *platformFleet) send(p *platformInstance, method, host, path, body string) (int, string) {
 	return f.do(p.front, method, host, path, body, 2000)
@@ -194,10 +202,7 @@
 // do sends a request to an address, with an identifier of its own and a deadline in
 // milliseconds. It returns the status and the body, or 0 and the error.
 func (f *platformFleet) do(address, method, host, path, body string, deadlineMillis int) (int, string) {
-	requests.mu.Lock()
-	requests.n++
-	id := fmt.Sprintf("id%d", requests.n)
-	requests.mu.Unlock()
+	id := nextRequestID()
 	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	asserter.NoError(f.t, "request", err)
 	r.Host = host
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -120,9 +120,9 @@
 	return r.recoveredAt.Add(restoreTime)
 }
 
-// read returns the time as of which this instance has read all of the given kinds,
+// Read returns the time as of which this instance has read all of the given kinds,
 // or zero if it has not read one of them.
-func (r *Relayer) read(kinds []descriptor.Kind) time.Time {
+func (r *Relayer) Read(kinds []descriptor.Kind) time.Time {
 	var oldest time.Time
 	for _, k := range kinds {
 		asOf, ok := r.own.Get(k)
@@ -139,7 +139,7 @@
 // Current returns the latest time at which the documents of this instance are known
 // to have been the newest ones.
 func (r *Relayer) Current(kinds []descriptor.Kind) time.Time {
-	if own := r.read(kinds); own.After(r.announced) {
+	if own := r.Read(kinds); own.After(r.announced) {
 		return own
 	}
 	return r.announced
@@ -169,13 +169,23 @@
 	return now.Sub(r.heardAt) < maxConfirmationAge && now.Sub(r.newestAsOf) >= maxConfirmationAge
 }
 
+// Announced reports whether one of some origins announced a recent read of the store.
+func (r *Relayer) Announced(now time.Time, some func(origin string) bool) bool {
+	for id, o := range r.origins.All {
+		if now.Sub(o.asOf) < maxConfirmationAge && some(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // NextFreshness returns the next freshness announcement of self, which watches the
 // store, and whether one must be sent. One is sent after each new read of the
 // store, at most every announceInterval, and immediately when the hash sum of the
 // documents changed. If the last read is maxConfirmationAge old, one is sent every
 // outageInterval, whose age tells that the store does not answer.
 func (r *Relayer) NextFreshness(now time.Time, self descriptor.Member, kinds []descriptor.Kind, sum uint64) (descriptor.Freshness, bool) {
-	asOf := r.read(kinds)
+	asOf := r.Read(kinds)
 	if asOf.IsZero() {
 		return descriptor.Freshness{}, false
 	}
--- a/standin_test.go
+++ b/standin_test.go
@@ -181,6 +181,8 @@
 	onCrash   func(*platformBackend)
 	// starts counts the starts of the backend server.
 	starts int
+	// onRequest is called with each request, unless it is nil.
+	onRequest func(*http.Request)
 }
 
 // crashDowntime is how long a crashed backend server is down.
@@ -240,6 +242,9 @@
 	}
 	b.mu.Lock()
 	gray, shed, status, serviceTime := b.gray, b.shed, b.status, b.serviceTime
+	if b.onRequest != nil {
+		b.onRequest(r)
+	}
 	if !shed {
 		b.runs[id]++
 		b.last = time.Now()
