--- a/platform_customers_test.go
+++ b/platform_customers_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"sync"
@@ -132,10 +133,29 @@
 		f.eventually(t, "/safe/1", "k3", 200)
 		f.eventually(t, "/safe/1", "k2", 401)
 	})
+	t.Run("a process that was frozen does not accept a key that was withdrawn meanwhile", func(t *testing.T) {
+		p := f.instances[2]
+		asserter.NoError(t, "stop", p.cmd.Process.Signal(syscall.SIGSTOP))
+		f.store.set("op/config", keyedRouting(5, "k4"))
+		time.Sleep(3100 * time.Millisecond)
+		// The requests wait in the sockets of the process until it continues.
+		statuses := make(chan int)
+		for range 5 {
+			go func() { statuses <- f.ask(p, "/safe/1", "k3") }()
+		}
+		time.Sleep(200 * time.Millisecond)
+		asserter.NoError(t, "continue", p.cmd.Process.Signal(syscall.SIGCONT))
+		for range 5 {
+			status := <-statuses
+			asserter.True(t, fmt.Sprintf("refused: %d", status), status == 503 || status == 401)
+		}
+		f.eventually(t, "/safe/1", "k4", 200)
+		f.eventually(t, "/safe/1", "k3", 401)
+	})
 	t.Run("an instance that restarts serves again", func(t *testing.T) {
 		p := f.instances[1]
 		f.kill(p)
 		f.start(p)
-		f.eventually(t, "/safe/1", "k3", 200)
+		f.eventually(t, "/safe/1", "k4", 200)
 	})
 }
--- a/server/load.go
+++ b/server/load.go
@@ -8,6 +8,7 @@
 
 	"monsoonswitch/descriptor"
 	"monsoonswitch/linker"
+	"monsoonswitch/timekeeper"
 )
 
 // loadInterval is the time between two reports of the load of an instance.
@@ -74,3 +75,13 @@
 	}
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
+
+// proofAge returns the age of the proof that the routing is the newest in nanoseconds, or -1 if
+// there is none.
+func (s *Server) proofAge() int64 {
+	seen := s.routingSeen.Load()
+	if seen == 0 {
+		return -1
+	}
+	return int64(timekeeper.Uptime()) - seen
+}
--- a/server/server.go
+++ b/server/server.go
@@ -58,6 +58,8 @@
 	// controlLag is the largest age of an event when it was handled in the last
 	// loadInterval, in nanoseconds.
 	controlLag atomic.Int64
+	// routingSeen is the uptime as of which the routing is proved to have been the newest, or 0.
+	routingSeen atomic.Int64
 	// exitAllowed is closed, and isExitAllowed set, by the action ShutdownComplete.
 	exitAllowed   chan struct{}
 	isExitAllowed atomic.Bool
@@ -170,6 +172,7 @@
 	s.recorder.AddGauge("links.sentmessages", func() int64 { return int64(s.linker.Traffic().SentMessages) })
 	s.recorder.AddGauge("links.dropped", func() int64 { return int64(s.linker.Traffic().Dropped) })
 	s.recorder.AddGauge("control.lagnanos", s.controlLag.Load)
+	s.recorder.AddGauge("customers.proofagenanos", s.proofAge)
 	for t := descriptor.TypeHello; int(t) < descriptor.MessageTypeCount; t++ {
 		s.recorder.AddGauge("links.sentbytes."+t.String(), func() int64 { return int64(s.linker.Traffic().Sent[t].Bytes) })
 	}
@@ -236,6 +239,7 @@
 		s.linker.Connect(a.Peers, a.Known)
 	case descriptor.Publish:
 		s.forwarder.SetDirectory(a.Directory)
+		s.routingSeen.Store(int64(a.Directory.Seen))
 	case descriptor.Probe:
 		s.forwarder.Probe(a)
 	case descriptor.Write, descriptor.WriteTallies, descriptor.WriteClaim:
--- a/spreader/customers_test.go
+++ b/spreader/customers_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"monsoonswitch/asserter"
 	"monsoonswitch/declarer"
@@ -63,3 +64,29 @@
 		wantRouting(t, a, routingDocument(2, numbers(1, 20)))
 	})
 }
+
+// TestCustomersOfEarlierBuilds guards against an instance that got a routing from an earlier build,
+// which leaves the customers out, and serves requests without a key until the next version.
+func TestCustomersOfEarlierBuilds(t *testing.T) {
+	complete, without := keyedDocument(1, numbers(1, 5), nil), routingDocument(1, numbers(1, 20))
+	t.Run("the routing in the store replaces it", func(t *testing.T) {
+		s := holding(without)
+		_, ok := s.Take(complete, "")
+		asserter.True(t, "stored", ok)
+		wantRouting(t, s, complete)
+	})
+	t.Run("an instance that has the customers is asked for them", func(t *testing.T) {
+		a, b := holding(without), holding(complete)
+		asserter.True(t, "digests differ", a.Digest() != b.Digest())
+		transfer(a, b)
+		wantRouting(t, a, complete)
+		asserter.Equal(t, "digests", a.Digest(), b.Digest())
+	})
+	t.Run("it does not replace the customers", func(t *testing.T) {
+		a, b := holding(complete), holding(without)
+		want, _ := a.Compare(time.Now(), descriptor.References{List: b.List()})
+		asserter.Equal(t, "requests", len(want.List), 0)
+		_, ok := a.Take(without, "b")
+		asserter.Equal(t, "stored", ok, false)
+	})
+}
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -120,7 +120,7 @@
 func (s *Spreader) Take(d descriptor.Document, from string) (descriptor.Document, bool) {
 	k := key{d.Kind, d.Name}
 	old, ok := s.documents.Get(k)
-	if ok && old.document.Revision >= d.Revision {
+	if ok && old.document.Revision >= d.Revision && !old.lacksCustomers(d) {
 		return d, false
 	}
 	d, whole := s.complete(k, withSortedRoutes(d), old)
@@ -161,6 +161,10 @@
 	if k.kind == descriptor.KindBackends {
 		return k.hash()*hashMultiplier + h.sum
 	}
+	if h.keyed() {
+		// Instances that lack the customers of the same version must learn of them.
+		return k.hash()*hashMultiplier + h.document.Revision*revisionMultiplier + h.sum
+	}
 	return k.hash()*hashMultiplier + h.document.Revision*revisionMultiplier
 }
 
@@ -275,7 +279,7 @@
 		k := key{r.Kind, r.Name}
 		listed[k] = r
 		h, ok := s.documents.Get(k)
-		if ok && h.document.Revision >= r.Revision {
+		if ok && h.document.Revision >= r.Revision && !h.mayLackCustomers(r) {
 			continue
 		}
 		if ok && r.Sum != 0 && r.Sum == h.sum {
