--- a/decider/quota.go
+++ b/decider/quota.go
@@ -69,7 +69,7 @@
 		return
 	}
 	service, ok := d.served.Get(e.Service)
-	if !ok || !service.Takes(e.Class) {
+	if !ok || !service.Takes(e.Class) || d.identifiedBefore(e) {
 		d.quotas.End(d.uptime, e.Request, descriptor.NotRun)
 		d.emit(descriptor.Relocate{Request: e.Request})
 		return
--- a/decider/quota_test.go
+++ b/decider/quota_test.go
@@ -85,7 +85,7 @@
 	f.next++
 	e := descriptor.Arrived{
 		At: f.now, Request: f.next, Service: "ledger", Class: "r0", Caller: "c", Fingerprint: uint64(f.next),
-		Customer: customer, Deadline: f.now.Add(2 * time.Second), Uptime: f.uptimeOf(id),
+		Customer: customer, Routing: f.version, Deadline: f.now.Add(2 * time.Second), Uptime: f.uptimeOf(id),
 	}
 	f.arrived[f.next] = e
 	f.step(id, e)
