Forwarder: an answer that can't be written counts as none

Cause: nothing judged the status, headers and trailers of a backend server's answer before they were written to the caller. net/http panics on a status below 100, in a goroutine of the forwarder's own, which ended the process.

Change: isDeliverable judges the head of an answer in one place. An answer with a status outside 200 to 599, or with names, values or trailers that are not valid, is a broken attempt: the work may have run, a promise in it is not believed, and its connection is closed. Trailers that are not valid at the end of a body break the answer.

--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,7 @@
 	$(GO) test -run '^$$' -bench . -benchmem ./balancer ./decider ./allocator ./messenger ./server
 
 fuzz: ## run each fuzz target for a short while
-	@for t in declarer:FuzzParse configurer:FuzzParse messenger:FuzzDecode keeper:FuzzParseKey loader:FuzzParse forwarder:FuzzHeaders storer:FuzzParseDocument; do \
+	@for t in declarer:FuzzParse configurer:FuzzParse messenger:FuzzDecode keeper:FuzzParseKey loader:FuzzParse forwarder:FuzzHeaders forwarder:FuzzAnswerHead storer:FuzzParseDocument; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}$$" -fuzztime 10s || exit 1; \
 	done
 
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -25,6 +25,9 @@
 // errCallerLeft reports that the caller disconnected while an answer was copied to it.
 var errCallerLeft = eris.New("caller disconnected")
 
+// errMalformedTrailers reports trailers that can't be written to any caller as they are.
+var errMalformedTrailers = eris.New("malformed trailers")
+
 // delivery is the result of copying an answer to the caller.
 type delivery struct {
 	attempt *attempt
@@ -86,6 +89,9 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			if !areValidFields(response.Trailer) {
+				return sum, errMalformedTrailers
+			}
 			copyTrailers(s.w.Header(), response)
 			return sum, nil
 		}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -58,8 +58,14 @@
 	if t.reused.Load() && hasSecondStatusLine(response) {
 		head.Mismatched = true
 	}
+	head.Malformed = !isDeliverable(response)
 	if fault, ok := head.fault(s.class.Idempotent); ok {
-		if head.Mismatched {
+		switch {
+		case head.Malformed:
+			// Nothing in it can be relied on, a promise that the work did not run neither.
+			head = Head{Malformed: true}
+			s.forwarder.recorder.Fault()
+		case head.Mismatched:
 			// The answer may be old, so its load and health are not used.
 			head = Head{Mismatched: true}
 			s.forwarder.recorder.Mismatch()
@@ -108,7 +114,7 @@
 // false if there is none.
 func (h Head) fault(idempotent bool) (descriptor.Fault, bool) {
 	switch {
-	case h.Mismatched:
+	case h.Malformed, h.Mismatched:
 		return descriptor.FaultBroken, true
 	case h.Foreign:
 		return descriptor.FaultWrongBackend, true
@@ -122,10 +128,10 @@
 }
 
 // discard releases an answer that is not delivered. If the answer belongs to another
-// request, its connection is closed, because later answers on it can't be matched to
-// requests either.
+// request or is malformed, its connection is closed, because later answers on it can't be
+// matched to requests either.
 func (t *attempt) discard(response *http.Response, h Head) {
-	if h.Mismatched {
+	if h.Malformed || h.Mismatched {
 		t.cancel()
 	} else {
 		_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -70,6 +70,9 @@
 	Unstated bool
 	// Mismatched reports whether the answer belongs to another request.
 	Mismatched bool
+	// Malformed reports whether the answer can't be delivered as it is. The forwarder sets it, not
+	// the dialect.
+	Malformed bool
 	// Pause is how long the backend server wants no requests of this instance; 0 means
 	// that it did not ask for a pause.
 	Pause time.Duration
