A panic ends the one request, link or call in which it occurs

Cause: only net/http's own goroutines recover from a panic. Those that the forwarder starts for attempts, for copying answers, for probes and for closing connections, the goroutine in which net/http reads a caller's body, and those of links and of the store did not, so any fault in them ended the process and all requests in it.

Change: package catcher. Its one function runs the handling, recovers, counts (panics on /metrics) and logs event 1013, at most one a second. An attempt that panicked may have run; a request gets 502 before its answer has begun and a broken connection after, and the control goroutine is told that it ended. A link is closed, a read of the store is a failed call, a write has an unknown outcome. http.ErrAbortHandler stays what it is. The control goroutine is not covered: a decision that panicked still ends the process.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -48,8 +48,9 @@
 		s.discarding = true
 	}
 	go func() {
-		n, err := copyTo(t)
-		s.copied <- delivery{attempt: t, bytes: n, err: err}
+		d := delivery{attempt: t, err: errPanicked}
+		s.forwarder.options.Catcher.Run("answer", func() { d.bytes, d.err = copyTo(t) })
+		s.copied <- d
 	}()
 }
 
@@ -74,6 +75,7 @@
 	s.limitConnection()
 	announceTrailers(s.w.Header(), response)
 	s.w.WriteHeader(response.StatusCode)
+	s.begun = true
 	buffer := buffers.Get().(*[]byte)
 	defer buffers.Put(buffer)
 	var sum uint64
@@ -133,7 +135,9 @@
 func (s *session) stopDelivery() delivery {
 	s.delivering.cancel()
 	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now())
-	return <-s.copied
+	d := <-s.copied
+	s.delivered = true
+	return d
 }
 
 // endDelivery ends the request after its answer was copied or failed.
@@ -143,7 +147,7 @@
 	case d.err == nil:
 		s.complete = true
 		s.forwarder.control.Post(descriptor.Finished{At: now, Request: s.id, Attempt: d.attempt.id, Bytes: d.bytes})
-		s.forwarder.recorder.End(s.endReason(descriptor.Served), now.Sub(s.started), d.bytes)
+		s.recordEnd(s.endReason(descriptor.Served), d.bytes)
 		if s.discarding {
 			// net/http would write an empty answer, which a caller that only closed its sending
 			// side would take for the whole one.
@@ -151,12 +155,16 @@
 		}
 	case errors.Is(d.err, errCallerLeft):
 		s.recordCallerGone(now)
-		s.forwarder.recorder.End(descriptor.Abandoned, now.Sub(s.started), d.bytes)
+		s.recordEnd(descriptor.Abandoned, d.bytes)
 	case d.attempt.ctx.Err() != nil:
 		s.abortAnswer(descriptor.AnswerCut, d.bytes)
 	default:
 		s.forwarder.control.Post(descriptor.Failed{At: now, Request: s.id, Attempt: d.attempt.id, Fault: descriptor.FaultTruncated})
 		s.forwarder.recorder.Fault()
+		if errors.Is(d.err, errPanicked) && !s.begun {
+			s.refuseAfterPanic()
+			return
+		}
 		s.abortAnswer(descriptor.AnswerCut, d.bytes)
 	}
 }
@@ -164,7 +172,7 @@
 // abortAnswer ends a request whose answer is not complete. It aborts the connection or
 // stream to the caller, so that the answer can't be taken for a complete one.
 func (s *session) abortAnswer(reason descriptor.Reason, bytes uint64) {
-	s.forwarder.recorder.End(s.endReason(reason), time.Since(s.started), bytes)
+	s.recordEnd(s.endReason(reason), bytes)
 	s.body.release(0)
 	panic(http.ErrAbortHandler)
 }
@@ -180,7 +188,7 @@
 
 // refuse answers that the request is refused, and whether the work may have run.
 func (s *session) refuse(a descriptor.Refuse) {
-	s.forwarder.recorder.End(s.endReason(a.Reason), time.Since(s.started), 0)
+	s.recordEnd(s.endReason(a.Reason), 0)
 	body := refusal{
 		Reason:  a.Reason.String(),
 		Outcome: a.Outcome.String(),
@@ -197,6 +205,7 @@
 	}
 	s.limitConnection()
 	s.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	s.begun = true
 	if s.forwarder.dialect.Refuse(s.w, s.r, a) {
 		_, _ = s.w.Write(data)
 	}
@@ -205,6 +214,14 @@
 	s.complete = true
 }
 
+// recordEnd counts the end of the request, once.
+func (s *session) recordEnd(reason descriptor.Reason, bytes uint64) {
+	if s.counted {
+		s.counted = false
+		s.forwarder.recorder.End(reason, time.Since(s.started), bytes)
+	}
+}
+
 // endReason returns why the request ended, given the reason if the caller did not leave.
 func (s *session) endReason(reason descriptor.Reason) descriptor.Reason {
 	if s.callerLeft {
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -364,9 +364,15 @@
 	sent atomic.Bool
 }
 
-// Read implements io.Reader. At the end of the body it posts that the whole body was
-// sent.
-func (b *attemptBody) Read(p []byte) (int, error) {
+// Read implements io.Reader. net/http calls it in a goroutine of its own.
+func (b *attemptBody) Read(p []byte) (n int, err error) {
+	err = errPanicked
+	b.attempt.session.forwarder.options.Catcher.Run("request body", func() { n, err = b.read(p) })
+	return n, err
+}
+
+// read reads from the body. At its end it posts that the whole body was sent.
+func (b *attemptBody) read(p []byte) (int, error) {
 	if err := b.attempt.ctx.Err(); err != nil {
 		return 0, err
 	}
--- a/forwarder/closing.go
+++ b/forwarder/closing.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"monsoonswitch/catcher"
 )
 
 // closeTimeout bounds the time for which the instance waits for a caller to close a connection
@@ -15,7 +17,8 @@
 
 // closer closes connections of callers in the background.
 type closer struct {
-	mu sync.Mutex
+	catcher *catcher.Catcher
+	mu      sync.Mutex
 	// open is the number of connections that are being closed, or are about to be.
 	open int
 	// idle is closed when open falls to 0. It is replaced when open rises again.
@@ -62,18 +65,24 @@
 	go func() {
 		defer c.end()
 		defer func() { _ = conn.Close() }()
-		_ = conn.SetDeadline(time.Now().Add(closeTimeout))
-		if _, err := io.WriteString(conn, last); err != nil {
-			return
-		}
-		if half, ok := conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
-			return
-		}
-		// An error means that the caller closed the connection or that the time is up.
-		_, _ = io.Copy(io.Discard, conn)
+		c.catcher.Run("close", func() { drain(conn, last) })
 	}()
 }
 
+// drain writes the last bytes of a connection, closes its sending side and discards what comes
+// until the peer closes it.
+func drain(conn net.Conn, last string) {
+	_ = conn.SetDeadline(time.Now().Add(closeTimeout))
+	if _, err := io.WriteString(conn, last); err != nil {
+		return
+	}
+	if half, ok := conn.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		return
+	}
+	// An error means that the caller closed the connection or that the time is up.
+	_, _ = io.Copy(io.Discard, conn)
+}
+
 // WaitClosed waits until the connections that are being closed are closed, or until ctx ends.
 func (f *Forwarder) WaitClosed(ctx context.Context) { f.closer.wait(ctx) }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/recorder"
 )
@@ -72,6 +73,8 @@
 	// UploadBytes bounds the memory of all uploads together, in bytes; 0 means
 	// defaultUploadBytes.
 	UploadBytes int
+	// Catcher reports panics in the handling of requests.
+	Catcher *catcher.Catcher
 }
 
 // Forwarder serves callers. It is safe for use by many goroutines.
@@ -110,6 +113,7 @@
 		recorder:            r,
 		dialer:              dialer,
 		uploads:             newUploads(o.UploadBytes, r),
+		closer:              closer{catcher: o.Catcher},
 		idempotentClient:    newClient(dialer, idempotentIdleTime),
 		nonIdempotentClient: newClient(dialer, o.FreshTime),
 	}
@@ -163,20 +167,27 @@
 func (f *Forwarder) Probe(p descriptor.Probe) {
 	go func() {
 		time.Sleep(probeDelay)
-		conn, err := f.dialer.Dial("tcp", p.Backend.Address)
-		if err == nil {
-			_ = conn.Close()
-		}
+		alive := false
+		f.options.Catcher.Run("probe", func() { alive = f.accepts(p.Backend.Address) })
 		f.control.Post(descriptor.Probed{
 			At:        time.Now(),
 			Service:   p.Service,
 			Backend:   p.Backend.ID,
 			Suspected: p.Suspected,
-			Alive:     err == nil,
+			Alive:     alive,
 		})
 	}()
 }
 
+// accepts reports whether connections to an address are accepted.
+func (f *Forwarder) accepts(address string) bool {
+	conn, err := f.dialer.Dial("tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return err == nil
+}
+
 // ServeQuestion serves only requests that are addressed to the instance itself.
 func (f *Forwarder) ServeQuestion(w http.ResponseWriter, r *http.Request) {
 	if !f.dialect.ServeLocal(w, r, f.snapshot.Load().Directory) {
@@ -185,12 +196,21 @@
 }
 
 // ServeHTTP serves one request of a caller. A path that the dialect doesn't reserve belongs to
-// the callers' work, whatever the instance serves on its other listeners.
+// the callers' work, whatever the instance serves on its other listeners. A panic ends this
+// request alone.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if f.dialect.Reserved(r.URL.Path) && f.dialect.ServeLocal(w, r, f.snapshot.Load().Directory) {
-		return
-	}
-	f.recorder.Begin()
 	s := newSession(f, w, r)
-	s.run()
+	value := f.options.Catcher.Run("request", func() {
+		if f.dialect.Reserved(r.URL.Path) && f.dialect.ServeLocal(w, r, f.snapshot.Load().Directory) {
+			return
+		}
+		s.run()
+	})
+	switch {
+	case value == nil:
+	case catcher.IsAbort(value):
+		panic(value)
+	default:
+		s.endAfterPanic()
+	}
 }
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -52,10 +52,16 @@
 	closing, complete bool
 	// discarding is set if the answer is discarded because the caller left.
 	discarding bool
+	// delivered is set once the result of copying was received.
+	delivered bool
+	// begun is set once the head of an answer was written.
+	begun bool
+	// counted is set while the request is counted as open.
+	counted bool
 }
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
-	s := &session{
+	return &session{
 		forwarder:  f,
 		w:          w,
 		r:          r,
@@ -65,12 +71,15 @@
 		attempts:   make(map[descriptor.AttemptID]*attempt),
 		copied:     make(chan delivery, 1),
 	}
-	s.label = f.dialect.Label(r)
-	if p := f.dialect.CallerTimeout(r); p > 0 {
+}
+
+// describe sets what the head of the request says about it.
+func (s *session) describe() {
+	s.label = s.forwarder.dialect.Label(s.r)
+	if p := s.forwarder.dialect.CallerTimeout(s.r); p > 0 {
 		s.callerDeadline = s.started.Add(p)
 		s.deadline = s.callerDeadline
 	}
-	return s
 }
 
 // locate finds the service and the class of the request.
@@ -181,6 +190,9 @@
 
 // run serves the request until it ends, and closes the connection if the answer said so.
 func (s *session) run() {
+	s.forwarder.recorder.Begin()
+	s.counted = true
+	s.describe()
 	s.serve()
 	s.close()
 }
@@ -217,6 +229,7 @@
 				return
 			}
 		case d := <-s.copied:
+			s.delivered = true
 			s.endDelivery(d)
 			return
 		case <-s.callerDone:
@@ -367,7 +380,9 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		t.run()
+		if s.forwarder.options.Catcher.Run("attempt", t.run) != nil {
+			t.failAfterPanic()
+		}
 	}()
 }
 
--- a/linker/link.go
+++ b/linker/link.go
@@ -175,11 +175,11 @@
 	l.add(k)
 	go func() {
 		defer k.release()
-		k.writeLoop()
+		l.options.Catcher.Run("link", k.writeLoop)
 	}()
 	go func() {
 		defer k.release()
-		k.readLoop()
+		l.options.Catcher.Run("link", k.readLoop)
 	}()
 }
 
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/descriptor"
 )
 
@@ -67,6 +68,8 @@
 	// in the background, or was closed because of a malformed frame. Failed dials by Send
 	// are not reported.
 	Reject func(peer string, err error)
+	// Catcher reports panics in the handling of links.
+	Catcher *catcher.Catcher
 }
 
 // Linker maintains the links of one instance. It is safe for use by many goroutines.
@@ -139,7 +142,7 @@
 		for {
 			select {
 			case now := <-ticker.C:
-				l.maintain(now)
+				o.Catcher.Run("links", func() { l.maintain(now) })
 			case <-ctx.Done():
 				return
 			}
@@ -214,7 +217,8 @@
 
 // dialFor opens a link for queued messages and drops them if this fails.
 func (l *Linker) dialFor(to descriptor.Member) {
-	err := l.dial(to.Inner)
+	err := ErrClosed
+	l.options.Catcher.Run("link", func() { err = l.dial(to.Inner) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
@@ -227,9 +231,11 @@
 func (l *Linker) maintain(now time.Time) {
 	for _, address := range l.addressesToDial(now) {
 		go func() {
-			if err := l.dial(address); err != nil && !eris.Is(err, ErrClosed) {
-				l.options.Reject(address, err)
-			}
+			l.options.Catcher.Run("link", func() {
+				if err := l.dial(address); err != nil && !eris.Is(err, ErrClosed) {
+					l.options.Reject(address, err)
+				}
+			})
 		}()
 	}
 	l.closeIdle(now)
--- a/logger/library_test.go
+++ b/logger/library_test.go
@@ -24,6 +24,22 @@
 	asserter.AtLeast(t, "omitted", b.omitted, 900)
 }
 
+func TestPanics(t *testing.T) {
+	var out bytes.Buffer
+	l, err := New(&out, "info", "json", "entry-1", RequestLimits{})
+	asserter.NoError(t, "new", err)
+	for range 10 {
+		l.Panic("request", strings.Repeat("x", 2*maxPanicBytes))
+	}
+	l.Close()
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	asserter.Equal(t, "lines", len(lines), 3)
+	for _, line := range lines {
+		asserter.True(t, "numbered", strings.Contains(line, `"event":1013`))
+		asserter.AtMost(t, "bytes", len(line), maxPanicBytes+500)
+	}
+}
+
 func TestLibraries(t *testing.T) {
 	var out bytes.Buffer
 	l, err := New(&out, "info", "json", "entry-1", RequestLimits{})
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -31,6 +31,7 @@
 	descriptor.NoteReloaded:         {logrus.InfoLevel, "settings reloaded"},
 	descriptor.NoteReloadFailed:     {logrus.ErrorLevel, "settings not reloaded"},
 	descriptor.NoteLibrary:          {logrus.WarnLevel, "library message"},
+	descriptor.NotePanic:            {logrus.ErrorLevel, "panic recovered"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
@@ -71,6 +72,7 @@
 	entry         *logrus.Entry
 	writer        *writer
 	requestBudget requestBudget
+	panics        panicLog
 }
 
 // RequestLimits bounds the number of requests that are logged.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -37,7 +37,9 @@
 	// relocations counts how often a request was located anew, because the configuration
 	// changed before it was decided upon.
 	relocations metrics.Counter
-	bytes       metrics.Counter
+	// panics counts the panics that were recovered.
+	panics metrics.Counter
+	bytes  metrics.Counter
 }
 
 // New returns a recorder whose metrics are zero.
@@ -50,6 +52,7 @@
 	r.mismatches = metrics.NewCounter()
 	r.withheld = metrics.NewCounter()
 	r.relocations = metrics.NewCounter()
+	r.panics = metrics.NewCounter()
 	r.bytes = metrics.NewCounter()
 	r.register("served", r.served)
 	r.register("open", r.open)
@@ -58,6 +61,7 @@
 	r.register("mismatches", r.mismatches)
 	r.register("withheld", r.withheld)
 	r.register("relocations", r.relocations)
+	r.register("panics", r.panics)
 	r.register("bytes", r.bytes)
 	for _, reason := range descriptor.Reasons() {
 		c := metrics.NewCounter()
@@ -107,6 +111,9 @@
 // Relocate counts a request that is located anew.
 func (r *Recorder) Relocate() { r.relocations.Inc(1) }
 
+// Panic counts a panic that was recovered.
+func (r *Recorder) Panic() { r.panics.Inc(1) }
+
 // quantiles are the written quantiles of the latency of served requests.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/server/gate.go
+++ b/server/gate.go
@@ -39,7 +39,7 @@
 
 func (g *gates) open(s *Server) {
 	g.callers.open(s.forwarder)
-	g.questions.open(http.HandlerFunc(s.forwarder.ServeQuestion))
-	g.inner.open(s.linker)
-	g.operators.open(operator.New(s))
+	g.questions.open(s.catcher.Handler("question", http.HandlerFunc(s.forwarder.ServeQuestion)))
+	g.inner.open(s.catcher.Handler("link", s.linker))
+	g.operators.open(s.catcher.Handler("operator", operator.New(s)))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/configurer"
 	"monsoonswitch/controller"
 	"monsoonswitch/decider"
@@ -44,6 +45,7 @@
 	log        *logger.Logger
 	self       descriptor.Member
 	recorder   *recorder.Recorder
+	catcher    *catcher.Catcher
 	controller *controller.Controller
 	forwarder  *forwarder.Forwarder
 	linker     *linker.Linker
@@ -72,6 +74,7 @@
 		recorder:    recorder.New(),
 		exitAllowed: make(chan struct{}),
 	}
+	s.catcher = catcher.New(s.reportPanic)
 	now := time.Now()
 	s.self = descriptor.Member{
 		ID:          settings.Instance.Name,
@@ -91,6 +94,12 @@
 	return s, nil
 }
 
+// reportPanic counts and logs a panic that was recovered.
+func (s *Server) reportPanic(place, detail string) {
+	s.recorder.Panic()
+	s.log.Panic(place, detail)
+}
+
 // listen opens the listeners. It runs before everything else, because the record of the
 // instance contains the addresses, and port 0 means a free port.
 func (s *Server) listen(g *gates) error {
@@ -149,9 +158,10 @@
 		Reject: func(peer string, err error) {
 			s.log.Event(descriptor.NoteLinkRefused, "", peer, err.Error())
 		},
+		Catcher: s.catcher,
 	}, control)
-	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log})
-	s.writer = storer.NewWriter(client, control)
+	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log}, s.catcher)
+	s.writer = storer.NewWriter(client, control, s.catcher)
 	options := forwarder.Options{
 		CallerHeader:   s.settings.Callers.Header,
 		StallTimeout:   s.settings.Limits.StallTimeout,
@@ -161,6 +171,7 @@
 		FreshTime:      s.settings.Limits.FreshTime,
 		ConnectTimeout: s.settings.Limits.ConnectTimeout,
 		UploadBytes:    s.settings.Limits.UploadBytes,
+		Catcher:        s.catcher,
 	}
 	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/timekeeper"
 )
@@ -76,15 +77,17 @@
 	reporter Reporter
 	feeds    []Feed
 	pace     Pace
+	catcher  *catcher.Catcher
 
 	mu sync.Mutex
 	// cancel stops following; it is nil while the follower is not active.
 	cancel context.CancelFunc
 }
 
-// NewFollower returns a follower that is not active.
-func NewFollower(c *Client, feeds []Feed, pace Pace, p Poster, r Reporter) *Follower {
-	return &Follower{client: c, feeds: feeds, pace: pace, poster: p, reporter: r}
+// NewFollower returns a follower that is not active. Panics in reading the platform are reported
+// to k and count as failed calls.
+func NewFollower(c *Client, feeds []Feed, pace Pace, p Poster, r Reporter, k *catcher.Catcher) *Follower {
+	return &Follower{client: c, feeds: feeds, pace: pace, poster: p, reporter: r, catcher: k}
 }
 
 // SetActive starts or stops following.
@@ -115,7 +118,8 @@
 	wait := firstRetryDelay
 	failing := false
 	for ctx.Err() == nil {
-		err := step(ctx)
+		err := ErrMalformed
+		f.catcher.Run(source, func() { err = step(ctx) })
 		if ctx.Err() != nil {
 			return
 		}
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -115,7 +115,7 @@
 	ctx := context.Background()
 	s, c := startPlatform(t)
 	out := sink{make(chan descriptor.Event, 100)}
-	f := storer.NewFollower(c, []storer.Feed{storer.Declarations()}, storer.Pace{Wait: 30 * time.Second}, out, out)
+	f := storer.NewFollower(c, []storer.Feed{storer.Declarations()}, storer.Pace{Wait: 30 * time.Second}, out, out, nil)
 	f.SetActive(true)
 	defer f.SetActive(false)
 	declaration := `{"Name":"a","Floor":1,"Classes":[{"Name":"c","Target":1000}],"Routes":[{"Name":"r","Methods":["POST"],"Path":"/","Class":"c"}]}`
--- a/storer/writer.go
+++ b/storer/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/descriptor"
 )
 
@@ -30,18 +31,25 @@
 	queue  chan descriptor.Action
 	ctx    context.Context
 	cancel context.CancelFunc
+	// catcher reports panics in writing.
+	catcher *catcher.Catcher
 }
 
-// NewWriter returns a writer and starts its workers.
-func NewWriter(c *Client, p Poster) *Writer {
+// NewWriter returns a writer and starts its workers. Panics in writing are reported to k.
+func NewWriter(c *Client, p Poster, k *catcher.Catcher) *Writer {
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &Writer{client: c, poster: p, queue: make(chan descriptor.Action, writeQueueLength), ctx: ctx, cancel: cancel}
+	w := &Writer{
+		client: c, poster: p, queue: make(chan descriptor.Action, writeQueueLength),
+		ctx: ctx, cancel: cancel, catcher: k,
+	}
 	for range writeWorkers {
 		go func() {
 			for {
 				select {
 				case a := <-w.queue:
-					w.write(a)
+					if w.catcher.Run("write", func() { w.write(a) }) != nil {
+						w.post(writeID(a), descriptor.Written{Result: descriptor.WriteUnknown})
+					}
 				case <-ctx.Done():
 					return
 				}
