Forwarder: the end of a connection proves an answer only after a whole request

Cause: an answer with neither length nor chunks was complete when its connection ended, whatever the backend server had taken of the request. A backend server that answers early and dies then looks like one that is done. A reset does not always show: when writing the upload uses up its error, reading ends like after a normal close.

Change: judgeEnd decides in one place which end of a body proves that the answer is complete. The end of a connection proves it only if the answer began after the whole body was passed on, the whole body was written without an error when the connection ended, and nothing of it was left in the send queue of the connection (SIOCOUTQ). Otherwise the caller's connection is broken off. Bytes that the peer's system took and its process did not read can't be seen. Systems other than Linux don't tell the send queue, so such answers to uploads are broken there.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -25,9 +25,6 @@
 // errCallerLeft reports that the caller disconnected while an answer was copied to it.
 var errCallerLeft = eris.New("caller disconnected")
 
-// errMalformedTrailers reports trailers that can't be written to any caller as they are.
-var errMalformedTrailers = eris.New("malformed trailers")
-
 // delivery is the result of copying an answer to the caller.
 type delivery struct {
 	attempt *attempt
@@ -59,7 +56,7 @@
 func (t *attempt) discardDelivered() (uint64, error) {
 	n, err := io.CopyN(io.Discard, t.response.Body, maxDiscardedBytes)
 	if errors.Is(err, io.EOF) {
-		err = nil
+		err = t.judgeEnd()
 	}
 	return uint64(n), err
 }
@@ -91,8 +88,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if !areValidFields(response.Trailer) {
-				return sum, errMalformedTrailers
+			if err := t.judgeEnd(); err != nil {
+				return sum, err
 			}
 			copyTrailers(s.w.Header(), response)
 			return sum, nil
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -33,6 +33,11 @@
 	reused atomic.Bool
 	// withheld is set if the request was not sent because the connection must not carry it.
 	withheld atomic.Bool
+	// conn is the connection that carries the request, or nil.
+	conn atomic.Pointer[connection]
+	// early is set if the answer began before the whole body was passed on. It is set before
+	// Answered is posted.
+	early bool
 	// wholeRead is set before the last byte of an answer of known length is written to
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
@@ -75,6 +80,7 @@
 		return
 	}
 	t.response = response
+	t.early = t.body != nil && !t.body.passedOn()
 	s.forwarder.control.Post(descriptor.Answered{
 		At:      time.Now(),
 		Request: s.id,
@@ -221,6 +227,8 @@
 			_ = c.Close()
 			return
 		}
+		c.written.begin()
+		t.conn.Store(c)
 	}
 	t.reused.Store(info.Reused)
 	if t.connectionsUsed.Add(1) == 1 {
--- a/forwarder/connection.go
+++ b/forwarder/connection.go
@@ -20,6 +20,8 @@
 	mu sync.Mutex
 	// carried holds the hashes of the identifiers that were sent, at most maxCarried.
 	carried []uint64
+	// written tells what of the present request the peer has taken.
+	written written
 }
 
 // dialConnections returns a function for http.Transport that dials connections.
