Stand-in: a backend server answers the command to crash before it does

Cause: /-/crash closed all connections in the background while its own answer was still to be written, so the soak sometimes took an injected crash for one that was not injected ("send request: EOF").

Change: the answer is written with a length and flushed before the crash.

--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -44,8 +44,7 @@
 	case FaultPath:
 		b.serveFault(w, r)
 	case CrashPath:
-		b.Crash(now)
-		writeJSON(w, http.StatusOK, b.options.Down)
+		b.serveCrash(w, now)
 	case CountsPath:
 		writeJSON(w, http.StatusOK, b.Counts())
 	case HealthPath:
@@ -66,6 +65,16 @@
 	writeJSON(w, http.StatusOK, f)
 }
 
+// serveCrash answers and then crashes, which breaks the connection of the answer too.
+func (b *Backend) serveCrash(w http.ResponseWriter, now time.Time) {
+	text := strconv.FormatInt(int64(b.options.Down), 10)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = io.WriteString(w, text)
+	_ = http.NewResponseController(w).Flush()
+	b.Crash(now)
+}
+
 // setStateHeaders sets the headers in which a backend server reports its load and
 // state.
 func (b *Backend) setStateHeaders(w http.ResponseWriter) {
