Soak: answers that can't be delivered, and parts of answers without a length

Change: faults odd and part of the stand-in and of scenarios; each soak gives them to one backend server of three services. A small or empty upload is not answered in part: nothing shows then that it was not read. An answer with a status that HTTP does not define counts as not whole.

--- a/imitator/backend.go
+++ b/imitator/backend.go
@@ -34,6 +34,11 @@
 	// Copy makes the backend server write its last refusal on a connection once more before
 	// the answer to the next request there, with the identifier of the refused request.
 	Copy bool `json:"copy"`
+	// Odd is the share of answers with a status or header that can't be delivered, from 0 to 1.
+	Odd float64 `json:"odd"`
+	// Part is the share of large uploads that get a part of an answer without a length before
+	// they are read, from 0 to 1.
+	Part float64 `json:"part"`
 }
 
 // BackendOptions are the fixed parameters of a stand-in.
--- a/imitator/backend_server.go
+++ b/imitator/backend_server.go
@@ -173,6 +173,9 @@
 func (b *Backend) run(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	token := query.Get(TokenParameter)
+	if b.answerInPart(w, r) {
+		return
+	}
 	b.begin(token)
 	sum := sha256.New()
 	received, err := io.Copy(sum, r.Body)
@@ -195,6 +198,9 @@
 		b.end(false)
 		panic(http.ErrAbortHandler)
 	}
+	if b.answerOddly(w, r) {
+		return
+	}
 	b.answer(w, r, received)
 	b.end(true)
 }
--- a/loader/breaking_test.go
+++ b/loader/breaking_test.go
@@ -132,6 +132,17 @@
 			})
 		},
 	},
+	{
+		name: "an answer with a status that HTTP does not define", want: []string{"whole answers"},
+		fleet: func(f *fakeFleet) {
+			f.answer = once(func(f *fakeFleet, w http.ResponseWriter, token string) {
+				f.run(token)
+				f.countServed()
+				w.WriteHeader(999)
+				_, _ = io.WriteString(w, imitator.Body(token, 256))
+			})
+		},
+	},
 	{
 		name: "an answer without a run", want: []string{"whole answers"},
 		fleet: func(f *fakeFleet) {
--- a/loader/fault.go
+++ b/loader/fault.go
@@ -68,9 +68,9 @@
 	switch f.Kind {
 	case FaultDrain, FaultLeave:
 		r.monitor.expectDrain(b)
-	case FaultTurn, FaultRepeat, FaultCopy, FaultCrash, FaultRestart:
+	case FaultTurn, FaultRepeat, FaultCopy, FaultCrash, FaultRestart, FaultOdd, FaultPart:
 		// It is not a gray fault: the backend server turns work away, its refusals are not
-		// believed, or it is down.
+		// believed, some of its answers are none, or it is down.
 	default:
 		r.monitor.expectGray(b, now, f.Found)
 	}
@@ -147,6 +147,10 @@
 		fault.Turn, fault.Pause = f.Share, f.Time
 	case FaultRepeat:
 		fault.Repeat = true
+	case FaultOdd:
+		fault.Odd = f.Share
+	case FaultPart:
+		fault.Part = f.Share
 	case FaultCopy, FaultRestart:
 		fault.Turn, fault.Copy = f.Share, true
 	}
--- a/loader/record.go
+++ b/loader/record.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -236,12 +237,15 @@
 	}
 }
 
+// maxStatus is the largest status that HTTP defines. An answer with another one is none.
+const maxStatus = 599
+
 // lateRefusalTolerance is added to the class's target before a refusal counts as
 // late, to allow for the time that the refusal takes to reach the caller.
 const lateRefusalTolerance = 30 * time.Millisecond
 
 func (r *record) addServed(t *tally, s *second, text string, w Work, result caller.Result) {
-	if result.Status >= 500 {
+	if result.Status >= http.StatusInternalServerError && result.Status <= maxStatus {
 		t.reasons["status-5xx"]++
 		t.unknown++
 		return
@@ -249,7 +253,7 @@
 	t.served++
 	s.served++
 	r.served = append(r.served, text)
-	if string(result.Body) != imitator.Body(text, w.Size) || !strings.HasPrefix(string(result.Body), text+":") {
+	if result.Status < http.StatusOK || result.Status > maxStatus || string(result.Body) != imitator.Body(text, w.Size) || !strings.HasPrefix(string(result.Body), text+":") {
 		t.corrupt++
 	}
 	micros := result.Latency.Microseconds()
--- a/loader/scenario.go
+++ b/loader/scenario.go
@@ -104,6 +104,8 @@
 	FaultTurn   FaultKind = "turn"
 	FaultRepeat FaultKind = "repeat"
 	FaultCopy   FaultKind = "copy"
+	FaultOdd    FaultKind = "odd"
+	FaultPart   FaultKind = "part"
 	// FaultCrash crashes a backend server. FaultRestart does so too, and lists it under
 	// another ID at the same address; the old entry is removed at the end of the fault. It
 	// turns work away meanwhile and copies its refusals.
@@ -323,7 +325,7 @@
 	case FaultOutage, FaultSlow, FaultLost, FaultReplace, FaultOneWay:
 		return nil
 	case FaultStall, FaultErrors, FaultCut, FaultLate, FaultFlap, FaultDrain, FaultLeave, FaultTurn, FaultRepeat,
-		FaultCopy, FaultCrash, FaultRestart:
+		FaultCopy, FaultCrash, FaultRestart, FaultOdd, FaultPart:
 		if _, ok := d.service(f.Service); !ok {
 			return eris.Wrapf(ErrScenario, "%s: fault %s: unknown service %q", file, f.Name, f.Service)
 		}
--- a/soak_test.go
+++ b/soak_test.go
@@ -30,6 +30,8 @@
 	{117, shortSoak},
 	// The monitor counted an ejection that had ended while the store was slow to answer.
 	{3100, 20 * time.Second},
+	// Answers that can't be delivered, and a part of an answer without a length, reached callers.
+	{13, 14 * time.Second},
 }
 
 // TestSoak plays short soaks with real processes. SOAK_SEEDS adds a number of fresh seeds.
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -107,7 +107,30 @@
 		f.Index = r.IntN(f.Index)
 		p.scenario.Faults = append(p.scenario.Faults, f)
 	}
-	return p.withServers(seed, duration).withPlanned(seed)
+	return p.withServers(seed, duration).withOddAnswers(seed, duration).withPlanned(seed)
+}
+
+// withOddAnswers returns the plan with a backend server of each service whose answers can't be
+// delivered or break off. It has a generator of its own.
+func (p plan) withOddAnswers(seed uint64, duration time.Duration) plan {
+	r := rand.New(rand.NewPCG(seed, 3))
+	faults := slices.Clone(p.scenario.Faults)
+	for _, f := range oddFaults {
+		f.Name = fmt.Sprintf("%s-%s", f.Kind, f.Service)
+		f.From = leadTime + time.Duration(r.Int64N(int64(duration-leadTime-tailTime)))
+		f.To = min(f.From+time.Second+time.Duration(r.Int64N(int64(8*time.Second))), duration-tailTime)
+		f.Index = r.IntN(f.Index)
+		faults = append(faults, f)
+	}
+	p.scenario.Faults = faults
+	return p
+}
+
+// oddFaults are the faults that withOddAnswers adds; Index is as in surroundings.
+var oddFaults = []loader.Fault{
+	{Kind: loader.FaultOdd, Service: "ledger", Index: 11, Share: 0.3},
+	{Kind: loader.FaultOdd, Service: "billing", Index: 21, Share: 0.3},
+	{Kind: loader.FaultPart, Service: "fieldbook", Index: 6, Share: 0.7},
 }
 
 // withServers returns the plan with faults of backend servers that restart, crash under
@@ -147,7 +170,7 @@
 	var faults []loader.Fault
 	for _, f := range p.scenario.Faults {
 		switch f.Kind {
-		case loader.FaultCut, loader.FaultStall, loader.FaultFlap, loader.FaultCrash, loader.FaultRestart:
+		case loader.FaultCut, loader.FaultPart, loader.FaultStall, loader.FaultFlap, loader.FaultCrash, loader.FaultRestart:
 		default:
 			faults = append(faults, f)
 		}
