Platform: follow a store that is restored from an older copy

Cause: the reader took the revisions of the store for numbers that never fall. After a restore each watch got 410, each list kept the old revision, and the next watch got 410 again, without a pause. Lists of backend servers with lower revisions were not taken, so that no later change reached an instance. A read of an older configuration counted as proof that the one held was the newest.

Change: answers carry the era of the store. A rise has everything listed again and is event 2010; a second 410 in a row pauses. Instances take entries that the copy lacks as after an outage. A backend server that was removed in an earlier era is not used until it is removed and written again in this one. A read of a kind of which the store shows an older document than the one held, or after a restore none, is no confirmation; decider.provesNewest is the one place that decides it.

--- a/commander/apply.go
+++ b/commander/apply.go
@@ -82,7 +82,7 @@
 			return nil, err
 		default:
 			ch.exists = true
-			ch.revision = item.Revision
+			ch.revision = item.Stamp()
 			if err := json.Unmarshal(item.Value, &ch.stored); err != nil {
 				return nil, eris.Wrapf(storer.ErrMalformed, "%s: %v", item.Key, err)
 			}
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -114,6 +114,8 @@
 	crashes *quarantiner.Register
 	// departed holds the backend servers of all services that are known to leave.
 	departed *balancer.Departed
+	// restoration tracks what a restore of the platform's store makes doubtful.
+	restoration restoration
 	// publishedCrashes is the version of crashes in the published directory.
 	publishedCrashes uint64
 	// requests maps each open request to its service.
@@ -183,10 +185,12 @@
 		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
 		crashes:   quarantiner.NewRegister(),
 		departed:  balancer.NewDeparted(),
-		requests:  container.NewTable[descriptor.RequestID, string](),
-		traces:    container.NewTable[descriptor.RequestID, []descriptor.TraceEntry](),
-		notes:     container.NewRing[descriptor.Note](maxNotes),
-		dirty:     true,
+
+		restoration: newRestoration(),
+		requests:    container.NewTable[descriptor.RequestID, string](),
+		traces:      container.NewTable[descriptor.RequestID, []descriptor.TraceEntry](),
+		notes:       container.NewRing[descriptor.Note](maxNotes),
+		dirty:       true,
 	}
 	d.keeper = keeper.New(o.Self, d.gossiper, d.nextWrite, now)
 	d.writer = counter.NewWriter(o.Self, d.nextWrite)
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -13,6 +13,8 @@
 // handleDocumentsRead handles documents read from the platform's store.
 func (d *Decider[E, D, P, L]) handleDocumentsRead(e descriptor.DocumentsRead) {
 	d.relayer.RecordResponse(d.now, e.AsOf)
+	d.enterEra(e.Revision)
+	d.restoration.recordShown(e, d.spreader.List)
 	for _, document := range e.Documents {
 		d.applyDocument(document, "")
 	}
@@ -39,7 +41,7 @@
 // confirmFresh records the time as of which the documents of a kind are the
 // newest.
 func (d *Decider[E, D, P, L]) confirmFresh(e descriptor.DocumentsRead) {
-	if e.AsOf.IsZero() {
+	if e.AsOf.IsZero() || !d.provesNewest(e) {
 		return
 	}
 	d.relayer.RecordRead(e.Kind, e.AsOf)
@@ -63,6 +65,10 @@
 // applyDocument puts a document in force unless the same or a newer revision
 // already is.
 func (d *Decider[E, D, P, L]) applyDocument(document descriptor.Document, from string) {
+	if document.Kind == descriptor.KindBackends {
+		d.enterEra(document.Revision)
+	}
+	before, _ := d.spreader.Get(document.Kind, document.Name)
 	document, ok := d.spreader.Take(document, from)
 	if !ok {
 		return
@@ -73,6 +79,7 @@
 	case descriptor.KindRouting:
 		d.applyRouting(document)
 	case descriptor.KindBackends:
+		d.restoration.recordList(before, document)
 		d.applyBackends(document)
 	case descriptor.KindEjections:
 		d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) { s.SetEjections(d.now, document) })
@@ -131,7 +138,7 @@
 func (d *Decider[E, D, P, L]) applyBackends(document descriptor.Document) {
 	d.updateServingCount(document.Name)
 	d.onService(document.Name, func(s *balancer.Balancer[E, D, P, L]) {
-		s.SetBackends(d.now, document.Backends, d.relayer.RestoreDeadline())
+		s.SetBackends(d.now, d.restoration.withoutDeparted(document), d.relayer.RestoreDeadline())
 	})
 }
 
@@ -232,7 +239,7 @@
 	s.SetHeard(d.heard)
 	d.counter.InForce(d.now, service, known.revision)
 	if list, ok := d.spreader.Get(descriptor.KindBackends, service); ok {
-		s.SetBackends(d.now, list.Backends, time.Time{})
+		s.SetBackends(d.now, d.restoration.withoutDeparted(list), time.Time{})
 	}
 	if set, ok := d.spreader.Get(descriptor.KindEjections, service); ok {
 		s.SetEjections(d.now, set)
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"strconv"
 	"time"
 
 	"monsoonswitch/balancer"
@@ -234,4 +233,4 @@
 	d.collect(service, s)
 }
 
-func revisionText(r uint64) string { return "revision " + strconv.FormatUint(r, 10) }
+func revisionText(r uint64) string { return "revision " + descriptor.RevisionText(r) }
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -17,6 +17,7 @@
 	NoteStoreReachable   = 2003
 	NoteDocumentInvalid  = 2004
 	NoteWatching         = 2005
+	NoteStoreRestored    = 2010
 	NoteMemberNew        = 3001
 	NoteMemberSuspect    = 3002
 	NoteMemberDead       = 3003
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -37,6 +37,7 @@
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
 	descriptor.NoteDocumentInvalid:  {logrus.ErrorLevel, "invalid document in store"},
 	descriptor.NoteWatching:         {logrus.InfoLevel, "watching the platform's store"},
+	descriptor.NoteStoreRestored:    {logrus.WarnLevel, "store restored"},
 	descriptor.NoteMemberNew:        {logrus.InfoLevel, "instance discovered"},
 	descriptor.NoteMemberSuspect:    {logrus.WarnLevel, "instance suspected"},
 	descriptor.NoteMemberDead:       {logrus.WarnLevel, "instance declared dead"},
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -111,6 +111,10 @@
 	r.respondedAt = asOf
 }
 
+// RecordRestore records that the store was restored from an older copy, which may lack entries as
+// after an outage.
+func (r *Relayer) RecordRestore(now time.Time) { r.recoveredAt = now }
+
 // RestoreDeadline returns the time until which store entries that expired during
 // the last outage may still be registered again, or zero if there was no outage.
 func (r *Relayer) RestoreDeadline() time.Time {
--- a/server/server.go
+++ b/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -349,6 +350,11 @@
 	p.log.Event(descriptor.NoteStoreUnreachable, "", source, err.Error())
 }
 
+// StoreRestored implements storer.Reporter.
+func (p platformReporter) StoreRestored(source string, era uint64) {
+	p.log.Event(descriptor.NoteStoreRestored, "", source, fmt.Sprintf("era %d", era))
+}
+
 // BadDocument implements storer.Reporter.
 func (p platformReporter) BadDocument(key string, err error) {
 	p.log.Event(descriptor.NoteDocumentInvalid, "", key, err.Error())
--- a/standin_test.go
+++ b/standin_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -36,6 +37,39 @@
 	// oldest is the oldest revision in the history.
 	oldest uint64
 	calls  int
+	// era is how often the store went back to an earlier copy.
+	era int
+}
+
+// storeCopy is a copy of a store.
+type storeCopy struct {
+	items    map[string]wireItem
+	revision uint64
+}
+
+// copy returns a copy of the store.
+func (s *platformStore) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{items: maps.Clone(s.items), revision: s.revision}
+}
+
+// restore goes back to an earlier copy: the revision falls, no event is left, and the era rises.
+func (s *platformStore) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.revision = maps.Clone(c.items), c.revision
+	s.events, s.oldest = nil, c.revision+1
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// count returns the number of calls so far.
+func (s *platformStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
 }
 
 func newPlatformStore() *platformStore {
@@ -109,10 +143,18 @@
 	}
 }
 
+// stampEra sets the header that tells the era. mu is held.
+func (s *platformStore) stampEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
+	}
+}
+
 // serveRange writes one page of the items under a prefix.
 func (s *platformStore) serveRange(w http.ResponseWriter, prefix, after string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stampEra(w)
 	var list []wireItem
 	for k, i := range s.items {
 		if strings.HasPrefix(k, prefix) && k > after {
@@ -132,7 +174,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		historyGone, changed, current := after+1 < s.oldest, s.changed, s.revision
+		historyGone, changed, current := after+1 < s.oldest || after > s.revision, s.changed, s.revision
+		s.stampEra(w)
 		var list []wireItem
 		for _, e := range s.events {
 			if strings.HasPrefix(e.Key, prefix) && e.Revision > after {
--- a/storer/client.go
+++ b/storer/client.go
@@ -17,6 +17,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"monsoonswitch/descriptor"
 	"monsoonswitch/listener"
 )
 
@@ -62,13 +63,21 @@
 	Value json.RawMessage `json:"value"`
 	// Deleted reports whether the key was deleted at Revision.
 	Deleted bool `json:"deleted,omitempty"`
+	// Era is the era of the store in which the value was written, if the store tells; see Page.
+	Era uint64 `json:"era,omitempty"`
 }
 
+// Stamp returns the revision of the item with its era as one number.
+func (i Item) Stamp() uint64 { return descriptor.StampRevision(i.Era, i.Revision) }
+
 // Page is an answer with many values.
 type Page struct {
 	// Revision is the newest revision of the store.
 	Revision uint64 `json:"revision"`
 	Items    []Item `json:"items"`
+	// Era is how often the store was restored from an older copy of itself. Revisions fall then
+	// and are assigned again, so that only those of one era can be compared.
+	Era uint64 `json:"-"`
 }
 
 // Listing is the platform's list of backend servers.
@@ -76,6 +85,8 @@
 	// Version grows with every change of the list.
 	Version  uint64           `json:"version"`
 	Services []ServiceListing `json:"services"`
+	// Era is as in Page, for the versions of the list.
+	Era uint64 `json:"-"`
 }
 
 // ServiceListing lists the backend servers of one service.
@@ -99,9 +110,10 @@
 	// ErrCompacted if some of the changes are no longer stored.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error)
 	// Put writes a value if the key has the expected revision; 0 means that the key must
-	// not exist. If lease is positive, the value is removed after that time, or earlier
-	// if the store grants shorter leases only. With ErrConflict, Put returns the current
-	// item.
+	// not exist. The revision is as Item.Stamp returns it: one of an earlier era is expected of
+	// a value that was written in that era. If lease is positive, the value is removed after
+	// that time, or earlier if the store grants shorter leases only. With ErrConflict, Put
+	// returns the current item.
 	Put(ctx context.Context, key string, value []byte, expect uint64, lease time.Duration) (Item, error)
 }
 
@@ -140,14 +152,15 @@
 // Get returns the value of a key.
 func (c *httpStore) Get(ctx context.Context, key string) (Item, error) {
 	var item Item
-	err := c.read(ctx, "/kv/"+key, nil, callTimeout, &item)
+	_, err := c.read(ctx, "/kv/"+key, nil, callTimeout, &item)
 	return item, err
 }
 
 // List returns all values whose keys begin with prefix.
 func (c *httpStore) List(ctx context.Context, prefix string) (Page, error) {
 	var page Page
-	err := c.read(ctx, "/kv", url.Values{"prefix": {prefix}}, callTimeout, &page)
+	era, err := c.read(ctx, "/kv", url.Values{"prefix": {prefix}}, callTimeout, &page)
+	page.Era = era
 	return page, err
 }
 
@@ -160,7 +173,8 @@
 		"after":  {strconv.FormatUint(after, 10)},
 		"wait":   {wait.String()},
 	}
-	err := c.read(ctx, "/watch", query, wait+callTimeout, &page)
+	era, err := c.read(ctx, "/watch", query, wait+callTimeout, &page)
+	page.Era = era
 	return page, err
 }
 
@@ -169,37 +183,60 @@
 func (c *httpStore) Instances(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
 	var listing Listing
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {wait.String()}}
-	err := c.read(ctx, "/instances", query, wait+callTimeout, &listing)
+	era, err := c.read(ctx, "/instances", query, wait+callTimeout, &listing)
+	listing.Era = era
 	return listing, err
 }
 
-func (c *httpStore) read(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) error {
-	return Read(ctx, c.service, c.base+path+"?"+query.Encode(), timeout, result)
+// EraHeader is the header of all answers of the store that holds its era; see Page. It is missing
+// in era 0.
+const EraHeader = "Kv-Era"
+
+func (c *httpStore) read(ctx context.Context, path string, query url.Values, timeout time.Duration, result any) (uint64, error) {
+	return Read(ctx, c.service, c.base+path+"?"+query.Encode(), timeout, EraHeader, result)
 }
 
-// Read sends a GET request to the platform and decodes the answer. It returns
-// ErrUnavailable, ErrNotFound, ErrCompacted or ErrMalformed on failure.
-func Read(ctx context.Context, service httpc.Service, address string, timeout time.Duration, result any) error {
+// Read sends a GET request to the platform and decodes the answer. It returns the era of the store,
+// which the header with the given name holds. It returns ErrUnavailable, ErrNotFound, ErrCompacted
+// or ErrMalformed on failure.
+func Read(ctx context.Context, service httpc.Service, address string, timeout time.Duration, eraHeader string, result any) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return eris.Wrap(err, "build call")
+		return 0, eris.Wrap(err, "build call")
 	}
 	response, err := service.DoRequest(r)
 	if err != nil {
-		return eris.Wrapf(ErrUnavailable, "%v", err)
+		return 0, eris.Wrapf(ErrUnavailable, "%v", err)
 	}
 	defer CloseBody(response)
 	switch response.StatusCode {
 	case http.StatusOK:
-		return DecodeBody(response, result)
+		era, err := parseEra(response.Header.Get(eraHeader))
+		if err != nil {
+			return 0, err
+		}
+		return era, DecodeBody(response, result)
 	case http.StatusNotFound:
-		return eris.Wrap(ErrNotFound, r.URL.Path)
+		return 0, eris.Wrap(ErrNotFound, r.URL.Path)
 	case http.StatusGone:
-		return eris.Wrap(ErrCompacted, r.URL.Path)
+		return 0, eris.Wrap(ErrCompacted, r.URL.Path)
 	}
-	return eris.Wrapf(ErrUnavailable, "%s: status %d", r.URL.Path, response.StatusCode)
+	return 0, eris.Wrapf(ErrUnavailable, "%s: status %d", r.URL.Path, response.StatusCode)
+}
+
+// parseEra returns the era in a header; a missing one is era 0. It returns ErrMalformed if it is
+// not a whole number.
+func parseEra(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, eris.Wrapf(ErrMalformed, "era %q", text)
+	}
+	return era, nil
 }
 
 // Put writes a value if the key has the expected revision; 0 means that the key must
@@ -211,7 +248,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	query := url.Values{"expect": {strconv.FormatUint(expect, 10)}}
+	era, revision := descriptor.SplitRevision(expect)
+	query := url.Values{"expect": {strconv.FormatUint(revision, 10)}}
+	if era > 0 {
+		query.Set("era", strconv.FormatUint(era, 10))
+	}
 	if lease > 0 {
 		query.Set("lease", lease.String())
 	}
--- a/storer/documents.go
+++ b/storer/documents.go
@@ -34,7 +34,7 @@
 // ParseDocument decodes the document of an item under ConfigPrefix. It returns an error
 // if the key is unknown or the document is not valid.
 func ParseDocument(item Item) (descriptor.Document, error) {
-	d := descriptor.Document{Revision: item.Revision, At: item.At}
+	d := descriptor.Document{Revision: item.Stamp(), At: item.At}
 	if name, ok := strings.CutPrefix(item.Key, servicePrefix); ok {
 		var s declarer.Service
 		if err := json.Unmarshal(item.Value, &s); err != nil {
@@ -81,9 +81,9 @@
 	}
 }
 
-// backendsDocument returns the document of a service's backend servers.
-func backendsDocument(l ServiceListing) descriptor.Document {
-	return descriptor.Document{Kind: descriptor.KindBackends, Name: l.Name, Revision: l.Version, Backends: l.Decode()}
+// backendsDocument returns the document of a service's backend servers in an era of the list.
+func backendsDocument(l ServiceListing, era uint64) descriptor.Document {
+	return descriptor.Document{Kind: descriptor.KindBackends, Name: l.Name, Revision: descriptor.StampRevision(era, l.Version), Backends: l.Decode()}
 }
 
 // Decode returns the backend servers of a listing. It omits entries that can't be decoded,
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"monsoonswitch/catcher"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/timekeeper"
@@ -42,6 +44,9 @@
 	// successful one, and after the first successful call that follows a failed one. err
 	// is nil if ok is true. ErrCompacted does not count as a failure.
 	ReachabilityChanged(source string, ok bool, err error)
+	// StoreRestored is called when a source turns out to be restored from an older copy of
+	// itself, with its new era.
+	StoreRestored(source string, era uint64)
 	// BadDocument is called for each document that can't be decoded.
 	BadDocument(key string, err error)
 }
@@ -151,7 +156,12 @@
 	// complete reports whether the feed was listed since its history was last
 	// compacted.
 	complete bool
-	roster   *Roster
+	// era is the era of the store that was read last, once read is set.
+	era  uint64
+	read bool
+	// compactions counts the watches in a row that found their history compacted.
+	compactions int
+	roster      *Roster
 	// malformed holds the revisions of the values that could not be decoded and were
 	// reported. It is replaced with each list, which bounds it.
 	malformed map[string]uint64
@@ -168,14 +178,25 @@
 	page, listed, err := c.call(ctx)
 	now := time.Now()
 	if errors.Is(err, ErrCompacted) {
-		c.complete = false
-		return err
+		return c.forget(ctx, err)
+	}
+	if err == nil {
+		err = c.enterEra(page.Era)
 	}
 	if err != nil {
 		return err
 	}
+	if !listed && !c.complete {
+		// The changes are those of a history that does not follow what is known.
+		return nil
+	}
+	if !listed {
+		c.compactions = 0
+	}
 	c.complete = true
-	c.after = max(c.after, page.Revision)
+	// A list may also be older than the one before: without an era, the store does not tell that it
+	// was restored.
+	c.after = page.Revision
 	asOf := c.asOf(started, now, listed, len(page.Items))
 	c.post(page, listed, descriptor.DocumentsRead{At: now, AsOf: asOf, Uptime: uptime + asOf.Sub(started)})
 	if !listed && len(page.Items) > 0 {
@@ -184,6 +205,33 @@
 	return nil
 }
 
+// forget makes the next step list the feed. From the second time in a row on it pauses first: the
+// watch that followed the list found no history either.
+func (c *feedReader) forget(ctx context.Context, err error) error {
+	c.complete = false
+	c.compactions++
+	if c.compactions > 1 {
+		_ = sleep(ctx, min(firstRetryDelay<<min(c.compactions-2, 8), maxRetryDelay))
+	}
+	return err
+}
+
+// enterEra records the era of an answer. If it rose, all that is known of the feed is listed anew.
+// It returns ErrUnavailable if the era fell: another answer of the store showed that this one is
+// from an older copy.
+func (c *feedReader) enterEra(era uint64) error {
+	before, first := c.era, !c.read
+	if !first && era < before {
+		return eris.Wrapf(ErrUnavailable, "%s: answer of era %d after %d", c.feed.Name, era, before)
+	}
+	c.era, c.read = era, true
+	if !first && era > before {
+		c.complete = false
+		c.follower.reporter.StoreRestored(c.feed.Name, era)
+	}
+	return nil
+}
+
 // call lists or watches the feed, and reports whether it listed it.
 func (c *feedReader) call(ctx context.Context) (Page, bool, error) {
 	if !c.complete {
@@ -211,7 +259,7 @@
 	}
 	for _, p := range c.feed.Parts {
 		e := read
-		e.Kind, e.Complete, e.Revision = p.Kind, listed, page.Revision
+		e.Kind, e.Complete, e.Revision = p.Kind, listed, descriptor.StampRevision(page.Era, page.Revision)
 		if items := page.withPrefix(p.Prefix); p.DecodeEntry != nil {
 			e.Documents = c.entries(p, items, listed)
 		} else {
@@ -229,7 +277,7 @@
 			items = append(items, item)
 		}
 	}
-	return Page{Revision: p.Revision, Items: items}
+	return Page{Revision: p.Revision, Items: items, Era: p.Era}
 }
 
 // reportMalformed reports a value that can't be decoded, once for each revision of it.
@@ -289,24 +337,36 @@
 	if listed {
 		c.roster.Retain(present)
 	}
-	return c.roster.Flush(page.Revision)
+	return c.roster.Flush(descriptor.StampRevision(page.Era, page.Revision))
 }
 
 // listStep returns a step that watches the platform's separate list of backend servers.
 func (f *Follower) listStep() func(context.Context) error {
-	var after uint64
+	var after, era uint64
+	read := false
 	known := make(map[string]uint64)
 	return func(ctx context.Context) error {
 		listing, err := f.client.listSource.Instances(ctx, after, f.pace.Wait)
 		if err != nil {
 			return err
 		}
+		if read && listing.Era < era {
+			return eris.Wrapf(ErrUnavailable, "list: answer of era %d after %d", listing.Era, era)
+		}
+		if read && listing.Era > era {
+			// The answer may leave out what has a lower version than the one asked for.
+			f.reporter.StoreRestored("list", listing.Era)
+			era, after = listing.Era, 0
+			clear(known)
+			return nil
+		}
+		era, read = listing.Era, true
 		after = max(after, listing.Version)
 		e := descriptor.DocumentsRead{At: time.Now(), Kind: descriptor.KindBackends}
 		for _, l := range listing.Services {
 			if l.Version > known[l.Name] {
 				known[l.Name] = l.Version
-				e.Documents = append(e.Documents, backendsDocument(l))
+				e.Documents = append(e.Documents, backendsDocument(l, era))
 			}
 		}
 		if len(e.Documents) > 0 {
--- a/storer/odd_test.go
+++ b/storer/odd_test.go
@@ -41,7 +41,7 @@
 			var l Listing
 			err := decodeText(`{"version":7,"services":[{"name":"ledger","version":3,"backends":[`+good+`,`+entry+`]}]}`, &l)
 			asserter.NoError(t, "listing", err)
-			asserter.Equal(t, "backend servers", backendsDocument(l.Services[0]).Backends, []descriptor.Backend{{ID: "b1", Address: "10.0.0.1:80", Slots: 3}})
+			asserter.Equal(t, "backend servers", backendsDocument(l.Services[0], 0).Backends, []descriptor.Backend{{ID: "b1", Address: "10.0.0.1:80", Slots: 3}})
 			var p Page
 			err = decodeText(`{"revision":7,"items":[{"key":"a","revision":1,"value":1},{"key":"b","revision":2,"value":`+entry+`},{"key":"c","revision":3,"value":2}]}`, &p)
 			asserter.NoError(t, "page", err)
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -91,6 +91,9 @@
 // ReachabilityChanged implements storer.Reporter.
 func (sink) ReachabilityChanged(string, bool, error) {}
 
+// StoreRestored implements storer.Reporter.
+func (sink) StoreRestored(string, uint64) {}
+
 // BadDocument implements storer.Reporter.
 func (s sink) BadDocument(key string, _ error) {
 	s.events <- descriptor.DocumentsRead{Documents: []descriptor.Document{{Name: "bad " + key}}}
--- a/storer/verify.go
+++ b/storer/verify.go
@@ -46,7 +46,7 @@
 			continue
 		case sameJSON(found.Value, value):
 			return found, nil
-		case found.Revision == expect:
+		case found.Stamp() == expect:
 			return c.Put(ctx, key, value, expect, lease)
 		default:
 			return found, eris.Wrap(ErrConflict, key)
--- a/storer/writer.go
+++ b/storer/writer.go
@@ -154,7 +154,7 @@
 
 // writtenEvent returns the event for the result of a write.
 func writtenEvent(item Item, err error) descriptor.Written {
-	e := descriptor.Written{Revision: item.Revision}
+	e := descriptor.Written{Revision: item.Stamp()}
 	switch {
 	case err == nil:
 		e.Result = descriptor.WriteAccepted
