--- a/explainer/explainer.go
+++ b/explainer/explainer.go
@@ -145,7 +145,7 @@
 	switch {
 	case l.Event == descriptor.NoteEnded:
 		add("%s, %s, after %d ms of a target of %d ms", l.Reason, l.Outcome, l.Millis, l.Target)
-		add("class %s at revision %d, list %d, confirmed %d ms before", l.Class, l.Revision, l.Listed, l.Age)
+		add("class %s at revision %s, list %s, confirmed %d ms before", l.Class, descriptor.RevisionText(l.Revision), descriptor.RevisionText(l.Listed), l.Age)
 	case !isRequest(l.Event):
 		add("%s", strings.TrimSpace(l.Subject+" "+l.Detail))
 	case l.Backend != "":
