Store protocol: eras, and what is held after a restore

Cause: the product's own store protocol had the faults of the platform's: its list of backend servers was read from a version that never fell, and a write that expected a lost revision matched any later value with that number. A set of ejections that the store had lost was expected for ever and so never written again, lost tallies were not written before the next change, and a key whose claim the store had lost ran a second time at another instance.

Change: all answers carry Kv-Era, items the era in which they were written, and writes the era that they expect. Declarations and ejections are ordered by that, so that those of the copy stay older than what is held. After a rise tallies and ejections are written again, and for the life of a claim an accepted one leaves the outcome of its key unknown. The stand-in goes back to copies.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -145,6 +145,11 @@
 
 	ejections descriptor.Document
 	proposal  proposal
+	// storedEjections is the revision of the set of ejections that the store is known to hold.
+	// It is older than that of ejections if the store was restored from an older copy, and then
+	// rewriteEjections is set.
+	storedEjections  uint64
+	rewriteEjections bool
 	// refusal is why the last proposed ejection was not written: "floor" or the result
 	// of the write to the store. It is empty if there was no such reason.
 	refusal string
--- a/balancer/eject.go
+++ b/balancer/eject.go
@@ -106,6 +106,14 @@
 		return
 	}
 	b.propose(b.ejectable(list))
+	if b.rewriteEjections && b.proposal.id == 0 {
+		b.write(b.keptEjections())
+	}
+}
+
+// StoreRestored has the set of ejections written again, since the store may have lost it.
+func (b *Balancer[E, D, P, L]) StoreRestored() {
+	b.rewriteEjections = len(b.ejections.Ejections) > 0
 }
 
 func (b *Balancer[E, D, P, L]) assessments() []assessment {
@@ -268,7 +276,7 @@
 		Ejections: list,
 	}
 	b.proposal = proposal{id: b.options.NextWrite(), document: document}
-	b.emit(descriptor.Write{Write: b.proposal.id, Document: document, Expect: b.ejections.Revision})
+	b.emit(descriptor.Write{Write: b.proposal.id, Document: document, Expect: b.storedEjections})
 }
 
 // ejectionAllowance returns how many backend servers may be ejected at the same time.
@@ -355,8 +363,11 @@
 	switch e.Result {
 	case descriptor.WriteAccepted:
 		document.Revision = e.Revision
+		b.storedEjections, b.rewriteEjections = e.Revision, false
 		return document, true
 	case descriptor.WriteConflict:
+		b.storedEjections = max(e.Revision, e.Current.Revision)
+		b.rewriteEjections = b.storedEjections < b.ejections.Revision
 		return e.Current, e.Current.Revision > 0
 	case descriptor.WriteUnavailable, descriptor.WriteUnknown:
 		b.proposal.retryAt = e.At.Add(proposalWait)
@@ -373,6 +384,7 @@
 		return false
 	}
 	b.ejections = d
+	b.storedEjections, b.rewriteEjections = d.Revision, false
 	b.applyEjections()
 	b.refresh()
 	return true
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -82,6 +82,20 @@
 		asserter.Equal(t, "receipts after the conflict", len(x.write(start.Add(time.Second))), 2)
 		asserter.Equal(t, "received", x.received(), uint64(2))
 	})
+	t.Run("tallies that the store lost are written again", func(t *testing.T) {
+		x := newStoreSimulation(t)
+		x.writer.Merge(ended(1, start))
+		x.write(start)
+		stored, revision := x.stored, x.revision
+		x.writer.Merge(ended(2, start))
+		x.write(start.Add(time.Minute))
+		asserter.Equal(t, "received before", x.received(), uint64(2))
+		x.stored, x.revision = stored, revision
+		x.writer.StoreRestored()
+		x.write(start.Add(2 * time.Minute))
+		x.write(start.Add(3 * time.Minute))
+		asserter.Equal(t, "received after", x.received(), uint64(2))
+	})
 	t.Run("the backoff of failed writes is limited to the interval", func(t *testing.T) {
 		x := newStoreSimulation(t)
 		x.writer.Merge(ended(1, start))
--- a/counter/writer.go
+++ b/counter/writer.go
@@ -152,6 +152,13 @@
 	return actions
 }
 
+// StoreRestored has the tallies of all services written again, since the store may have lost them.
+func (w *Writer) StoreRestored() {
+	for _, s := range w.byService.All {
+		s.dirty = s.dirty || s.tallies.Len() > 0
+	}
+}
+
 // list returns the tallies sorted by owner.
 func (s *serviceTallies) list() []descriptor.Tally {
 	list := make([]descriptor.Tally, 0, s.tallies.Len())
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -188,6 +188,7 @@
 
 // handleWritten handles the result of a write to the store.
 func (d *Decider[E, D, P, L]) handleWritten(e descriptor.Written) {
+	d.enterEra(e.Revision)
 	if resolved, ok := d.keeper.Written(e); ok {
 		d.resumeRequest(resolved)
 		return
--- a/decider/restored.go
+++ b/decider/restored.go
@@ -101,10 +101,17 @@
 }
 
 // enterEra notes the era of a revision of the store. After a restore, entries that the copy lacks
-// are treated as those that expired in an outage.
+// are treated as those that expired in an outage, tallies and ejections are written again, and
+// claims are in doubt.
 func (d *Decider[E, D, P, L]) enterEra(stamped uint64) {
-	if d.restoration.enterEra(stamped) {
-		d.relayer.RecordRestore(d.now)
+	if !d.restoration.enterEra(stamped) {
+		return
+	}
+	d.relayer.RecordRestore(d.now)
+	d.keeper.StoreRestored(d.now)
+	d.writer.StoreRestored()
+	for _, s := range d.served.All {
+		s.StoreRestored()
 	}
 }
 
--- a/imitator/store.go
+++ b/imitator/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -68,6 +69,43 @@
 	changed chan struct{}
 	fault   StoreFault
 	calls   StoreCalls
+	// era is how often the store went back to an earlier copy.
+	era uint64
+}
+
+// StoreCopy is a copy of the values and lists of a store.
+type StoreCopy struct {
+	values            map[string]value
+	lists             map[string]backendList
+	revision, version uint64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{values: maps.Clone(s.values), lists: cloneLists(s.lists), revision: s.revision, version: s.version}
+}
+
+// Restore goes back to an earlier copy of the store: revisions fall and are assigned again, and
+// the era rises.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.values, s.lists = maps.Clone(c.values), cloneLists(c.lists)
+	s.revision, s.version = c.revision, c.version
+	s.era++
+	s.notifyChange()
+}
+
+// cloneLists returns a copy of the lists of all services.
+func cloneLists(lists map[string]backendList) map[string]backendList {
+	result := make(map[string]backendList, len(lists))
+	for name, l := range lists {
+		l.backends = maps.Clone(l.backends)
+		result[name] = l
+	}
+	return result
 }
 
 // NewStore returns an empty store.
@@ -117,18 +155,18 @@
 	return v.item, ok
 }
 
-// put writes a value if the stored revision equals expect; 0 means that there is no
-// value. It returns the item now in the store and whether the write was accepted.
+// put writes a value if the stored revision equals expect, which is as Item.Stamp returns it; 0
+// means that there is no value. It returns the item now in the store and whether the write was accepted.
 // A lease of 0 never expires.
 func (s *Store) put(key string, data json.RawMessage, expect uint64, lease time.Duration, now time.Time) (storer.Item, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	item, ok := s.get(key, now)
-	if ok && item.Revision != expect || !ok && expect != 0 {
+	if ok && item.Stamp() != expect || !ok && expect != 0 {
 		return item, false
 	}
 	s.revision++
-	v := value{item: storer.Item{Key: key, Revision: s.revision, At: now, Value: data}}
+	v := value{item: storer.Item{Key: key, Revision: s.revision, Era: s.era, At: now, Value: data}}
 	if lease > 0 {
 		v.expires = now.Add(lease)
 	}
--- a/imitator/store_server.go
+++ b/imitator/store_server.go
@@ -86,6 +86,7 @@
 		writeProblem(w, http.StatusServiceUnavailable, errors.New("outage"))
 		return
 	}
+	s.stampEra(w)
 	switch {
 	case r.URL.Path == "/kv" && r.Method == http.MethodGet:
 		s.count(func(c *StoreCalls) { c.Reads++ })
@@ -107,6 +108,15 @@
 	}
 }
 
+// stampEra sets the header that tells the era of the store. A call that waits sets it again.
+func (s *Store) stampEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era > 0 {
+		w.Header().Set(storer.EraHeader, strconv.FormatUint(s.era, 10))
+	}
+}
+
 func (s *Store) count(f func(*StoreCalls)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -149,6 +159,14 @@
 		writeProblem(w, http.StatusBadRequest, err)
 		return
 	}
+	if text := r.URL.Query().Get("era"); text != "" {
+		era, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			writeProblem(w, http.StatusBadRequest, err)
+			return
+		}
+		expect = descriptor.StampRevision(era, expect)
+	}
 	lease, _ := time.ParseDuration(r.URL.Query().Get("lease"))
 	item, ok := s.put(key, data, expect, lease, time.Now())
 	if ok && s.losesReply() {
@@ -169,10 +187,17 @@
 		return
 	}
 	var p storer.Page
+	lost := false
 	ok := s.wait(r, func() bool {
 		p = s.page(query.Get("prefix"), after, time.Now())
-		return len(p.Items) > 0
+		lost = after > s.revision
+		return lost || len(p.Items) > 0
 	})
+	s.stampEra(w)
+	if lost {
+		writeProblem(w, http.StatusGone, errors.New("no such revision"))
+		return
+	}
 	if !ok {
 		writeProblem(w, http.StatusServiceUnavailable, errors.New("outage"))
 		return
@@ -189,8 +214,9 @@
 	var l storer.Listing
 	ok := s.wait(r, func() bool {
 		l = s.listing(after)
-		return len(l.Services) > 0
+		return after > s.version || len(l.Services) > 0
 	})
+	s.stampEra(w)
 	if !ok {
 		writeProblem(w, http.StatusServiceUnavailable, errors.New("outage"))
 		return
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -16,6 +16,8 @@
 	claimWait = time.Second
 	// storeWait is the time that a request waits for a claim in the store.
 	storeWait = 2 * time.Second
+	// claimLife is how long a claim lasts in the store, at most.
+	claimLife = 24 * time.Hour
 	// claimRate is the maximum number of claims per second that one instance
 	// writes to the store, and fleetClaims that of all instances together.
 	claimRate   = 4.0
@@ -147,6 +149,10 @@
 	tokens      float64
 	tokensAt    time.Time
 	rate, burst float64
+
+	// doubtUntil is until when a claim that the store accepts does not show that the key is new,
+	// because the store was restored from an older copy and lost claims.
+	doubtUntil time.Time
 }
 
 // New returns a keeper without keys.
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -355,6 +355,27 @@
 			asserter.Equal(t, "decision", resolved.Decision, c.want)
 		})
 	}
+	t.Run("a store that lost claims", func(t *testing.T) {
+		p := newCluster(t)
+		claim := func(at string) Decision {
+			_, d, actions := begin(p, at)
+			if d.Verdict != Wait {
+				return d
+			}
+			resolved, _ := p.keepers[at].Written(descriptor.Written{At: p.now, Write: actions[0].(descriptor.WriteClaim).Write})
+			return resolved.Decision
+		}
+		asserter.Equal(t, "claimed", claim("a").Verdict, Proceed)
+		for _, k := range p.keepers {
+			k.StoreRestored(p.now)
+		}
+		unsettled := reject(descriptor.KeyUnsettled, descriptor.MayHaveRun)
+		asserter.Equal(t, "at another instance, whose claim is accepted", claim("b"), unsettled)
+		asserter.Equal(t, "there again", claim("b"), unsettled)
+		asserter.Equal(t, "at the instance that claimed it", claim("a").Verdict, Reject)
+		p.now = p.now.Add(claimLife)
+		asserter.Equal(t, "after the life of a claim", claim("c").Verdict, Proceed)
+	})
 	t.Run("the rate of claims is bounded", func(t *testing.T) {
 		p := newCluster(t)
 		refused := 0
--- a/keeper/store.go
+++ b/keeper/store.go
@@ -59,6 +59,11 @@
 	k.waiting.Delete(id)
 	switch e.Result {
 	case descriptor.WriteAccepted:
+		if e.At.Before(k.doubtUntil) {
+			// The work of a claim that was lost may have run at another instance.
+			k.put(p.key, record{state: stateUncertain, holder: k.self.ID})
+			return Resolved{p.arrived, reject(descriptor.KeyUnsettled, descriptor.MayHaveRun)}, true
+		}
 		k.put(p.key, record{state: stateRunning, holder: k.self.ID})
 		k.holds.Put(id, held{key: p.key, callerMade: true})
 		return Resolved{p.arrived, Decision{Verdict: Proceed}}, true
@@ -68,6 +73,10 @@
 	return Resolved{p.arrived, reject(descriptor.ClaimUnavailable, descriptor.NotRun)}, true
 }
 
+// StoreRestored records that the store lost claims. The keys that this instance claimed stay
+// decided by its own records. What others claimed is unknown for as long as a claim lasts.
+func (k *Keeper) StoreRestored(now time.Time) { k.doubtUntil = now.Add(claimLife) }
+
 // Tick returns the requests whose wait timed out. The work of a request that got no
 // answer from the issuer of its key may have run at another instance; the work of
 // one that waited for the store did not run under its claim.
