--- a/decider/receive.go
+++ b/decider/receive.go
@@ -1,7 +1,6 @@
 package decider
 
 import (
-	"strconv"
 	"time"
 
 	"monsoonswitch/balancer"
@@ -200,6 +199,7 @@
 
 // handleWritten handles the result of a write to the store.
 func (d *Decider[E, D, P, L]) handleWritten(e descriptor.Written) {
+	d.enterEra(e.Revision)
 	if resolved, ok := d.keeper.Written(e); ok {
 		d.resumeRequest(resolved)
 		return
@@ -245,4 +245,4 @@
 	d.collect(service, s)
 }
 
-func revisionText(r uint64) string { return "revision " + strconv.FormatUint(r, 10) }
+func revisionText(r uint64) string { return "revision " + descriptor.RevisionText(r) }
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -11,6 +11,7 @@
 	NoteReloaded         = 1007
 	NoteReloadFailed     = 1008
 	NoteLibrary          = 1009
+	NotePanic            = 1013
 	NoteRevision         = 2001
 	NoteStoreUnreachable = 2002
 	NoteStoreReachable   = 2003
@@ -18,6 +19,7 @@
 	NoteWatching         = 2005
 	NoteProofLost        = 2006
 	NoteProofFound       = 2007
+	NoteStoreRestored    = 2010
 	NoteMemberNew        = 3001
 	NoteMemberSuspect    = 3002
 	NoteMemberDead       = 3003
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -33,6 +33,11 @@
 	reused atomic.Bool
 	// withheld is set if the request was not sent because the connection must not carry it.
 	withheld atomic.Bool
+	// conn is the connection that carries the request, or nil.
+	conn atomic.Pointer[connection]
+	// early is set if the answer began before the whole body was passed on. It is set before
+	// Answered is posted.
+	early bool
 	// wholeRead is set before the last byte of an answer of known length is written to
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
@@ -58,8 +63,14 @@
 	if t.reused.Load() && hasSecondStatusLine(response) {
 		head.Mismatched = true
 	}
+	head.Malformed = !isDeliverable(response)
 	if fault, ok := head.fault(s.class.Idempotent); ok {
-		if head.Mismatched {
+		switch {
+		case head.Malformed:
+			// Nothing in it can be relied on, a promise that the work did not run neither.
+			head = Head{Malformed: true}
+			s.forwarder.recorder.Fault()
+		case head.Mismatched:
 			// The answer may be old, so its load and health are not used.
 			head = Head{Mismatched: true}
 			s.forwarder.recorder.Mismatch()
@@ -69,6 +80,7 @@
 		return
 	}
 	t.response = response
+	t.early = t.body != nil && !t.body.passedOn()
 	s.forwarder.control.Post(descriptor.Answered{
 		At:      time.Now(),
 		Request: s.id,
@@ -108,7 +120,7 @@
 // false if there is none.
 func (h Head) fault(idempotent bool) (descriptor.Fault, bool) {
 	switch {
-	case h.Mismatched:
+	case h.Malformed, h.Mismatched:
 		return descriptor.FaultBroken, true
 	case h.Foreign:
 		return descriptor.FaultWrongBackend, true
@@ -122,10 +134,10 @@
 }
 
 // discard releases an answer that is not delivered. If the answer belongs to another
-// request, its connection is closed, because later answers on it can't be matched to
-// requests either.
+// request or is malformed, its connection is closed, because later answers on it can't be
+// matched to requests either.
 func (t *attempt) discard(response *http.Response, h Head) {
-	if h.Mismatched {
+	if h.Malformed || h.Mismatched {
 		t.cancel()
 	} else {
 		_, _ = io.CopyN(io.Discard, response.Body, maxDiscardedBytes)
@@ -216,6 +228,8 @@
 			_ = c.Close()
 			return
 		}
+		c.written.begin()
+		t.conn.Store(c)
 	}
 	t.reused.Store(info.Reused)
 	if t.connectionsUsed.Add(1) == 1 {
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -364,9 +364,15 @@
 	sent atomic.Bool
 }
 
-// Read implements io.Reader. At the end of the body it posts that the whole body was
-// sent.
-func (b *attemptBody) Read(p []byte) (int, error) {
+// Read implements io.Reader. net/http calls it in a goroutine of its own.
+func (b *attemptBody) Read(p []byte) (n int, err error) {
+	err = errPanicked
+	b.attempt.session.forwarder.options.Catcher.Run("request body", func() { n, err = b.read(p) })
+	return n, err
+}
+
+// read reads from the body. At its end it posts that the whole body was sent.
+func (b *attemptBody) read(p []byte) (int, error) {
 	if err := b.attempt.ctx.Err(); err != nil {
 		return 0, err
 	}
@@ -382,5 +388,16 @@
 	return n, err
 }
 
+// passedOn reports whether net/http got the whole body. It writes the last bytes after that, so
+// that a backend server that has read the request answers later.
+func (b *attemptBody) passedOn() bool {
+	if b.sent.Load() {
+		return true
+	}
+	b.body.mu.Lock()
+	defer b.body.mu.Unlock()
+	return b.body.length >= 0 && int64(b.offset) >= b.body.length
+}
+
 // Close implements io.Closer. The caller's body stays open for other attempts.
 func (b *attemptBody) Close() error { return nil }
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -56,10 +56,16 @@
 	closing, complete bool
 	// discarding is set if the answer is discarded because the caller left.
 	discarding bool
+	// delivered is set once the result of copying was received.
+	delivered bool
+	// begun is set once the head of an answer was written.
+	begun bool
+	// counted is set while the request is counted as open.
+	counted bool
 }
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
-	s := &session{
+	return &session{
 		forwarder:  f,
 		w:          w,
 		r:          r,
@@ -70,12 +76,15 @@
 		attempts:   make(map[descriptor.AttemptID]*attempt),
 		copied:     make(chan delivery, 1),
 	}
-	s.label = f.dialect.Label(r)
-	if p := f.dialect.CallerTimeout(r); p > 0 {
+}
+
+// describe sets what the head of the request says about it.
+func (s *session) describe() {
+	s.label = s.forwarder.dialect.Label(s.r)
+	if p := s.forwarder.dialect.CallerTimeout(s.r); p > 0 {
 		s.callerDeadline = s.started.Add(p)
 		s.deadline = s.callerDeadline
 	}
-	return s
 }
 
 // locate finds the service and the class of the request.
@@ -197,6 +206,9 @@
 
 // run serves the request until it ends, and closes the connection if the answer said so.
 func (s *session) run() {
+	s.forwarder.recorder.Begin()
+	s.counted = true
+	s.describe()
 	s.serve()
 	s.close()
 }
@@ -233,6 +245,7 @@
 				return
 			}
 		case d := <-s.copied:
+			s.delivered = true
 			s.endDelivery(d)
 			return
 		case <-s.callerDone:
@@ -383,7 +396,9 @@
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
-		t.run()
+		if s.forwarder.options.Catcher.Run("attempt", t.run) != nil {
+			t.failAfterPanic()
+		}
 	}()
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -31,6 +31,7 @@
 	descriptor.NoteReloaded:         {logrus.InfoLevel, "settings reloaded"},
 	descriptor.NoteReloadFailed:     {logrus.ErrorLevel, "settings not reloaded"},
 	descriptor.NoteLibrary:          {logrus.WarnLevel, "library message"},
+	descriptor.NotePanic:            {logrus.ErrorLevel, "panic recovered"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
@@ -38,6 +39,7 @@
 	descriptor.NoteWatching:         {logrus.InfoLevel, "watching the platform's store"},
 	descriptor.NoteProofLost:        {logrus.WarnLevel, "configuration not proved recent"},
 	descriptor.NoteProofFound:       {logrus.InfoLevel, "configuration proved recent"},
+	descriptor.NoteStoreRestored:    {logrus.WarnLevel, "store restored"},
 	descriptor.NoteMemberNew:        {logrus.InfoLevel, "instance discovered"},
 	descriptor.NoteMemberSuspect:    {logrus.WarnLevel, "instance suspected"},
 	descriptor.NoteMemberDead:       {logrus.WarnLevel, "instance declared dead"},
@@ -77,6 +79,7 @@
 	entry         *logrus.Entry
 	writer        *writer
 	requestBudget requestBudget
+	panics        panicLog
 }
 
 // RequestLimits bounds the number of requests that are logged.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -41,6 +41,8 @@
 	bytes       metrics.Counter
 	// quotas holds the numbers of decisions about quotas, or nil.
 	quotas atomic.Pointer[descriptor.QuotaCounts]
+	// panics counts the panics that were recovered.
+	panics metrics.Counter
 }
 
 // New returns a recorder whose metrics are zero.
@@ -53,6 +55,7 @@
 	r.mismatches = metrics.NewCounter()
 	r.withheld = metrics.NewCounter()
 	r.relocations = metrics.NewCounter()
+	r.panics = metrics.NewCounter()
 	r.bytes = metrics.NewCounter()
 	r.register("served", r.served)
 	r.register("open", r.open)
@@ -61,6 +64,7 @@
 	r.register("mismatches", r.mismatches)
 	r.register("withheld", r.withheld)
 	r.register("relocations", r.relocations)
+	r.register("panics", r.panics)
 	r.register("bytes", r.bytes)
 	r.registerQuotas()
 	for _, reason := range descriptor.Reasons() {
@@ -133,6 +137,9 @@
 // SetQuotas records the numbers of decisions about quotas since the start.
 func (r *Recorder) SetQuotas(c descriptor.QuotaCounts) { r.quotas.Store(&c) }
 
+// Panic counts a panic that was recovered.
+func (r *Recorder) Panic() { r.panics.Inc(1) }
+
 // quantiles are the written quantiles of the latency of served requests.
 var quantiles = []float64{0.5, 0.9, 0.99, 0.999}
 
--- a/server/server.go
+++ b/server/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"monsoonswitch/catcher"
 	"monsoonswitch/configurer"
 	"monsoonswitch/controller"
 	"monsoonswitch/decider"
@@ -45,6 +47,7 @@
 	log        *logger.Logger
 	self       descriptor.Member
 	recorder   *recorder.Recorder
+	catcher    *catcher.Catcher
 	controller *controller.Controller
 	forwarder  *forwarder.Forwarder
 	linker     *linker.Linker
@@ -75,6 +78,7 @@
 		recorder:    recorder.New(),
 		exitAllowed: make(chan struct{}),
 	}
+	s.catcher = catcher.New(s.reportPanic)
 	now := time.Now()
 	s.self = descriptor.Member{
 		ID:          settings.Instance.Name,
@@ -94,6 +98,12 @@
 	return s, nil
 }
 
+// reportPanic counts and logs a panic that was recovered.
+func (s *Server) reportPanic(place, detail string) {
+	s.recorder.Panic()
+	s.log.Panic(place, detail)
+}
+
 // listen opens the listeners. It runs before everything else, because the record of the
 // instance contains the addresses, and port 0 means a free port.
 func (s *Server) listen(g *gates) error {
@@ -152,9 +162,10 @@
 		Reject: func(peer string, err error) {
 			s.log.Event(descriptor.NoteLinkRefused, "", peer, err.Error())
 		},
+		Catcher: s.catcher,
 	}, control)
-	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log})
-	s.writer = storer.NewWriter(client, control)
+	s.follower = storer.NewFollower(client, feeds, s.pace(), control, platformReporter{s.log}, s.catcher)
+	s.writer = storer.NewWriter(client, control, s.catcher)
 	options := forwarder.Options{
 		CallerHeader:   s.settings.Callers.Header,
 		StallTimeout:   s.settings.Limits.StallTimeout,
@@ -164,6 +175,7 @@
 		FreshTime:      s.settings.Limits.FreshTime,
 		ConnectTimeout: s.settings.Limits.ConnectTimeout,
 		UploadBytes:    s.settings.Limits.UploadBytes,
+		Catcher:        s.catcher,
 	}
 	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
@@ -353,6 +365,11 @@
 	p.log.Event(descriptor.NoteStoreUnreachable, "", source, err.Error())
 }
 
+// StoreRestored implements storer.Reporter.
+func (p platformReporter) StoreRestored(source string, era uint64) {
+	p.log.Event(descriptor.NoteStoreRestored, "", source, fmt.Sprintf("era %d", era))
+}
+
 // BadDocument implements storer.Reporter.
 func (p platformReporter) BadDocument(key string, err error) {
 	p.log.Event(descriptor.NoteDocumentInvalid, "", key, err.Error())
