--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -43,6 +43,9 @@
 		{"duration out of range", "keep = 30s", "keep = 30h", "[callers] keep"},
 		{"bad number", "headbytes = 65536", "headbytes = many", "[limits] headbytes"},
 		{"number out of range", "headbytes = 65536", "headbytes = 1", "[limits] headbytes"},
+		{"memory in another unit", "memory = 0", "memory = 184", "[limits] memory"},
+		{"memory that is no number", "memory = 0", "memory = 184 MB", "[limits] memory"},
+		{"too few descriptors", "descriptors = 0", "descriptors = 12", "[limits] descriptors"},
 		{"no listener for questions under a routing", "source = declarations", "source = routing", "[callers] questions"},
 		{"bad choice", "level = info", "level = loud", "[log] level"},
 	} {
@@ -54,6 +57,28 @@
 	}
 }
 
+// TestMachine guards against placeholders of the platform, filled in or empty, that keep an instance
+// from starting or are taken for another number.
+func TestMachine(t *testing.T) {
+	for _, c := range []struct {
+		memory, descriptors         string
+		wantMemory, wantDescriptors int
+	}{
+		{"000000", "", 0, 0},
+		{"", "0", 0, 0},
+		{"184000000", "4096", 184_000_000, 4096},
+		{"184.5000000", "8192", 184_500_000, 8192},
+	} {
+		t.Run(c.memory+" and "+c.descriptors, func(t *testing.T) {
+			text := strings.Replace(example(t), "memory = 0", "memory = "+c.memory, 1)
+			s, err := Parse("s.ini", []byte(strings.Replace(text, "descriptors = 0", "descriptors = "+c.descriptors, 1)))
+			asserter.NoError(t, "parse", err)
+			asserter.Equal(t, "memory", s.Limits.Memory, c.wantMemory)
+			asserter.Equal(t, "descriptors", s.Limits.Descriptors, c.wantDescriptors)
+		})
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte("[instance]\nname=a"))
 	f.Fuzz(func(_ *testing.T, data []byte) {
--- a/platform_test.go
+++ b/platform_test.go
@@ -27,6 +27,8 @@
 	backends  []*platformBackend
 	instances []*platformInstance
 	seeds     []string
+	// limits are further lines of the section limits of the instances' settings.
+	limits string
 }
 
 // platformInstance is one serve process, which can be restarted with the same
@@ -67,7 +69,12 @@
 // newPlatformFleet starts a fleet and waits until every instance serves requests. The
 // store also holds a malformed entry, which the instances have to ignore.
 func newPlatformFleet(t *testing.T, instances, backends int) *platformFleet {
-	f := &platformFleet{t: t, store: newPlatformStore()}
+	return newLimitedFleet(t, instances, backends, "")
+}
+
+// newLimitedFleet does the same with further lines of the section limits.
+func newLimitedFleet(t *testing.T, instances, backends int, limits string) *platformFleet {
+	f := &platformFleet{t: t, store: newPlatformStore(), limits: limits}
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.address = strings.TrimPrefix(server.URL, "http://")
@@ -117,11 +124,11 @@
 format = json
 [limits]
 grace = 6
-[retries]
+%s[retries]
 ratio = 0.2
 extra = 1000
 window = 10
-`, p.name, p.front, p.questions, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address)
+`, p.name, p.front, p.questions, p.inner, strings.Join(f.seeds[:min(3, len(f.seeds))], ","), f.address, f.limits)
 	p.settings = filepath.Join(f.t.TempDir(), p.name+".ini")
 	asserter.NoError(f.t, "write settings", os.WriteFile(p.settings, []byte(text), 0o600))
 	f.instances = append(f.instances, p)
--- a/uploads_test.go
+++ b/uploads_test.go
@@ -123,13 +123,18 @@
 // operatorsPattern matches the address of the operators' listener in event 1001.
 var operatorsPattern = regexp.MustCompile(`operators (127\.0\.0\.1:\d+)`)
 
-// metric returns the value of a metric of an instance.
-func (p *platformInstance) metric(t *testing.T, name string) int {
+// operators returns the address of the operators' listener of an instance.
+func (p *platformInstance) operators(t *testing.T) string {
 	log, err := os.ReadFile(p.settings + ".log")
 	asserter.NoError(t, "read log", err)
 	found := operatorsPattern.FindSubmatch(log)
 	asserter.True(t, "the log names the operators' listener", found != nil)
-	response, err := http.Get("http://" + string(found[1]) + "/metrics")
+	return string(found[1])
+}
+
+// metric returns the value of a metric of an instance.
+func (p *platformInstance) metric(t *testing.T, name string) int {
+	response, err := http.Get("http://" + p.operators(t) + "/metrics")
 	asserter.NoError(t, "metrics", err)
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
