One account of memory and connections for all listeners

Cause: net/http reads and parses heads of any number of connections at once; 16 KiB of short lines take 0.4 MB each, and nothing bounds connections. Change: accepted connections are wrapped. A connection takes a place, a head that is being read and the parsed head take memory from one value (limiter.Shares), which the bodies of uploads share; each kind of listener has a reserved part. Heads pass to net/http only when admitted and never behind the end of the request before them. Header lists of HTTP/2 are taken for frame by frame. A full instance closes the oldest connection without a request served, then idle ones, and answers 503 to heads. Connections to backend servers are bounded too. serve sets the collector's soft limit.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"runtime/debug"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/rotisserie/eris"
@@ -37,6 +38,7 @@
 	defer l.Close()
 	log.SetFlags(0)
 	log.SetOutput(l.Libraries())
+	limitHeap(settings.Limits.Memory)
 	stop := stopper.New()
 	s, err := server.New(settings, l)
 	if err != nil {
@@ -65,3 +67,15 @@
 		}
 	}
 }
+
+// mappedBytes is what the process holds beside the memory that the collector counts, in bytes: its code,
+// and what the system has not taken back yet.
+const mappedBytes = 28e6
+
+// limitHeap makes the collector run more often as the process comes near the memory of its settings.
+// That helps where garbage grows quickly; what is in use is bounded by the admission.
+func limitHeap(memory int) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memory - mappedBytes))
+	}
+}
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -11,6 +11,7 @@
 	NoteReloaded         = 1007
 	NoteReloadFailed     = 1008
 	NoteLibrary          = 1009
+	NoteTurnedAway       = 1010
 	NoteRevision         = 2001
 	NoteStoreUnreachable = 2002
 	NoteStoreReachable   = 2003
--- a/forwarder/body_test.go
+++ b/forwarder/body_test.go
@@ -59,7 +59,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	limits := []int{passedBytes, 4 * passedBytes, 1 << 20, 3 << 20, 64 << 20}
 	limit := limits[random.IntN(len(limits))]
-	u := newUploads(limit, recorder.New())
+	u := newUploads(limit, nil, recorder.New())
 	var bodies sync.WaitGroup
 	for i := range uint64(1 + random.IntN(4)) {
 		bodies.Go(func() { checkBody(t, 10*seed+i, u, limit) })
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -72,6 +72,11 @@
 	// UploadBytes bounds the memory of all uploads together, in bytes; 0 means
 	// defaultUploadBytes.
 	UploadBytes int
+	// Memory is what the bodies of requests hold their memory of, beside the bound UploadBytes; nil
+	// means that there is nothing else.
+	Memory SharedMemory
+	// BackendConnections bounds the connections to backend servers; 0 means that there is no bound.
+	BackendConnections int
 }
 
 // Forwarder serves callers. It is safe for use by many goroutines.
@@ -103,29 +108,31 @@
 		o.ConnectTimeout = connectTimeout
 	}
 	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
+	bounded := newBoundedDialer(dialer, o.BackendConnections)
 	f := &Forwarder{
 		options:             o,
 		control:             c,
 		dialect:             d,
 		recorder:            r,
 		dialer:              dialer,
-		uploads:             newUploads(o.UploadBytes, r),
-		idempotentClient:    newClient(dialer, idempotentIdleTime),
-		nonIdempotentClient: newClient(dialer, o.FreshTime),
+		uploads:             newUploads(o.UploadBytes, o.Memory, r),
+		idempotentClient:    newClient(bounded, idempotentIdleTime),
+		nonIdempotentClient: newClient(bounded, o.FreshTime),
 	}
 	f.snapshot.Store(newSnapshot(&descriptor.Directory{}))
 	return f
 }
 
-func newClient(dialer *net.Dialer, idle time.Duration) httpc.Service {
+func newClient(dialer *boundedDialer, idle time.Duration) httpc.Service {
 	transport := &http.Transport{
-		DialContext:            dialConnections(dialer),
+		DialContext:            dialer.dial,
 		MaxIdleConnsPerHost:    maxIdlePerBackend,
 		IdleConnTimeout:        idle,
 		DisableCompression:     true,
 		ExpectContinueTimeout:  time.Second,
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
+	dialer.transports = append(dialer.transports, transport)
 	client := &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/forwarder/uploads.go
+++ b/forwarder/uploads.go
@@ -24,6 +24,14 @@
 	StreamBytes = 64 << 10
 )
 
+// SharedMemory is memory that the bodies of requests share with other uses.
+type SharedMemory interface {
+	// TakeUpload takes memory, in bytes. It reports false if it is not left.
+	TakeUpload(n int) bool
+	// PutUpload returns memory.
+	PutUpload(n int)
+}
+
 // uploads is the account of the memory that the bodies of all requests hold, in bytes. It is safe
 // for use by many goroutines. Only memory for sending a body again is optional: a body that is not
 // buffered can be passed on once.
@@ -31,17 +39,19 @@
 	// mu guards account.
 	mu      sync.Mutex
 	account limiter.Account[int]
+	// shared is what the memory is taken from too, or nil.
+	shared SharedMemory
 	// unbuffered counts the bodies whose buffer was given up because the account was full.
 	unbuffered atomic.Int64
 }
 
-// newUploads returns an account of limit bytes, 0 meaning defaultUploadBytes, and adds its metrics
-// to r.
-func newUploads(limit int, r *recorder.Recorder) *uploads {
+// newUploads returns an account of limit bytes, 0 meaning defaultUploadBytes, that takes them from
+// shared too unless that is nil. It adds its metrics to r.
+func newUploads(limit int, shared SharedMemory, r *recorder.Recorder) *uploads {
 	if limit == 0 {
 		limit = defaultUploadBytes
 	}
-	u := &uploads{account: limiter.NewAccount(limit, limit/uploadsPerReserved)}
+	u := &uploads{shared: shared, account: limiter.NewAccount(limit, limit/uploadsPerReserved)}
 	r.AddGauge("uploads.limitbytes", func() int64 { return int64(limit) })
 	r.AddGauge("uploads.heldbytes", func() int64 { return int64(u.held()) })
 	r.AddGauge("uploads.unbuffered", u.unbuffered.Load)
@@ -56,21 +66,21 @@
 }
 
 // takeNeeded takes n bytes for passing a body on. It reports false if they are not left.
-func (u *uploads) takeNeeded(n int) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	var ok bool
-	u.account, ok = u.account.WithNeeded(n)
-	return ok
-}
+func (u *uploads) takeNeeded(n int) bool { return u.take(n, limiter.Account[int].WithNeeded) }
 
 // takeOptional takes n bytes for sending a body again. It reports false if they are not left.
-func (u *uploads) takeOptional(n int) bool {
+func (u *uploads) takeOptional(n int) bool { return u.take(n, limiter.Account[int].WithOptional) }
+
+// take takes n bytes from the account and from the shared memory.
+func (u *uploads) take(n int, with func(limiter.Account[int], int) (limiter.Account[int], bool)) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var ok bool
-	u.account, ok = u.account.WithOptional(n)
-	return ok
+	account, ok := with(u.account, n)
+	if !ok || u.shared != nil && !u.shared.TakeUpload(n) {
+		return false
+	}
+	u.account = account
+	return true
 }
 
 // put returns n bytes that were taken.
@@ -78,4 +88,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.account = u.account.WithReturned(n)
+	if u.shared != nil {
+		u.shared.PutUpload(n)
+	}
 }
--- a/forwarder/withheld_test.go
+++ b/forwarder/withheld_test.go
@@ -120,7 +120,7 @@
 						first = false
 						return &connection{Conn: newScriptedConn(refusal, late)}, nil
 					}
-					return dialConnections(&net.Dialer{})(ctx, network, a)
+					return newBoundedDialer(&net.Dialer{}, 0).dial(ctx, network, a)
 				},
 			}})
 			f.SetDirectory(ledgerOnly(true))
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -44,6 +45,18 @@
 	// StreamBytes bounds what is received and not yet read of the body of each HTTP/2 request, in
 	// bytes; 0 means the default of net/http, 1 MiB.
 	StreamBytes int
+	// Admission bounds the memory and the connections, and Class is the part of it that the server
+	// uses. Without one the server has an Admission of its own with the default limits.
+	Admission *Admission
+	Class     Class
+}
+
+// headLimit returns the longest head that is read, in bytes.
+func (o *Options) headLimit() int {
+	if o.HeaderBytes == 0 {
+		return http.DefaultMaxHeaderBytes + headSlack
+	}
+	return o.HeaderBytes + headSlack
 }
 
 // Listener is a running HTTP server.
@@ -84,29 +97,28 @@
 	return start(o, server)
 }
 
-// start runs the server in the background and waits until it listens. The start function
-// of rest ends the process on errors, so start first checks that the address can be
-// listened on.
+// start runs the server in the background. The listener is opened here, since the start function of
+// rest ends the process on errors and accepts connections itself.
 func start(o Options, server *rest.Server) (*Listener, error) {
-	probe, err := net.Listen("tcp", o.Address)
+	raw, err := net.Listen("tcp", o.Address)
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%q: %v", o.Address, err)
 	}
-	if err := probe.Close(); err != nil {
-		return nil, eris.Wrapf(ErrListen, "%q: %v", o.Address, err)
+	if o.Admission == nil {
+		o.Admission = NewAdmission(NewLimits(0, 0, math.MaxInt))
 	}
 	ready := make(chan *Listener, 1)
 	go server.StartWithOpts(func(s *http.Server) {
 		o.apply(s)
-		s.BaseContext = func(l net.Listener) context.Context {
-			ready <- &Listener{server: s, address: l.Addr().String()}
-			return context.Background()
-		}
+		ready <- &Listener{server: s, address: raw.Addr().String()}
+		// It returns once the server is closed. rest then finds it closed.
+		_ = s.Serve(admitting{Listener: raw, admission: o.Admission, options: &o})
 	})
 	select {
 	case l := <-ready:
 		return l, nil
 	case <-time.After(startTimeout):
+		_ = raw.Close()
 		return nil, eris.Wrapf(ErrListen, "%q: not started in %v", o.Address, startTimeout)
 	}
 }
@@ -118,7 +130,10 @@
 	s.MaxHeaderBytes = o.HeaderBytes
 	// net/http would answer "OPTIONS *" with 200 by itself, as if a backend server had run it.
 	s.DisableGeneralOptionsHandler = true
-	s.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: o.StreamBytes}
+	s.HTTP2 = &http.HTTP2Config{MaxReceiveBufferPerStream: o.StreamBytes, MaxConcurrentStreams: http2Streams}
+	s.Handler = admitted(s.Handler)
+	s.ConnContext = withConn
+	s.ConnState = stateChanged
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(o.UnencryptedHTTP2)
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -31,6 +31,7 @@
 	descriptor.NoteReloaded:         {logrus.InfoLevel, "settings reloaded"},
 	descriptor.NoteReloadFailed:     {logrus.ErrorLevel, "settings not reloaded"},
 	descriptor.NoteLibrary:          {logrus.WarnLevel, "library message"},
+	descriptor.NoteTurnedAway:       {logrus.WarnLevel, "connections or requests turned away"},
 	descriptor.NoteRevision:         {logrus.InfoLevel, "declaration in force"},
 	descriptor.NoteStoreUnreachable: {logrus.WarnLevel, "platform unreachable"},
 	descriptor.NoteStoreReachable:   {logrus.InfoLevel, "platform reachable again"},
--- a/server/load.go
+++ b/server/load.go
@@ -8,6 +8,7 @@
 
 	"monsoonswitch/descriptor"
 	"monsoonswitch/linker"
+	"monsoonswitch/listener"
 )
 
 // loadInterval is the time between two reports of the load of an instance.
@@ -28,10 +29,12 @@
 		defer ticker.Stop()
 		var processor time.Duration
 		var traffic linker.Traffic
+		var turnedAway listener.Counts
 		for {
 			select {
 			case <-ticker.C:
 				processor, traffic = s.reportLoad(processor, traffic)
+				turnedAway = s.reportTurnedAway(turnedAway)
 			case <-r.stop:
 				return
 			}
--- a/server/server.go
+++ b/server/server.go
@@ -54,6 +54,7 @@
 	questions []*listener.Listener
 	inner     *listener.Listener
 	operators *listener.Listener
+	admission *listener.Admission
 	load      *loadReporter
 	// controlLag is the largest age of an event when it was handled in the last
 	// loadInterval, in nanoseconds.
@@ -95,6 +96,7 @@
 // instance contains the addresses, and port 0 means a free port.
 func (s *Server) listen(g *gates) error {
 	limits := s.settings.Limits
+	s.admission = s.newAdmission()
 	options := listener.Options{
 		Address:          s.settings.Callers.Listen,
 		HeaderTimeout:    limits.HeadTimeout,
@@ -102,12 +104,14 @@
 		HeaderBytes:      limits.HeadBytes,
 		UnencryptedHTTP2: true,
 		StreamBytes:      forwarder.StreamBytes,
+		Admission:        s.admission,
 	}
 	var err error
 	if s.callers, err = listener.New(options, g.callers); err != nil {
 		return eris.Wrap(err, "callers")
 	}
-	options.UnencryptedHTTP2 = false
+	options.UnencryptedHTTP2, options.Class = false, listener.Questions
+	options.HeaderBytes = min(limits.HeadBytes, ownHeadBytes)
 	for _, address := range s.settings.Callers.Questions {
 		options.Address = address
 		l, err := listener.New(options, g.questions)
@@ -116,11 +120,11 @@
 		}
 		s.questions = append(s.questions, l)
 	}
-	options.Address = s.settings.Inner.Listen
+	options.Address, options.Class = s.settings.Inner.Listen, listener.Instances
 	if s.inner, err = listener.New(options, g.inner); err != nil {
 		return eris.Wrap(err, "inner")
 	}
-	options.Address = s.settings.Operators.Listen
+	options.Address, options.Class = s.settings.Operators.Listen, listener.Operators
 	if s.operators, err = listener.New(options, g.operators); err != nil {
 		return eris.Wrap(err, "operators")
 	}
@@ -160,7 +164,10 @@
 		Domain:         s.settings.Instance.Domain,
 		FreshTime:      s.settings.Limits.FreshTime,
 		ConnectTimeout: s.settings.Limits.ConnectTimeout,
-		UploadBytes:    s.settings.Limits.UploadBytes,
+		UploadBytes:    s.admission.UploadLimit(),
+		Memory:         s.admission,
+
+		BackendConnections: s.backendConnections(),
 	}
 	s.forwarder = forwarder.New(options, s.dialect(options), control, s.recorder)
 	s.controller = controller.New(s.machine(now), s)
