--- a/Makefile
+++ b/Makefile
@@ -36,10 +36,10 @@
 	$(TOOL) goimports -local monsoonswitch -w .
 
 bench: ## run the benchmarks
-	$(GO) test -run '^$$' -bench . -benchmem ./balancer ./decider ./allocator ./messenger ./server
+	$(GO) test -run '^$$' -bench . -benchmem ./balancer ./decider ./allocator ./messenger ./server ./listener
 
 fuzz: ## run each fuzz target for a short while
-	@for t in declarer:FuzzParse configurer:FuzzParse messenger:FuzzDecode keeper:FuzzParseKey loader:FuzzParse forwarder:FuzzHeaders storer:FuzzParseDocument; do \
+	@for t in declarer:FuzzParse configurer:FuzzParse messenger:FuzzDecode keeper:FuzzParseKey loader:FuzzParse forwarder:FuzzHeaders storer:FuzzParseDocument listener:FuzzFraming; do \
 		$(GO) test ./$${t%%:*} -run '^$$' -fuzz "^$${t##*:}$$" -fuzztime 10s || exit 1; \
 	done
 
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -111,8 +112,10 @@
 	go server.StartWithOpts(func(s *http.Server) {
 		o.apply(s)
 		ready <- &Listener{server: s, address: raw.Addr().String()}
-		// It returns once the server is closed. rest then finds it closed.
-		_ = s.Serve(admitting{Listener: raw, admission: o.Admission, options: &o})
+		// It returns once the server is closed. Otherwise rest would listen by itself then.
+		if err := s.Serve(admitting{Listener: raw, admission: o.Admission, options: &o}); !errors.Is(err, http.ErrServerClosed) {
+			_ = s.Close()
+		}
 	})
 	select {
 	case l := <-ready:
--- a/memory_test.go
+++ b/memory_test.go
@@ -1,8 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -117,3 +123,64 @@
 		})
 	}
 }
+
+// ordinaryConnections is the number of connections of TestOrdinaryCallers: more than come to one
+// instance of the smallest machines. ordinaryAtOnce of them have a request at a time.
+const ordinaryConnections, ordinaryAtOnce = 1500, 64
+
+// TestOrdinaryCallers guards against bounds that callers within the limits of the operators' platform
+// meet: they keep many connections to an instance of the smallest machines and send heads of 16 KiB.
+func TestOrdinaryCallers(t *testing.T) {
+	f := newLimitedFleet(t, 1, 1, "memory = 136000000\ndescriptors = 2870\nheadtimeout = 3s\nidletimeout = 15s\n")
+	entry := f.backends[0].entry("ready")
+	entry["slots"] = ordinaryAtOnce
+	f.store.set("servers/"+f.backends[0].id, entry)
+	p := f.instances[0]
+	connections := make(chan net.Conn, ordinaryConnections)
+	for range ordinaryConnections {
+		c, err := net.Dial("tcp", p.front)
+		asserter.NoError(t, "dial", err)
+		t.Cleanup(func() { _ = c.Close() })
+		connections <- c
+	}
+	head := startOf("GET", "/safe/ordinary")
+	for i := 0; len(head) < crowdHead-1000; i++ {
+		head += fmt.Sprintf("Line-%d: %s\r\n", i, strings.Repeat("v", 400))
+	}
+	head += "\r\n"
+	for round := range 2 {
+		var running sync.WaitGroup
+		var mu sync.Mutex
+		statuses := make(map[string]int)
+		for range ordinaryAtOnce {
+			running.Go(func() {
+				for range ordinaryConnections / ordinaryAtOnce {
+					status := askOn(<-connections, head, connections)
+					mu.Lock()
+					statuses[status]++
+					mu.Unlock()
+				}
+			})
+		}
+		running.Wait()
+		asserter.Equal(t, fmt.Sprintf("statuses of round %d", round), statuses, map[string]int{"200 OK": ordinaryConnections / ordinaryAtOnce * ordinaryAtOnce})
+	}
+	t.Logf("peak of %d MB, %d descriptors", p.peakMemory(t)/1e6, p.descriptors())
+	asserter.AtMost(t, "peak memory in bytes", p.peakMemory(t), 136_000_000)
+}
+
+// askOn sends a request on a connection, which it puts behind the others then, and returns the status
+// of the answer or the error.
+func askOn(c net.Conn, head string, connections chan<- net.Conn) string {
+	defer func() { connections <- c }()
+	_ = c.SetDeadline(time.Now().Add(waitLimit))
+	if _, err := io.WriteString(c, head); err != nil {
+		return err.Error()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err.Error()
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Status
+}
