Places and requests are parts of their own; light requests keep an eighth

Change: each listener has a part for connections and heads that are being read and one for requests; heavy requests leave an eighth for light ones. A connection counts 9 KiB, a request of operators 512 KiB. The collector's soft limit is 36 MB below the memory.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -70,12 +70,12 @@
 
 // mappedBytes is what the process holds beside the memory that the collector counts, in bytes: its code,
 // and what the system has not taken back yet.
-const mappedBytes = 28e6
+const mappedBytes = 36e6
 
 // limitHeap makes the collector run more often as the process comes near the memory of its settings.
 // That helps where garbage grows quickly; what is in use is bounded by the admission.
 func limitHeap(memory int) {
 	if memory > 0 {
-		debug.SetMemoryLimit(int64(memory - mappedBytes))
+		debug.SetMemoryLimit(int64(max(memory-mappedBytes, memory/2)))
 	}
 }
--- a/limiter/shares.go
+++ b/limiter/shares.go
@@ -1,7 +1,7 @@
 package limiter
 
 // maxParts is the largest number of parts of a Shares value.
-const maxParts = 8
+const maxParts = 12
 
 // Shares is an amount that several parts share. Each part has an amount that is reserved for it, so
 // that the others together never take all of it, and a bound of its own. It is an immutable value.
--- a/listener/admission.go
+++ b/listener/admission.go
@@ -29,15 +29,20 @@
 	// requestBytes is what a request needs beside its head: goroutines, buffers of the connection to
 	// the backend server and a part of the buffer of its answer.
 	requestBytes = 24 << 10
-	// connectionBytes is what net/http needs for a connection: two buffers and a goroutine.
-	connectionBytes = 14 << 10
+	// operatorBytes is what a request of operators needs beside its head: a dump of the whole state.
+	operatorBytes = 512 << 10
+	// connectionBytes is what net/http needs for an idle connection: two buffers and a goroutine. 1,500 of
+	// them took 17 MB with garbage.
+	connectionBytes = 9 << 10
 	// http2Bytes is what it needs beside that for a connection of HTTP/2.
 	http2Bytes = 64 << 10
 	// idleGrace is how long a connection that had a request served is kept when others need its place.
 	idleGrace = time.Second
-	// sparedPart is the bound of a class divided by the part that is spared for heads that are
-	// parsed. Connections and heads that are being read leave it.
-	sparedPart = 4
+	// lightBytes bounds the memory of a light request. Others leave an eighth of their part for those:
+	// ordinary callers are served beside a crowd with heavy heads.
+	lightBytes = 64 << 10
+	// eighths divides the memory of a listener.
+	eighths = 8
 )
 
 // Limits configure an Admission.
@@ -93,15 +98,32 @@
 	// fresh holds the connections that had no request served and are not in a request, oldest
 	// first, and idle those that had one and are not in a request, in the order in which they ended.
 	fresh, idle [classCount]*list.List
-	// waiting holds those that wait for memory, by class, the ones that had a request served apart.
-	waiting [classCount][2]list.List
+	// waiting holds those that wait for memory, by part and rank.
+	waiting [partCount][rankCount]list.List
 	counts  Counts
-	// limit is the bound on the memory of all classes, uploads that of bodies, and spares holds what
-	// connections and heads that are being read leave of each class. They never change.
-	limit, uploads int
-	spares         [classCount]int
+	// limit is the bound on the memory of all classes, uploads that of bodies, spares holds an eighth of
+	// the memory of each class, and heaviest the most that a request of it weighs. They never change.
+	limit, uploads   int
+	spares, heaviest [classCount]int
 }
 
+// part is a part of the memory: that of connections and of heads that are being read of a class, that
+// of its requests, or that of bodies. Connections get their place whatever requests hold.
+type part int
+
+// partCount is the number of parts.
+const partCount = 2 * classCount
+
+// places returns the part of connections and of heads that are being read.
+func (c Class) places() part { return part(c) }
+
+// requests returns the part of requests.
+func (c Class) requests() part { return part(c + classCount) }
+
+// rankCount is the number of queues of a part: connections that had a request served come first, and
+// light requests before others.
+const rankCount = 4
+
 // Counts counts what an Admission turned away.
 type Counts struct {
 	// Refused counts requests that were refused for lack of memory, Closed connections that were
@@ -109,10 +131,16 @@
 	Refused, Closed, Rejected int64
 }
 
+// claim is an amount of memory of a part. It is granted only while spare is left then.
+type claim struct {
+	part     part
+	n, spare int
+}
+
 // waiter waits for memory.
 type waiter struct {
-	n, spare int
-	granted  chan struct{}
+	claim
+	granted chan struct{}
 }
 
 // NewAdmission returns an admission with limits. Each listener but that for callers has a sixteenth
@@ -120,28 +148,33 @@
 func NewAdmission(l Limits) *Admission {
 	a := &Admission{memory: limiter.NewShares(l.Memory), connections: limiter.NewShares(l.Connections)}
 	for _, c := range []Class{Questions, Instances, Operators} {
-		a.memory = a.memory.WithPart(int(c), l.Memory/16, l.Memory/8)
+		a.divide(c, l.Memory/16, l.Memory/8)
 		a.connections = a.connections.WithPart(int(c), l.Connections/16, l.Connections/8)
 	}
-	a.memory = a.memory.WithPart(int(Uploads), l.Memory/16, l.Uploads)
-	a.memory = a.memory.WithPart(int(Callers), l.Memory/4, l.Memory)
+	a.memory = a.memory.WithPart(int(Uploads.places()), l.Memory/16, l.Uploads)
+	a.divide(Callers, l.Memory/4, l.Memory*3/4)
 	a.connections = a.connections.WithPart(int(Callers), l.Connections/4, l.Connections)
 	for c := range classCount {
 		a.fresh[c], a.idle[c] = list.New(), list.New()
-		a.spares[c] = a.memory.Most(int(c)) / sparedPart
+		a.heaviest[c] = a.memory.Most(int(c.requests())) - a.spares[c]
 	}
-	a.limit, a.uploads = l.Memory, a.memory.Most(int(Uploads))
+	a.limit, a.uploads = l.Memory, a.memory.Most(int(Uploads.places()))
 	return a
 }
 
-// spare returns what connections and heads that are being read leave of a class.
-func (a *Admission) spare(c Class) int { return a.spares[c] }
+// divide sets what is reserved for a class, half of it for connections, and the most that it may hold:
+// five eighths for connections, of which one is for heads that are being read, and six for requests.
+func (a *Admission) divide(c Class, reserved, most int) {
+	a.spares[c] = most / eighths
+	a.memory = a.memory.WithPart(int(c.places()), reserved/2, 5*a.spares[c])
+	a.memory = a.memory.WithPart(int(c.requests()), reserved/2, 6*a.spares[c])
+}
 
 // Held returns the memory that a class holds, in bytes.
 func (a *Admission) Held(c Class) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.memory.Held(int(c))
+	return a.memory.Held(int(c.places())) + a.memory.Held(int(c.requests()))
 }
 
 // Connections returns the number of connections of a class.
@@ -175,38 +208,38 @@
 func (a *Admission) TakeUpload(n int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.take(Uploads, n, 0)
+	return a.take(claim{part: Uploads.places(), n: n})
 }
 
 // PutUpload returns memory of a body.
-func (a *Admission) PutUpload(n int) { a.put(Uploads, n) }
+func (a *Admission) PutUpload(n int) { a.put(Uploads.places(), n) }
 
 // take takes memory. mu is held.
-func (a *Admission) take(c Class, n, spare int) bool {
+func (a *Admission) take(c claim) bool {
 	var ok bool
-	a.memory, ok = a.memory.With(int(c), n, spare)
+	a.memory, ok = a.memory.With(int(c.part), c.n, c.spare)
 	return ok
 }
 
 // put returns memory and gives it to those that wait.
-func (a *Admission) put(c Class, n int) {
+func (a *Admission) put(p part, n int) {
 	if n == 0 {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.memory = a.memory.WithReturned(int(c), n)
+	a.memory = a.memory.WithReturned(int(p), n)
 	a.grant()
 }
 
-// grant gives memory to those that wait, first to connections that had a request served. mu is held.
+// grant gives memory to those that wait. mu is held.
 func (a *Admission) grant() {
-	for c := range classCount {
-		for rank := range a.waiting[c] {
-			queue := &a.waiting[c][rank]
+	for p := range a.waiting {
+		for rank := range a.waiting[p] {
+			queue := &a.waiting[p][rank]
 			for e := queue.Front(); e != nil; e = queue.Front() {
 				w := e.Value.(*waiter)
-				if !a.take(c, w.n, w.spare) {
+				if !a.take(w.claim) {
 					break
 				}
 				queue.Remove(e)
@@ -216,30 +249,35 @@
 	}
 }
 
-// rank returns the queue of a connection: 0 if it had a request served.
-func rank(served bool) int {
-	if served {
-		return 0
+// queueFor returns the queue for a claim of a connection. mu is held.
+func (a *Admission) queueFor(c *conn, m claim) *list.List {
+	rank := 0
+	if !c.served {
+		rank += rankCount / 2
+	}
+	if m.n > lightBytes {
+		rank++
 	}
-	return 1
+	return &a.waiting[m.part][rank]
 }
 
 // takeWithin takes memory for a connection and waits for it up to a time. It closes a connection that
-// had no request served if one that had one needs its memory. It reports false if there is none.
-func (a *Admission) takeWithin(c *conn, n, spare int, limit time.Duration) bool {
+// had no request served if one that had one needs memory of the same part. It reports false if there is
+// none.
+func (a *Admission) takeWithin(c *conn, m claim, limit time.Duration) bool {
 	a.mu.Lock()
-	queue := &a.waiting[c.class][rank(c.served)]
-	if queue.Len() == 0 && a.take(c.class, n, spare) {
+	queue := a.queueFor(c, m)
+	if queue.Len() == 0 && a.take(m) {
 		a.mu.Unlock()
 		return true
 	}
 	var victim *conn
-	if c.served {
+	if c.served && m.part == c.class.places() {
 		if victim = a.evictFresh(c.class); victim != nil {
 			a.counts.Closed++
 		}
 	}
-	w := &waiter{n: n, spare: spare, granted: make(chan struct{})}
+	w := &waiter{claim: m, granted: make(chan struct{})}
 	e := queue.PushBack(w)
 	a.mu.Unlock()
 	if victim != nil {
@@ -298,7 +336,7 @@
 // enter takes a place and the memory of a connection. mu is held.
 func (a *Admission) enter(c *conn) bool {
 	connections, ok := a.connections.With(int(c.class), 1, 0)
-	if !ok || !a.take(c.class, connectionBytes, a.spare(c.class)) {
+	if !ok || !a.take(claim{c.class.places(), connectionBytes, a.spares[c.class]}) {
 		return false
 	}
 	a.connections = connections
--- a/listener/bench_test.go
+++ b/listener/bench_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -44,7 +45,7 @@
 			for b.Loop() {
 				for left := len(c.request); left > 0; {
 					n, err := x.Read(p)
-					if err != nil && err != io.EOF {
+					if err != nil && !errors.Is(err, io.EOF) {
 						b.Fatal(err)
 					}
 					left -= n
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -107,7 +107,8 @@
 	c.unlist()
 	a := c.admission
 	a.connections = a.connections.WithReturned(int(c.class), 1)
-	a.memory = a.memory.WithReturned(int(c.class), c.place+c.buffered+c.request)
+	a.memory = a.memory.WithReturned(int(c.class.places()), c.place+c.buffered)
+	a.memory = a.memory.WithReturned(int(c.class.requests()), c.request)
 	c.place, c.buffered, c.request = 0, 0, 0
 	a.grant()
 }
@@ -214,7 +215,7 @@
 		c.buffered = n
 	}
 	a.mu.Unlock()
-	a.put(c.class, back)
+	a.put(c.class.places(), back)
 }
 
 // peek reads one byte while a request is served, by which net/http learns that the caller left.
@@ -239,7 +240,7 @@
 	k := c.body.pass(p[:n])
 	if extra := c.body.trailers - c.paidTrailers; extra > 0 {
 		c.paidTrailers = c.body.trailers
-		if !c.takeForRequest(extra*lineBytes, 0) {
+		if !c.takeForRequest(extra * lineBytes) {
 			return 0, errNotAdmitted
 		}
 	}
@@ -275,13 +276,13 @@
 		return true
 	}
 	size := max(leastBuffer, 2*cap(c.buffer), need)
-	if !c.admission.takeWithin(c, size, c.admission.spare(c.class), c.wait()) {
+	if !c.admission.takeWithin(c, claim{part: c.class.places(), n: size}, c.wait()) {
 		return false
 	}
 	c.admission.mu.Lock()
 	if c.left {
 		c.admission.mu.Unlock()
-		c.admission.put(c.class, size)
+		c.admission.put(c.class.places(), size)
 		return false
 	}
 	c.buffered += size
@@ -355,9 +356,13 @@
 }
 
 // weight returns the memory that a request with a head of some bytes and lines needs. It is never more
-// than what is spared for one, so that an otherwise idle instance serves it.
+// than what there is for one, so that an otherwise idle instance serves it.
 func (a *Admission) weight(c Class, bytes, lines int) int {
-	return min(requestBytes+2*bytes+lines*lineBytes, a.spare(c))
+	base := requestBytes
+	if c == Operators {
+		base = operatorBytes
+	}
+	return min(base+2*bytes+lines*lineBytes, a.heaviest[c])
 }
 
 // admitHead takes the memory for the head at the start of the buffer and passes its first bytes on.
@@ -381,7 +386,7 @@
 // begin takes the memory for a request. It reports false if there is none, or if the connection is
 // closed for others.
 func (c *conn) begin(weight int) bool {
-	if !c.takeForRequest(weight, 0) {
+	if !c.takeForRequest(weight) {
 		return false
 	}
 	c.admission.mu.Lock()
@@ -391,17 +396,20 @@
 	return !c.evicted
 }
 
-// takeForRequest takes memory that is returned when the request ends, and leaves spare. It reports false
-// if there is none.
-func (c *conn) takeForRequest(n, spare int) bool {
+// takeForRequest takes memory that is returned when the request ends. It reports false if there is none.
+func (c *conn) takeForRequest(n int) bool {
 	a := c.admission
-	if !a.takeWithin(c, n, spare, c.wait()) {
+	m := claim{part: c.class.requests(), n: n}
+	if n > lightBytes {
+		m.spare = a.spares[c.class]
+	}
+	if !a.takeWithin(c, m, c.wait()) {
 		return false
 	}
 	a.mu.Lock()
 	if c.left {
 		a.mu.Unlock()
-		a.put(c.class, n)
+		a.put(c.class.requests(), n)
 		return false
 	}
 	c.request += n
@@ -450,7 +458,7 @@
 	c.request, c.pending, c.served = 0, false, true
 	c.becomeIdle()
 	a.mu.Unlock()
-	a.put(c.class, n)
+	a.put(c.class.requests(), n)
 }
 
 // becomeIdle adds the connection to those that may be closed for others. The mutex of the admission is
--- a/listener/conn_test.go
+++ b/listener/conn_test.go
@@ -188,12 +188,12 @@
 		asserter.True(t, "closed", err != nil)
 		asserter.AtMost(t, "connections", x.admission.Connections(Callers), places)
 	})
-	t.Run("one that had a request served is kept", func(t *testing.T) { ask(served, servedReader) })
-	t.Run("a new one is served", func(t *testing.T) {
+	t.Run("one that had a request served is kept", func(*testing.T) { ask(served, servedReader) })
+	t.Run("a new one is served", func(*testing.T) {
 		c := x.dial()
 		ask(c, bufio.NewReader(c))
 	})
-	t.Run("nothing is held once all are closed", func(t *testing.T) {
+	t.Run("nothing is held once all are closed", func(*testing.T) {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
 		_ = x.listener.Shutdown(ctx)
--- a/listener/streams.go
+++ b/listener/streams.go
@@ -36,13 +36,31 @@
 
 // startStreams makes the connection one of HTTP/2, whose preface was read.
 func (c *conn) startStreams(p []byte) (int, error) {
-	if !c.takeForRequest(http2Bytes, c.admission.spare(c.class)) {
+	if !c.reserveStreams() {
 		return 0, c.answer(answerFull)
 	}
 	c.streams = &streams{skip: c.head.searched + len(http2RestOfPrefix)}
 	return c.readStreams(p)
 }
 
+// reserveStreams takes the memory of a connection of HTTP/2. It reports false if there is none.
+func (c *conn) reserveStreams() bool {
+	a := c.admission
+	if !a.takeWithin(c, claim{c.class.places(), http2Bytes, a.spares[c.class]}, c.wait()) {
+		return false
+	}
+	a.mu.Lock()
+	left := c.left
+	if !left {
+		c.place += http2Bytes
+	}
+	a.mu.Unlock()
+	if left {
+		a.put(c.class.places(), http2Bytes)
+	}
+	return !left
+}
+
 // readStreams reads frames. It takes the memory for header lists among them.
 func (c *conn) readStreams(p []byte) (int, error) {
 	n, err := c.source(p)
@@ -90,8 +108,8 @@
 // takeStream takes memory for a part of the newest header list. It reports false if there is none, or if
 // too many lists have no handler.
 func (c *conn) takeStream(weight int) bool {
-	weight = min(weight, c.admission.spare(c.class)-http2Bytes)
-	if !c.takeForRequest(weight, 0) {
+	weight = min(weight, c.admission.heaviest[c.class])
+	if !c.takeForRequest(weight) {
 		c.admission.countRefused()
 		return false
 	}
@@ -166,5 +184,5 @@
 	}
 	c.request -= n
 	a.mu.Unlock()
-	a.put(c.class, n)
+	a.put(c.class.requests(), n)
 }
