Default bound on uploads where settings give none; callers' places on small machines

Cause: the admission took 0 for uploads as no memory at all, where it means the default, so that instances without a settings file refused every upload (TestDemo, 0 of 9); of 2,870 descriptors callers got 1,627 places, fewer than come to one instance. Change: 0 means 32 MiB; four fifths of the descriptors are for accepted connections, and each other listener has a thirty-second of them reserved. Result: TestDemo passes twice; TestLimits: 1,900 connections with 500 requests at once fit 136 MB and 2,870 descriptors. go test ./listener ./server ./configurer passes.

--- a/listener/admission.go
+++ b/listener/admission.go
@@ -54,6 +54,8 @@
 }
 
 const (
+	// defaultUploads bounds the memory of bodies where no bound is set, in bytes.
+	defaultUploads = 32 << 20
 	// unknownMemory is assumed for a process whose memory is unknown, in bytes.
 	unknownMemory = 512 << 20
 	// baseMemory is what the process needs beside requests: its code, the configuration and the
@@ -71,15 +73,18 @@
 )
 
 // NewLimits returns the limits of a process with a memory in bytes and a number of descriptors, of
-// which 0 means unknown, and a bound on the memory of uploads. A quarter of the descriptors that are
-// not kept is left for connections to backend servers.
+// which 0 means unknown, and a bound on the memory of uploads, 0 meaning the default. A fifth of the
+// descriptors that are not kept is left for connections to backend servers.
 func NewLimits(memory, descriptors, uploads int) Limits {
 	if memory == 0 {
 		memory = unknownMemory
 	}
+	if uploads == 0 {
+		uploads = defaultUploads
+	}
 	l := Limits{Memory: max((memory-baseMemory)/garbageFactor, leastAccount), Connections: unknownConnections}
 	if descriptors > 0 {
-		l.Connections = (descriptors - KeptDescriptors(descriptors)) * 3 / 4
+		l.Connections = (descriptors - KeptDescriptors(descriptors)) * 4 / 5
 	}
 	l.Uploads = min(uploads, l.Memory/2)
 	return l
@@ -144,12 +149,12 @@
 }
 
 // NewAdmission returns an admission with limits. Each listener but that for callers has a sixteenth
-// of the memory and of the connections reserved; callers have the most of it.
+// of the memory and half as much of the connections reserved; callers have the most of it.
 func NewAdmission(l Limits) *Admission {
 	a := &Admission{memory: limiter.NewShares(l.Memory), connections: limiter.NewShares(l.Connections)}
 	for _, c := range []Class{Questions, Instances, Operators} {
 		a.divide(c, l.Memory/16, l.Memory/8)
-		a.connections = a.connections.WithPart(int(c), l.Connections/16, l.Connections/8)
+		a.connections = a.connections.WithPart(int(c), l.Connections/32, l.Connections/8)
 	}
 	a.memory = a.memory.WithPart(int(Uploads.places()), l.Memory/16, l.Uploads)
 	a.divide(Callers, l.Memory/4, l.Memory*3/4)
--- a/listener/conn_test.go
+++ b/listener/conn_test.go
@@ -101,6 +101,34 @@
 	}
 }
 
+// TestLimits guards against limits of known machines that callers within the limits of the operators'
+// platform meet, and against settings without a bound on uploads that refuse all of them.
+func TestLimits(t *testing.T) {
+	for _, c := range []struct {
+		memory, descriptors, uploads          int
+		wantUploads, wantPlaces, wantRequests int
+	}{
+		{0, 0, 0, 32 << 20, 4000, 2000},
+		{136_000_000, 2870, 32 << 20, 20 << 20, 1900, 500},
+		{184_000_000, 4096, 32 << 20, 32 << 20, 2800, 800},
+		{536_000_000, 8192, 32 << 20, 32 << 20, 5700, 2000},
+	} {
+		t.Run(fmt.Sprintf("%d bytes and %d descriptors", c.memory, c.descriptors), func(t *testing.T) {
+			a := NewAdmission(NewLimits(c.memory, c.descriptors, c.uploads))
+			asserter.AtLeast(t, "memory of bodies", a.UploadLimit(), c.wantUploads)
+			places, requests := 0, 0
+			for places < c.wantPlaces && a.enter(&conn{admission: a}) {
+				places++
+			}
+			for requests < c.wantRequests && a.take(claim{part: Callers.requests(), n: 34 << 10}) {
+				requests++
+			}
+			asserter.Equal(t, "connections", places, c.wantPlaces)
+			asserter.Equal(t, "requests beside them", requests, c.wantRequests)
+		})
+	}
+}
+
 // TestLargestHead guards against settings under which a head within the limits is never served.
 func TestLargestHead(t *testing.T) {
 	for _, memory := range []int{48_000_000, 96_000_000, 136_000_000, 0} {
--- a/server/limits.go
+++ b/server/limits.go
@@ -33,7 +33,7 @@
 // backendConnections returns the bound on connections to backend servers, or 0 if there is none.
 func (s *Server) backendConnections() int {
 	if d := s.settings.Limits.Descriptors; d > 0 {
-		return (d - listener.KeptDescriptors(d)) / 4
+		return (d - listener.KeptDescriptors(d)) / 5
 	}
 	return 0
 }
