Suspect an instance that is watched anew only after 3 s of silence

Cause: an instance that begins to watch another one counted its silence from the last message on the open link, which may be 10 s old, as heartbeats go to the known watchers only, or from the last close of a link to it. So each start and end of an instance, which changes the ring, made others suspected at once, and the records and their refutations went over all links: most of the messages of a rolling restart.

Change: silence is counted from when an instance was chosen at the earliest. While many instances restart, one is watched for a few seconds only, so a second accuser would come late; an instance that just began to watch one that is already suspected joins after 2 s instead of 3 s. The measurement spreads its seeds over the fleet, so that not all of them restart at once, ends two instances for good, and counts false suspicions.

--- a/decider/restarts_test.go
+++ b/decider/restarts_test.go
@@ -22,12 +22,16 @@
 			f.run(10 * time.Second)
 			f.table(t, "calm", 10*time.Second)
 			f.resetBytes()
-			f.readyTimes, f.knownTimes = nil, nil
+			f.readyTimes, f.knownTimes, f.suspicions = nil, nil, 0
+			f.awaited, f.spreadTimes = nil, make(map[string][]time.Duration)
 			before := f.now
 			f.restartThird()
+			f.after(time.Second, f.nodes[1].crash)
+			f.after(4*time.Second, f.nodes[n/2].crash)
 			f.restartThird()
 			f.run(30*time.Second - f.now.Sub(before))
 			f.table(t, "restarts", f.now.Sub(before))
+			t.Logf("suspicions of running instances, at an instance: %.2f", float64(f.suspicions)/float64(n))
 			f.run(8 * time.Second)
 			times(t, "until ready", f.readyTimes)
 			times(t, "until members known", f.knownTimes)
--- a/decider/rolling_test.go
+++ b/decider/rolling_test.go
@@ -25,7 +25,7 @@
 	rollingRead        = 300 * time.Millisecond
 	rollingListChange  = 2 * time.Second
 	rollingDomains     = 3
-	rollingSeeds       = 6
+	rollingSeeds       = 10
 	rollingRoutes      = 120
 	rollingServices    = 6
 	rollingServers     = 40
@@ -58,6 +58,8 @@
 	readyTimes, knownTimes []time.Duration
 	// awaited holds the changes that not all instances know yet.
 	awaited []rollingChange
+	// suspicions counts at all instances the suspicions of instances that run.
+	suspicions int
 	// spreadTimes holds the time until all other running instances knew of a change.
 	spreadTimes map[string][]time.Duration
 }
@@ -260,12 +262,25 @@
 
 // exit ends the process of an instance, and starts it again after a time.
 func (n *rollingNode) exit() {
+	n.end()
+	n.fleet.after(rollingDownTime, n.launch)
+}
+
+// crash ends the process of an instance for good, and leaves its links open, as the loss of a
+// machine does.
+func (n *rollingNode) crash() {
+	incarnation := n.self.Incarnation
+	n.fleet.await("dead", n.self.ID, func(m descriptor.Member) bool { return m.Incarnation == incarnation && m.State == descriptor.Dead })
+	n.up = false
+}
+
+// end ends the process of an instance and closes its links.
+func (n *rollingNode) end() {
 	n.up = false
 	for id := range n.links {
 		n.fleet.byID[id].unlink(n.self.ID)
 	}
 	n.links = make(map[string]bool)
-	n.fleet.after(rollingDownTime, n.launch)
 }
 
 func (n *rollingNode) unlink(id string) {
@@ -326,6 +341,10 @@
 			n.send(a.To.ID, a.Message)
 		case descriptor.Watch:
 			n.watching = a.Active
+		case descriptor.Note:
+			if subject := n.fleet.byID[a.Subject]; a.Number == descriptor.NoteMemberSuspect && subject != nil && subject.up {
+				n.fleet.suspicions++
+			}
 		case descriptor.ShutdownComplete:
 			n.fleet.after(rollingStep, n.exit)
 		}
@@ -420,7 +439,7 @@
 	if f.now.Sub(n.seededAt) >= wait {
 		n.seededAt = f.now
 		n.nextSeed++
-		seed := f.nodes[(n.nextSeed*7+int(n.self.ID[len(n.self.ID)-1]))%min(rollingSeeds, len(f.nodes))].self.ID
+		seed := f.nodes[(n.nextSeed*7+int(n.self.ID[len(n.self.ID)-1]))%rollingSeeds*len(f.nodes)/rollingSeeds].self.ID
 		if seed != n.self.ID {
 			ids = append(ids, seed)
 		}
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -19,6 +19,9 @@
 	// silenceTimeout is the time without a message after which a watched instance
 	// is suspected.
 	silenceTimeout = 3 * time.Second
+	// accusedTimeout is that time for an instance that this one has only just begun to watch
+	// and that another one suspects already. It is two heartbeats.
+	accusedTimeout = 2 * time.Second
 	// refutationTimeout is the time that a suspected instance has to refute the
 	// suspicion before it is declared dead.
 	refutationTimeout = 3 * time.Second
@@ -135,8 +138,7 @@
 	// Such an instance monitors this one even if the lists of members differ.
 	accusers map[string]time.Time
 	// watchedAt holds the time at which each watched instance was chosen or its
-	// last link was closed. While an instance has no link, silenceTimeout runs from
-	// this time.
+	// last link was closed. silenceTimeout runs from this time at the earliest.
 	watchedAt *container.Table[string, time.Time]
 	// lastTick is the time of the last tick.
 	lastTick time.Time
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -164,6 +164,54 @@
 	return result
 }
 
+// TestWatchedAnew guards against false suspicions while the ring changes. Each start and end of
+// an instance made many others suspected, which all instances then told each other.
+func TestWatchedAnew(t *testing.T) {
+	t.Run("an instance that is watched anew over an old link is not suspected at once", func(t *testing.T) {
+		// It sends its new watcher heartbeats from now on. Until then it may have sent nothing
+		// for 10 s, and each start of an instance made others suspected.
+		x := newNetwork(t, 6)
+		g := x.gossipers["n01"]
+		for id := range x.gossipers {
+			if !contains(g.watched, id) && id != "n01" {
+				x.link("n01", id)
+				g.RecordReceived(x.now.Add(-9*time.Second), id)
+			}
+		}
+		x.add("n06", 1)
+		x.link("n06", "n00")
+		for i := range 10 {
+			x.add(fmt.Sprintf("n1%d", i), 1)
+			x.link(fmt.Sprintf("n1%d", i), "n00")
+			x.run(200 * time.Millisecond)
+			for id := range x.gossipers {
+				asserter.Equal(t, "suspected "+id, x.states(id)[descriptor.Suspect], 0)
+			}
+		}
+	})
+	t.Run("an instance that is watched anew without a link is not suspected at once", func(t *testing.T) {
+		// The time of the last close of a link to it counted, however long ago that was.
+		x := newNetwork(t, 6)
+		for from, g := range x.gossipers {
+			for to := range x.gossipers {
+				if !contains(g.watched, to) && from != to {
+					g.LinkClosed(descriptor.LinkClosed{At: x.now, Peer: to})
+				}
+			}
+		}
+		x.now = x.now.Add(900 * time.Millisecond)
+		x.run(9 * time.Second)
+		for i := range 10 {
+			x.add(fmt.Sprintf("n1%d", i), 1)
+			x.link(fmt.Sprintf("n1%d", i), "n00")
+			x.run(200 * time.Millisecond)
+			for id := range x.gossipers {
+				asserter.Equal(t, "suspected "+id, x.states(id)[descriptor.Suspect], 0)
+			}
+		}
+	})
+}
+
 func TestMembership(t *testing.T) {
 	t.Run("all instances know all others over few links", func(t *testing.T) {
 		x := newNetwork(t, 24)
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -67,7 +67,8 @@
 		watched = append(watched, id)
 		e, _ := g.members.Get(id)
 		peers = append(peers, e.member)
-		if !g.watchedAt.Has(id) {
+		if !contains(g.watched, id) {
+			// LinkClosed may have set an older time while it was not watched.
 			g.watchedAt.Put(id, now)
 		}
 	}
@@ -140,7 +141,7 @@
 		if !ok || e.member.State >= descriptor.Dead || contains(e.member.Accusers, g.self.ID) {
 			continue
 		}
-		if now.Sub(g.lastReceived(id, now)) < silenceTimeout {
+		if now.Sub(g.lastReceived(id, now)) < g.silenceTimeoutOf(e.member) {
 			continue
 		}
 		accusers := union([]string{g.self.ID}, e.member.Accusers)
@@ -148,12 +149,29 @@
 	}
 }
 
+// silenceTimeoutOf returns the time of silence after which a member is suspected. It is shorter
+// if another instance suspects the member and this one has only just begun to watch it: while
+// many instances restart, an instance watches another one for a few seconds only, and a second
+// accuser would be missing for long.
+func (g *Gossiper) silenceTimeoutOf(m descriptor.Member) time.Duration {
+	l, _ := g.links.Get(m.ID)
+	if chosen, ok := g.watchedAt.Get(m.ID); ok && m.State == descriptor.Suspect && chosen.After(l.receivedAt) {
+		return accusedTimeout
+	}
+	return silenceTimeout
+}
+
+// lastReceived returns when a watched instance was last heard of. An instance that was just
+// chosen may have sent nothing for long on an open link, since it sends heartbeats every second
+// to its watchers only. It gets the same time as one without a link.
 func (g *Gossiper) lastReceived(id string, now time.Time) time.Time {
-	if l, ok := g.links.Get(id); ok {
+	l, linked := g.links.Get(id)
+	chosen, watched := g.watchedAt.Get(id)
+	switch {
+	case linked && l.receivedAt.After(chosen):
 		return l.receivedAt
-	}
-	if t, ok := g.watchedAt.Get(id); ok {
-		return t
+	case watched:
+		return chosen
 	}
 	return now
 }
