Send changes of members, one introduction and short sums instead of whole records and digests

Cause: each change of a record went as a whole record of 164 bytes over all links. An instance that starts got all members from each peer, and again bucket by bucket in answers to its digests; it asked all peers for all documents. Digests held 64 sums of members and of documents, 1,215 bytes, also where only one document differed. The three are one change, since a start that asks one instance for its members gets them again from each peer that answers its digest.

Change: Hello names the largest message type that its sender decodes, and two new messages go only to instances that decode them. MemberChanges carries the fields that change, in 24 bytes, under a mark of the others; the receiver requests the record of a member that it does not know, and another instance is asked after 0.3 s. An instance that starts asks for all members once: the first peer names ready instances of its failure domain, of which it asks one, and another one after 0.5 s. It keeps changes that come before the records, and compares its members after 0.5, 1.5 and 4 s, since a change may have passed its introducer after the records and its watchers before they had a link to it (without this some instances did not know another one at the end). It asks one instance at a time for the documents and is ready as soon as its documents have the hash that a ready one named. Comparison sends hashes first, then 2 bytes a bucket of members and the sums of non-empty buckets of documents where they differ; records of several buckets share a message. Instances of earlier builds get and send what they did.

--- a/decider/decider.go
+++ b/decider/decider.go
@@ -138,6 +138,8 @@
 	lastTallyAt      time.Time
 	lastPublishAt    time.Time
 	lastDigestAt     time.Time
+	// sync is what is known of the documents of others before synced is set.
+	sync syncState
 	// lastSuspicionsAt is when the last suspicion lists were sent, and
 	// suspicionSequence is the sequence number of the last one.
 	lastSuspicionsAt  time.Time
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -19,6 +19,10 @@
 	switch m := e.Message.(type) {
 	case descriptor.Members:
 		d.gossiper.HandleMembers(e.At, e.From, m)
+	case descriptor.MemberChanges:
+		d.gossiper.HandleChanges(e.At, e.From, m)
+	case descriptor.Comparison:
+		d.handleComparison(from, m)
 	case descriptor.Digest:
 		d.handleDigest(from, m)
 	case descriptor.References:
@@ -29,6 +33,7 @@
 		}
 		d.relayer.ApplyAnnouncements("", d.spreader.Digest().Hash())
 		d.timeDirty = true
+		d.completeSync()
 	case descriptor.Refresh:
 		for _, part := range d.spreader.Answer(m) {
 			d.send(from, part)
@@ -97,7 +102,10 @@
 	d.relayer.RecordResponse(d.now, d.now.Add(-time.Duration(m.Age)*time.Millisecond))
 	d.forwardFreshness(next)
 	if d.relayer.ApplyAnnouncements(m.Origin, d.spreader.Digest().Hash()) {
-		d.send(from, descriptor.Digest{Members: d.gossiper.Digest(), Documents: d.spreader.Digest(), Urgent: true})
+		if d.synced || d.now.Sub(d.lastDigestAt) >= digestInterval {
+			// Otherwise another instance was asked for all documents just before.
+			d.requestDocuments(from)
+		}
 	}
 	d.timeDirty = true
 }
--- a/decider/rolling_test.go
+++ b/decider/rolling_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"sort"
-	"testing"
 	"time"
 
 	"monsoonswitch/declarer"
@@ -79,6 +78,7 @@
 	messages [descriptor.MessageTypeCount]int
 	crossed  [descriptor.MessageTypeCount]int
 	bySender map[string]int
+	ofSender map[string]*[descriptor.MessageTypeCount]int
 	hellos   int
 }
 
@@ -94,8 +94,10 @@
 	// links holds the peers with an open link, and whether this instance dialed it.
 	links  map[string]bool
 	wanted map[string]descriptor.Member
-	// members is the number of members that hellos name.
+	// members is the number of members that hellos name, and types the largest message type
+	// that the instance decodes, or 0 for one of an earlier build.
 	members  int
+	types    descriptor.MessageType
 	dialed   map[string]time.Time
 	usedAt   map[string]time.Time
 	queued   map[string][]descriptor.Message
@@ -129,7 +131,7 @@
 	}
 	for i := range n {
 		id := fmt.Sprintf("entry-%03d", i)
-		node := &rollingNode{fleet: f, self: descriptor.Member{
+		node := &rollingNode{fleet: f, types: latestType, self: descriptor.Member{
 			ID: id, Domain: fmt.Sprintf("karatu-%c", 'a'+i%rollingDomains),
 			Public: fmt.Sprintf("10.5.%d.%d:8080", i/250, i%250), Inner: fmt.Sprintf("10.5.%d.%d:8081", i/250, i%250), Capacity: 200,
 		}}
@@ -143,9 +145,14 @@
 	return f
 }
 
+// latestType is the largest message type of this build.
+const latestType = descriptor.MessageType(descriptor.MessageTypeCount - 1)
+
 func serviceName(i int) string { return fmt.Sprintf("service-%d", i) }
 
-func (f *rollingFleet) resetBytes() { f.bytes = rollingBytes{bySender: make(map[string]int)} }
+func (f *rollingFleet) resetBytes() {
+	f.bytes = rollingBytes{bySender: make(map[string]int), ofSender: make(map[string]*[descriptor.MessageTypeCount]int)}
+}
 
 // after runs an event when a time has passed.
 func (f *rollingFleet) after(d time.Duration, run func()) {
@@ -360,7 +367,7 @@
 		}
 		return
 	}
-	if m.Type() != descriptor.TypeHeartbeat && m.Type() != descriptor.TypeDigest {
+	if m.Type() != descriptor.TypeHeartbeat && m.Type() != descriptor.TypeDigest && m.Type() != descriptor.TypeComparison {
 		n.usedAt[to] = n.fleet.now
 	}
 	n.count(to, m)
@@ -385,6 +392,10 @@
 	b.byType[m.Type()] += len(data)
 	b.messages[m.Type()]++
 	b.bySender[n.self.ID] += len(data)
+	if b.ofSender[n.self.ID] == nil {
+		b.ofSender[n.self.ID] = new([descriptor.MessageTypeCount]int)
+	}
+	b.ofSender[n.self.ID][m.Type()] += len(data)
 	if n.fleet.byID[to].self.Domain != n.self.Domain {
 		b.crossed[m.Type()] += len(data)
 	}
@@ -417,11 +428,11 @@
 	known, otherKnown := n.members, other.members
 	n.links[other.self.ID], other.links[n.self.ID] = true, false
 	n.usedAt[other.self.ID], other.usedAt[n.self.ID] = f.now, f.now
-	n.count(other.self.ID, descriptor.Hello{Protocol: messenger.Version, From: a, Known: known})
-	other.count(n.self.ID, descriptor.Hello{Protocol: messenger.Version, From: b, Known: otherKnown})
+	n.count(other.self.ID, descriptor.Hello{Protocol: messenger.Version, From: a, Known: known, Types: n.types})
+	other.count(n.self.ID, descriptor.Hello{Protocol: messenger.Version, From: b, Known: otherKnown, Types: other.types})
 	f.bytes.hellos++
-	n.step(descriptor.LinkOpened{At: f.now, Peer: b, Known: otherKnown})
-	other.step(descriptor.LinkOpened{At: f.now, Peer: a, Known: known})
+	n.step(descriptor.LinkOpened{At: f.now, Peer: b, Known: otherKnown, Types: min(n.types, other.types)})
+	other.step(descriptor.LinkOpened{At: f.now, Peer: a, Known: known, Types: min(n.types, other.types)})
 }
 
 // maintain dials wanted instances and seeds, and closes idle links.
@@ -469,38 +480,3 @@
 	}
 	f.run(rollingGroups * rollingGroupPeriod)
 }
-
-// table logs the bytes that an instance sent, by message type.
-func (f *rollingFleet) table(t *testing.T, title string, span time.Duration) (mean, maximum float64) {
-	t.Helper()
-	n := float64(len(f.nodes))
-	kb := func(v int) float64 { return float64(v) / 1000 / n }
-	total, crossed := 0, 0
-	t.Logf("%s, %d instances, %v, plain encoded bytes:", title, len(f.nodes), span)
-	for i := range f.bytes.byType {
-		total += f.bytes.byType[i]
-		crossed += f.bytes.crossed[i]
-		if f.bytes.messages[i] > 0 {
-			t.Logf("| %s | %.1f | %.1f | %.1f |", descriptor.MessageType(i), kb(f.bytes.byType[i]), kb(f.bytes.crossed[i]), float64(f.bytes.messages[i])/n)
-		}
-	}
-	for _, v := range f.bytes.bySender {
-		maximum = max(maximum, float64(v)/1000/span.Seconds())
-	}
-	mean = float64(total) / 1000 / n / span.Seconds()
-	t.Logf("| all | %.1f | %.1f | |", kb(total), kb(crossed))
-	t.Logf("KB a second: mean %.2f, maximum %.2f, between domains %.2f; links opened %.1f", mean, maximum, kb(crossed)/span.Seconds(), float64(f.bytes.hellos)/n)
-	return mean, maximum
-}
-
-// times logs and returns the largest of some times.
-func times(t *testing.T, what string, list []time.Duration) time.Duration {
-	t.Helper()
-	var sum, largest time.Duration
-	for _, v := range list {
-		sum += v
-		largest = max(largest, v)
-	}
-	t.Logf("%s: %d, mean %v, maximum %v", what, len(list), (sum / time.Duration(max(1, len(list)))).Round(time.Millisecond), largest)
-	return largest
-}
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -122,8 +122,8 @@
 	a, b := f.instances[from].gossiper.Self(), f.instances[to].gossiper.Self()
 	known := func(id string) int { return len(f.instances[id].gossiper.Members()) }
 	knownFrom, knownTo := known(from), known(to)
-	f.step(from, descriptor.LinkOpened{At: f.now, Peer: b, Known: knownTo})
-	f.step(to, descriptor.LinkOpened{At: f.now, Peer: a, Known: knownFrom})
+	f.step(from, descriptor.LinkOpened{At: f.now, Peer: b, Known: knownTo, Types: latestType})
+	f.step(to, descriptor.LinkOpened{At: f.now, Peer: a, Known: knownFrom, Types: latestType})
 }
 
 func (f *routedFleet) step(id string, e descriptor.Event) {
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -67,19 +67,6 @@
 	}
 }
 
-// requestSync sends digests until the configuration is known.
-func (d *Decider[E, D, P, L]) requestSync() {
-	if d.synced || d.now.Sub(d.lastDigestAt) < digestInterval {
-		return
-	}
-	d.lastDigestAt = d.now
-	for _, id := range d.gossiper.Links() {
-		if m, ok := d.gossiper.Member(id); ok {
-			d.sendDigest(m)
-		}
-	}
-}
-
 // introductionTime is the time after its start in which an instance learns of most others.
 const introductionTime = 700 * time.Millisecond
 
--- a/descriptor/events.go
+++ b/descriptor/events.go
@@ -150,6 +150,8 @@
 	Peer Member
 	// Known is the number of live members that the peer knows, or 0 if it did not tell.
 	Known int `json:",omitempty"`
+	// Types is the largest message type that the peer decodes, or 0 if it did not tell.
+	Types MessageType `json:",omitempty"`
 }
 
 // LinkClosed reports that the last link to an instance is closed.
--- a/descriptor/messages.go
+++ b/descriptor/messages.go
@@ -37,6 +37,8 @@
 	TypeClockStamp
 	TypeQuotaDemand
 	TypeQuotaGrant
+	TypeMemberChanges
+	TypeComparison
 	messageTypeCount
 )
 
@@ -68,6 +70,8 @@
 	TypeClockStamp:    "clockstamp",
 	TypeQuotaDemand:   "quotademand",
 	TypeQuotaGrant:    "quotagrant",
+	TypeMemberChanges: "memberchanges",
+	TypeComparison:    "comparison",
 }
 
 // String returns the name used in logs and metrics.
@@ -87,6 +91,8 @@
 	Capacity int32 `cbor:",omitempty"`
 	// Known is the number of live members that the sender knows.
 	Known int `cbor:",omitempty"`
+	// Types is the largest message type that the sender decodes, or 0 from earlier builds.
+	Types MessageType `cbor:",omitempty"`
 }
 
 // Heartbeat shows that its sender is alive.
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -79,6 +79,8 @@
 	digestAt time.Time
 	// differing is the set of buckets in which the last received digest differed.
 	differing uint64
+	// types is the largest message type that the peer is known to decode.
+	types descriptor.MessageType
 }
 
 // WithReceived returns l after a message was received at t.
@@ -99,6 +101,12 @@
 	return l
 }
 
+// WithTypes returns l after the peer showed that it decodes message types up to t.
+func (l link) WithTypes(t descriptor.MessageType) link {
+	l.types = max(l.types, t)
+	return l
+}
+
 // WithDigest returns l after a digest was sent at t.
 func (l link) WithDigest(t time.Time) link {
 	l.digestAt = t
@@ -145,9 +153,20 @@
 	// source is the instance whose records are being merged, or empty.
 	source string
 	// pending holds the members whose records changed since the last flush, with
-	// the instance that sent each change.
-	pending  *container.Table[string, string]
-	sequence uint64
+	// the instances that sent each change.
+	pending *container.Table[string, []string]
+	// marked holds the member of each mark, and wanted the marks of members that are not
+	// known and whose records were requested.
+	marked *container.Table[uint64, string]
+	wanted *container.Table[uint64, wantedRecord]
+	// introduction is how far this instance is in learning of all members from another one.
+	introduction introduction
+	// introducer is the instance that answered the last introduction, introducedAt is when
+	// that ended, or zero, and reviews counts the comparisons since.
+	introducer   string
+	introducedAt time.Time
+	reviews      int
+	sequence     uint64
 	// digest holds the hash sums of the records of all members that are neither
 	// dead nor left.
 	digest container.BucketSums
@@ -165,7 +184,9 @@
 		members:   container.NewTable[string, entry](),
 		links:     container.NewTable[string, link](),
 		watchedAt: container.NewTable[string, time.Time](),
-		pending:   container.NewTable[string, string](),
+		pending:   container.NewTable[string, []string](),
+		marked:    container.NewTable[uint64, string](),
+		wanted:    container.NewTable[uint64, wantedRecord](),
 		accusers:  make(map[string]time.Time),
 	}
 	g.store(self, now)
@@ -235,13 +256,19 @@
 	g.store(g.self, now)
 }
 
-// LinkOpened handles a new link to an instance. If the instance just started, knows few
-// members, and the fleet has at most maxInitialMembers members, it sends all live records,
-// and otherwise only the record of this instance.
+// LinkOpened handles a new link to an instance. An instance that knows few members asks for
+// the others. One of an earlier build does not: if it just started, knows few members, and the
+// fleet has at most maxInitialMembers members, it is sent all live records, and otherwise only
+// the record of this instance.
 func (g *Gossiper) LinkOpened(e descriptor.LinkOpened) {
 	before, known := g.members.Get(e.Peer.ID)
-	g.links.Put(e.Peer.ID, link{receivedAt: e.At})
+	g.links.Put(e.Peer.ID, link{receivedAt: e.At, types: e.Types})
 	g.merge(e.Peer, e.At)
+	if e.Types >= descriptor.TypeMemberChanges {
+		g.sendChanges(e.Peer.ID, []descriptor.Member{g.self})
+		g.introduce(e.At, e.Peer.ID, e.Known)
+		return
+	}
 	introduced := e.Known > 0 && e.Known*introducedRatio >= len(g.ring)
 	if known && before.member.Incarnation == e.Peer.Incarnation || introduced || g.members.Len() > maxInitialMembers {
 		g.send(e.Peer.ID, descriptor.Members{Records: []descriptor.Member{g.self}})
@@ -280,43 +307,14 @@
 // buckets, the answer carries the records of these buckets that the sender lacks
 // or holds in older versions.
 func (g *Gossiper) HandleMembers(now time.Time, from string, m descriptor.Members) {
-	g.source = from
-	defer func() { g.source = "" }()
-	seen := make(map[string]descriptor.Member, len(m.Records))
-	for _, r := range m.Records {
-		seen[r.ID] = r
-		g.merge(r, now)
-	}
-	if m.Buckets == 0 {
-		return
-	}
-	var missing []descriptor.Member
-	for _, r := range g.bucketRecords(m.Buckets) {
-		if other, ok := seen[r.ID]; !ok || r.Newer(other) {
-			missing = append(missing, r)
-		}
-	}
-	g.sendRecords(from, missing)
+	g.mergeRecords(now, from, m.Records, m.Buckets)
+	g.endIntroduction(now, from, m.Records)
 }
 
-// HandleDigest answers a digest with the records of the buckets that differ. A
-// change that is still spreading makes digests differ for a moment, so a bucket
-// counts only if it differed in the last two digests or the difference is large.
+// HandleDigest answers a digest with the records of the buckets that differ.
 func (g *Gossiper) HandleDigest(from string, digest container.BucketSums) {
-	l, ok := g.links.Get(from)
-	if !ok {
-		return
-	}
-	differing := g.digest.Differ(digest)
-	lasting := differing & l.differing
-	if g.digest.DiffersWidely(digest) {
-		lasting = differing
-	}
-	g.links.Put(from, l.WithDiffering(differing))
-	for bucket := range container.Buckets {
-		if set := lasting & (1 << bucket); set != 0 {
-			g.send(from, descriptor.Members{Records: g.bucketRecords(set), Buckets: set})
-		}
+	if l, ok := g.links.Get(from); ok {
+		g.sendDiffering(from, l, g.digest.Differ(digest), g.digest.DiffersWidely(digest))
 	}
 }
 
@@ -366,6 +364,7 @@
 		g.store(m, now)
 		return
 	}
+	g.noteSource(m, e.member)
 	if sameVersion(m, e.member) && m.State == descriptor.Suspect && e.member.State == descriptor.Suspect {
 		accusers := union(m.Accusers, e.member.Accusers)
 		if len(accusers) > len(e.member.Accusers) {
@@ -435,7 +434,9 @@
 	}
 	g.digest = addRecord(g.digest, m)
 	g.members.Put(m.ID, entry{member: m, since: since})
-	g.pending.Put(m.ID, g.source)
+	g.pending.Put(m.ID, []string{g.source})
+	g.marked.Put(m.Mark(), m.ID)
+	g.wanted.Delete(m.Mark())
 	g.changes = append(g.changes, Change{Before: before.member, After: m})
 	g.updateRing(m)
 }
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -23,15 +23,28 @@
 	hidden map[string][]string
 	// links holds the open links, as dialer and listener.
 	links map[[2]string]bool
+	// earlier holds the instances of an earlier build, which decodes no changes.
+	earlier map[string]bool
+	// domain is the prefix of the failure domain of instances that are added.
+	domain string
+	// onSend is called for each message that is delivered, unless it is nil.
+	onSend func(from, to string, m descriptor.Message)
 }
 
-func newNetwork(t *testing.T, n int) *network {
+func newNetwork(t *testing.T, n int) *network { return newMixedNetwork(t, n) }
+
+// newMixedNetwork returns a network in which some instances are of an earlier build.
+func newMixedNetwork(t *testing.T, n int, earlier ...string) *network {
 	x := &network{
 		t:         t,
 		now:       time.Unix(1000, 0),
 		gossipers: make(map[string]*Gossiper),
 		cut:       make(map[[2]string]bool),
 		links:     make(map[[2]string]bool),
+		earlier:   make(map[string]bool),
+	}
+	for _, id := range earlier {
+		x.earlier[id] = true
 	}
 	for i := range n {
 		x.add(fmt.Sprintf("n%02d", i), 1)
@@ -47,7 +60,7 @@
 	if _, ok := x.gossipers[id]; !ok {
 		x.order = append(x.order, id)
 	}
-	m := descriptor.Member{ID: id, Incarnation: incarnation, Domain: "d", Inner: id}
+	m := descriptor.Member{ID: id, Incarnation: incarnation, Domain: x.domain + "d", Inner: id}
 	x.gossipers[id] = New(m, x.now)
 	x.gossipers[id].SetReady(x.now, true)
 }
@@ -57,8 +70,19 @@
 		return
 	}
 	x.links[[2]string{from, to}] = true
-	x.gossipers[from].LinkOpened(descriptor.LinkOpened{At: x.now, Peer: x.gossipers[to].Self()})
-	x.gossipers[to].LinkOpened(descriptor.LinkOpened{At: x.now, Peer: x.gossipers[from].Self()})
+	a, b := x.opened(from, to), x.opened(to, from)
+	x.gossipers[from].LinkOpened(b)
+	x.gossipers[to].LinkOpened(a)
+}
+
+// opened returns the event of a new link to an instance at another one.
+func (x *network) opened(id, at string) descriptor.LinkOpened {
+	g := x.gossipers[id]
+	e := descriptor.LinkOpened{At: x.now, Peer: g.Self(), Known: len(g.ring), Types: descriptor.TypeComparison}
+	if x.earlier[id] || x.earlier[at] {
+		e.Types = 0
+	}
+	return e
 }
 
 // kill removes an instance without an announced shutdown and closes its links.
@@ -110,19 +134,50 @@
 
 func (x *network) deliver(from string, a descriptor.Send) {
 	to := x.gossipers[a.To.ID]
+	if m, ok := a.Message.(descriptor.MemberChanges); ok && m.All {
+		// As package linker does for each message.
+		x.link(from, a.To.ID)
+	}
 	linked := x.links[[2]string{from, a.To.ID}] || x.links[[2]string{a.To.ID, from}]
 	if to == nil || !linked || x.cut[[2]string{from, a.To.ID}] {
 		return
 	}
+	if x.onSend != nil {
+		x.onSend(from, a.To.ID, a.Message)
+	}
 	to.RecordReceived(x.now, from)
 	switch m := a.Message.(type) {
 	case descriptor.Members:
 		to.HandleMembers(x.now, from, x.visible(a.To.ID, m))
+	case descriptor.MemberChanges:
+		if x.earlier[a.To.ID] {
+			// An earlier build skips the request for all members, and is not asked again.
+			if !m.All {
+				x.t.Errorf("%s of an earlier build got changes from %s", a.To.ID, from)
+			}
+			return
+		}
+		to.HandleChanges(x.now, from, x.visibleChanges(a.To.ID, m))
+	case descriptor.Comparison:
+		x.compare(from, a.To.ID, m)
 	case descriptor.Digest:
 		to.HandleDigest(from, m.Members)
 	}
 }
 
+// compare delivers a comparison and its answer, as package decider does.
+func (x *network) compare(from, id string, m descriptor.Comparison) {
+	to := x.gossipers[id]
+	if m.Answer {
+		to.HandleChecks(from, m, container.BucketSums{})
+		return
+	}
+	if checks := to.Compare(from, m); checks != nil {
+		answer := descriptor.Comparison{Members: to.digest.Hash(), Count: to.digest.Count, Checks: checks, Answer: true}
+		x.deliver(id, descriptor.Send{To: x.gossipers[from].Self(), Message: answer})
+	}
+}
+
 // visible returns m without the records that are hidden from an instance.
 func (x *network) visible(to string, m descriptor.Members) descriptor.Members {
 	var records []descriptor.Member
@@ -135,6 +190,26 @@
 	return m
 }
 
+// visibleChanges returns m without the changes that are hidden from an instance.
+func (x *network) visibleChanges(to string, m descriptor.MemberChanges) descriptor.MemberChanges {
+	marks := make(map[uint64]bool)
+	for _, id := range x.hidden[to] {
+		for _, g := range x.gossipers {
+			if other, ok := g.Member(id); ok {
+				marks[other.Mark()] = true
+			}
+		}
+	}
+	var list []descriptor.MemberChange
+	for _, c := range m.List {
+		if !marks[c.Mark] {
+			list = append(list, c)
+		}
+	}
+	m.List = list
+	return m
+}
+
 // newSuspicions runs the network for d in steps of 200 ms and returns the number of
 // steps after which more instances suspect a member than before.
 func (x *network) newSuspicions(id string, d time.Duration) int {
--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -19,6 +19,8 @@
 	g.sendHeartbeats(now, documents)
 	g.suspectSilent(now)
 	g.confirmDead(now)
+	g.retryRequests(now)
+	g.review(now, documents)
 	g.Flush()
 }
 
@@ -112,7 +114,7 @@
 		g.send(id, descriptor.Heartbeat{Sequence: g.sequence})
 		l = l.WithHeartbeat(now)
 		if now.Sub(l.digestAt) >= every && (g.watchers[id] || contains(g.watched, id)) {
-			g.send(id, descriptor.Digest{Members: g.digest, Documents: documents})
+			g.sendDigest(id, l, documents)
 			l = l.WithDigest(now)
 		}
 		g.links.SetAt(i, l)
@@ -195,6 +197,8 @@
 		g.store(m.WithState(descriptor.Dead, m.Accusers), now)
 	}
 	for _, id := range forgotten {
+		e, _ := g.members.Get(id)
+		g.marked.Delete(e.member.Mark())
 		g.members.Delete(id)
 	}
 }
@@ -206,14 +210,14 @@
 	}
 	for _, to := range g.spreadTargets() {
 		var records []descriptor.Member
-		for id, from := range g.pending.All {
-			if e, ok := g.members.Get(id); ok && from != to {
+		for id, sources := range g.pending.All {
+			if e, ok := g.members.Get(id); ok && !contains(sources, to) {
 				records = append(records, e.member)
 			}
 		}
-		g.sendRecords(to, records)
+		g.sendChanges(to, records)
 	}
-	g.pending = container.NewTable[string, string]()
+	g.pending = container.NewTable[string, []string]()
 }
 
 // spreadTargets returns the instances that changes are sent to. These are the
--- a/linker/link.go
+++ b/linker/link.go
@@ -37,6 +37,8 @@
 	peer   descriptor.Member
 	// peerKnown is the number of live members that the peer knew when the link was opened.
 	peerKnown int
+	// peerTypes is the largest message type that the peer decodes.
+	peerTypes descriptor.MessageType
 	// dialed reports whether this instance opened the link.
 	dialed   bool
 	outgoing chan descriptor.Message
@@ -55,7 +57,7 @@
 // send queues a message. If the queue is full, the peer does not read, so the message is
 // dropped and the link closed. Both ends synchronize again on the next link.
 func (k *link) send(m descriptor.Message) {
-	if m.Type() != descriptor.TypeHeartbeat && m.Type() != descriptor.TypeDigest {
+	if t := m.Type(); t != descriptor.TypeHeartbeat && t != descriptor.TypeDigest && t != descriptor.TypeComparison {
 		k.lastUsedNanos.Store(time.Now().UnixNano())
 	}
 	select {
@@ -132,7 +134,7 @@
 // ErrProtocol if the peer's hello is not valid.
 func (l *Linker) handshake(ctx context.Context, conn *websocket.Conn, dialed bool) error {
 	conn.SetReadLimit(messenger.MaxFrame)
-	hello := descriptor.Hello{Protocol: messenger.Version, From: l.options.Self(), Known: l.knownMembers()}
+	hello := descriptor.Hello{Protocol: messenger.Version, From: l.options.Self(), Known: l.knownMembers(), Types: descriptor.MessageType(descriptor.MessageTypeCount - 1)}
 	if err := l.write(ctx, conn, hello); err != nil {
 		_ = conn.CloseNow()
 		return err
@@ -170,6 +172,7 @@
 		cancel:   cancel,
 
 		peerKnown: max(0, hello.Known),
+		peerTypes: max(0, hello.Types),
 	}
 	k.lastUsedNanos.Store(time.Now().UnixNano())
 	l.add(k)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -314,7 +314,7 @@
 	l.queued[k.peer.ID] = nil
 	l.mu.Unlock()
 	if len(list) == 0 {
-		l.poster.Post(descriptor.LinkOpened{At: time.Now(), Peer: k.peer, Known: k.peerKnown})
+		l.poster.Post(descriptor.LinkOpened{At: time.Now(), Peer: k.peer, Known: k.peerKnown, Types: k.peerTypes})
 	}
 	l.notifyMu.Unlock()
 	for _, m := range pending {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -137,6 +137,8 @@
 	descriptor.TypeClockStamp:    decode[descriptor.ClockStamp],
 	descriptor.TypeQuotaDemand:   decode[descriptor.QuotaDemand],
 	descriptor.TypeQuotaGrant:    decode[descriptor.QuotaGrant],
+	descriptor.TypeMemberChanges: decode[descriptor.MemberChanges],
+	descriptor.TypeComparison:    decode[descriptor.Comparison],
 }
 
 // decodeWith returns a decoding function that also expands the compact form of a message.
