--- a/gossiper/tick.go
+++ b/gossiper/tick.go
@@ -19,6 +19,8 @@
 	g.sendHeartbeats(now, documents)
 	g.suspectSilent(now)
 	g.confirmDead(now)
+	g.retryRequests(now)
+	g.review(now, documents)
 	g.Flush()
 }
 
@@ -67,7 +69,8 @@
 		watched = append(watched, id)
 		e, _ := g.members.Get(id)
 		peers = append(peers, e.member)
-		if !g.watchedAt.Has(id) {
+		if !contains(g.watched, id) {
+			// LinkClosed may have set an older time while it was not watched.
 			g.watchedAt.Put(id, now)
 		}
 	}
@@ -111,7 +114,7 @@
 		g.send(id, descriptor.Heartbeat{Sequence: g.sequence})
 		l = l.WithHeartbeat(now)
 		if now.Sub(l.digestAt) >= every && (g.watchers[id] || contains(g.watched, id)) {
-			g.send(id, descriptor.Digest{Members: g.digest, Documents: documents})
+			g.sendDigest(id, l, documents)
 			l = l.WithDigest(now)
 		}
 		g.links.SetAt(i, l)
@@ -140,7 +143,7 @@
 		if !ok || e.member.State >= descriptor.Dead || contains(e.member.Accusers, g.self.ID) {
 			continue
 		}
-		if now.Sub(g.lastReceived(id, now)) < silenceTimeout {
+		if now.Sub(g.lastReceived(id, now)) < g.silenceTimeoutOf(e.member) {
 			continue
 		}
 		accusers := union([]string{g.self.ID}, e.member.Accusers)
@@ -148,12 +151,29 @@
 	}
 }
 
+// silenceTimeoutOf returns the time of silence after which a member is suspected. It is shorter
+// if another instance suspects the member and this one has only just begun to watch it: while
+// many instances restart, an instance watches another one for a few seconds only, and a second
+// accuser would be missing for long.
+func (g *Gossiper) silenceTimeoutOf(m descriptor.Member) time.Duration {
+	l, _ := g.links.Get(m.ID)
+	if chosen, ok := g.watchedAt.Get(m.ID); ok && m.State == descriptor.Suspect && chosen.After(l.receivedAt) {
+		return accusedTimeout
+	}
+	return silenceTimeout
+}
+
+// lastReceived returns when a watched instance was last heard of. An instance that was just
+// chosen may have sent nothing for long on an open link, since it sends heartbeats every second
+// to its watchers only. It gets the same time as one without a link.
 func (g *Gossiper) lastReceived(id string, now time.Time) time.Time {
-	if l, ok := g.links.Get(id); ok {
+	l, linked := g.links.Get(id)
+	chosen, watched := g.watchedAt.Get(id)
+	switch {
+	case linked && l.receivedAt.After(chosen):
 		return l.receivedAt
-	}
-	if t, ok := g.watchedAt.Get(id); ok {
-		return t
+	case watched:
+		return chosen
 	}
 	return now
 }
@@ -177,6 +197,8 @@
 		g.store(m.WithState(descriptor.Dead, m.Accusers), now)
 	}
 	for _, id := range forgotten {
+		e, _ := g.members.Get(id)
+		g.marked.Delete(e.member.Mark())
 		g.members.Delete(id)
 	}
 }
@@ -188,14 +210,14 @@
 	}
 	for _, to := range g.spreadTargets() {
 		var records []descriptor.Member
-		for id, from := range g.pending.All {
-			if e, ok := g.members.Get(id); ok && from != to {
+		for id, sources := range g.pending.All {
+			if e, ok := g.members.Get(id); ok && !contains(sources, to) {
 				records = append(records, e.member)
 			}
 		}
-		g.sendRecords(to, records)
+		g.sendChanges(to, records)
 	}
-	g.pending = container.NewTable[string, string]()
+	g.pending = container.NewTable[string, []string]()
 }
 
 // spreadTargets returns the instances that changes are sent to. These are the
