Spread the starts over the instances that send them members and documents

Cause: parents in the tree of freshness announcements answered each start below them with all documents, besides the instance that was asked for them, and one introducer could be named by chance to many starts.

Change: an instance that is not ready asks only the instances that requestSync chooses, first its introducer, and not while the records are about to arrive (0.25 s at most).

--- a/decider/compare.go
+++ b/decider/compare.go
@@ -19,7 +19,7 @@
 // one each time, preferably a ready one in this failure domain. If all were asked, each would
 // answer with what differs.
 func (d *Decider[E, D, P, L]) requestSync() {
-	if d.synced || d.now.Sub(d.lastDigestAt) < digestInterval {
+	if d.synced || d.now.Sub(d.lastDigestAt) < digestInterval || d.gossiper.Introducing(d.now) {
 		return
 	}
 	list := d.syncPeers()
--- a/decider/receive.go
+++ b/decider/receive.go
@@ -102,8 +102,9 @@
 	d.relayer.RecordResponse(d.now, d.now.Add(-time.Duration(m.Age)*time.Millisecond))
 	d.forwardFreshness(next)
 	if d.relayer.ApplyAnnouncements(m.Origin, d.spreader.Digest().Hash()) {
-		if d.synced || d.now.Sub(d.lastDigestAt) >= digestInterval {
-			// Otherwise another instance was asked for all documents just before.
+		if d.synced {
+			// Otherwise all documents are missing, which requestSync asks one instance for;
+			// the parent would answer each start below it.
 			d.requestDocuments(from)
 		}
 	}
--- a/descriptor/changes.go
+++ b/descriptor/changes.go
@@ -32,9 +32,11 @@
 	// Wanted asks for the complete records of the members with these marks.
 	Wanted []uint64 `cbor:",omitempty" json:",omitempty"`
 	// All asks for the records of all live members. The receiver names some instances to ask
-	// in Near instead, if it knows any and Here is not set.
+	// in Near instead, if it knows any; with Here only if it answered others lately, and
+	// with Must never.
 	All  bool `cbor:",omitempty" json:",omitempty"`
 	Here bool `cbor:",omitempty" json:",omitempty"`
+	Must bool `cbor:",omitempty" json:",omitempty"`
 	// Near holds some members in the failure domain of the receiver, which asked for all.
 	Near []Member `cbor:",omitempty" json:",omitempty"`
 }
--- a/gossiper/changes.go
+++ b/gossiper/changes.go
@@ -92,7 +92,7 @@
 		g.send(from, descriptor.MemberChanges{Wanted: unknown})
 	}
 	g.answerWanted(from, m.Wanted)
-	g.answerIntroduction(from, m)
+	g.answerIntroduction(now, from, m)
 	if len(m.Near) > 0 {
 		g.introduceNear(now, from, m.Near)
 	}
--- a/gossiper/changes_test.go
+++ b/gossiper/changes_test.go
@@ -156,4 +156,26 @@
 		asserter.True(t, "asked one of its failure domain", asked != "")
 		asserter.Equal(t, "members", len(x.gossipers["m99"].Members()), 19)
 	})
+	t.Run("an instance that answered others lately names others", func(t *testing.T) {
+		x := newNetworkOfTwoDomains(t)
+		x.domain = "f"
+		x.add("f00", 1)
+		x.link("f00", "n00")
+		x.run(2 * time.Second)
+		answered := make(map[string]int)
+		for i := range 8 {
+			id := fmt.Sprintf("f%02d", i+1)
+			x.add(id, 1)
+			c := x.count(id)
+			x.link(id, "n00")
+			x.run(2 * time.Second)
+			asserter.Equal(t, "members", len(x.gossipers[id].Members()), 20+i)
+			for from := range c.toNew {
+				answered[from]++
+			}
+		}
+		for from, n := range answered {
+			asserter.AtMost(t, "answers of "+from, n, maxAnswers+1)
+		}
+	})
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -163,7 +163,9 @@
 	introduction introduction
 	// introducer is the instance that answered the last introduction, introducedAt is when
 	// that ended, or zero, and reviews counts the comparisons since.
-	introducer   string
+	introducer string
+	// answers holds when this instance sent all members to one that starts, lately.
+	answers      []time.Time
 	introducedAt time.Time
 	reviews      int
 	sequence     uint64
--- a/gossiper/introduction.go
+++ b/gossiper/introduction.go
@@ -15,6 +15,13 @@
 	// reviewTime is the time after an introduction during which a bucket that differs counts
 	// at once; see reviewTimes.
 	reviewTime = 6 * time.Second
+	// maxAsked is the number of instances from which on the next one asked must answer.
+	maxAsked = 4
+	// maxAnswers is the number of starts that an instance answers within answerPeriod before
+	// it names others. Each answer is all members, and all documents follow: 60 KB at 219
+	// instances.
+	maxAnswers   = 2
+	answerPeriod = 30 * time.Second
 	// maxNear is the number of members in its own failure domain that an instance in
 	// another one names to an instance that asks for all.
 	maxNear = 3
@@ -59,39 +66,44 @@
 	i := &g.introduction
 	i.from, i.at = from, now
 	i.asked = append(i.asked, from)
-	g.send(from, descriptor.MemberChanges{All: true, Here: here})
+	g.send(from, descriptor.MemberChanges{All: true, Here: here, Must: len(i.asked) >= maxAsked})
 }
 
 // answerIntroduction sends all live records to an instance that asks for them, or names some
 // members of its failure domain to ask, so that the seeds do not answer all.
-func (g *Gossiper) answerIntroduction(to string, m descriptor.MemberChanges) {
+func (g *Gossiper) answerIntroduction(now time.Time, to string, m descriptor.MemberChanges) {
 	e, ok := g.members.Get(to)
 	if !m.All || !ok {
 		return
 	}
-	if !m.Here {
+	for len(g.answers) > 0 && now.Sub(g.answers[0]) >= answerPeriod {
+		g.answers = g.answers[1:]
+	}
+	if !m.Must && (!m.Here || len(g.answers) >= maxAnswers) {
 		if near := g.nearest(e.member); len(near) > 0 {
 			g.send(to, descriptor.MemberChanges{Near: near})
 			return
 		}
 	}
+	g.answers = append(g.answers, now)
 	g.sendRecords(to, g.liveRecords())
 }
 
 // nearest returns some ready members in the failure domain of a member that starts. Different
-// starts get different ones, since each of them answers with all members and documents.
+// starts get different ones, since each of them answers with all members and documents, and
+// from different instances too.
 func (g *Gossiper) nearest(m descriptor.Member) []descriptor.Member {
 	var ready []descriptor.Member
 	for _, p := range g.ring {
 		e, _ := g.members.Get(p.id)
 		l, linked := g.links.Get(p.id)
 		earlier := linked && l.types < descriptor.TypeMemberChanges
-		if p.domain == m.Domain && p.id != m.ID && e.member.Ready && e.member.State == descriptor.Alive && !earlier {
+		if p.domain == m.Domain && p.id != m.ID && p.id != g.self.ID && e.member.Ready && e.member.State == descriptor.Alive && !earlier {
 			ready = append(ready, e.member)
 		}
 	}
 	var result []descriptor.Member
-	first := container.Scramble(m.Mark() + uint64(m.Incarnation))
+	first := container.Scramble(m.Mark() + uint64(m.Incarnation) + g.self.Mark())
 	for k := range min(maxNear, len(ready)) {
 		result = append(result, ready[(first%uint64(len(ready))+uint64(k))%uint64(len(ready))])
 	}
@@ -152,6 +164,12 @@
 	g.resetIntroduction(now)
 }
 
+// Introducing reports whether the records of all members are about to arrive. The documents are
+// requested from the same instance then.
+func (g *Gossiper) Introducing(now time.Time) bool {
+	return g.introduction.open() && now.Sub(g.introduction.at) < introductionTimeout/2
+}
+
 // Introducer returns the instance that sent this one the records of all members, or "".
 func (g *Gossiper) Introducer() string { return g.introducer }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -43,7 +43,7 @@
 		descriptor.ClockStamp{Stamp: 1 << 40},
 		descriptor.QuotaDemand{Stamp: 1 << 40, List: []descriptor.CustomerDemand{{Mark: 1 << 63, Permits: 3, Returned: 1}}},
 		descriptor.QuotaGrant{Stamp: 1 << 40, Life: 500, List: []descriptor.CustomerGrant{{Mark: 1 << 63, Permits: 2, Wait: 40}}},
-		descriptor.MemberChanges{List: []descriptor.MemberChange{member.Change()}, Buckets: 3, Wanted: []uint64{1 << 63}, All: true, Here: true, Near: []descriptor.Member{member}},
+		descriptor.MemberChanges{List: []descriptor.MemberChange{member.Change()}, Buckets: 3, Wanted: []uint64{1 << 63}, All: true, Here: true, Must: true, Near: []descriptor.Member{member}},
 		descriptor.Comparison{Members: 1 << 63, Count: 2, Checks: make([]byte, 128), Urgent: true, Answer: true}.WithDocuments(container.BucketSums{}.With(1<<60, 9)),
 		descriptor.Drain{Service: "s", Backend: "b"},
 		descriptor.KeyHandover{Instance: "a", Incarnation: 1, Keys: []descriptor.KeyRecord{{Key: "k", State: 1, Holder: "b"}}, Last: true, Total: 1, Issuers: []descriptor.KeyIssuer{{Instance: "c", Incarnation: 2, Floor: 3}}},
