Catcher: the test counts reports across goroutines

Cause: TestHandler counted in the goroutine of the handler and read the count in its own, which the race detector reports.

Change: the count is atomic.

--- a/catcher/catcher_test.go
+++ b/catcher/catcher_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"monsoonswitch/asserter"
@@ -33,11 +34,11 @@
 }
 
 func TestHandler(t *testing.T) {
-	reports := 0
-	c := New(func(string, string) { reports++ })
+	var reports atomic.Int32
+	c := New(func(string, string) { reports.Add(1) })
 	server := httptest.NewServer(c.Handler("handler", http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("broken") })))
 	defer server.Close()
 	_, err := http.Get(server.URL)
 	asserter.True(t, "the connection breaks", err != nil)
-	asserter.Equal(t, "reports", reports, 1)
+	asserter.Equal(t, "reports", reports.Load(), int32(1))
 }
