--- a/decider/receive.go
+++ b/decider/receive.go
@@ -16,6 +16,34 @@
 	if !ok {
 		return
 	}
+	switch m := e.Message.(type) {
+	case descriptor.Freshness:
+		d.handleProof(from, m, e.Uptime)
+		d.handleFreshness(from, m)
+	case descriptor.ClockStamp:
+		d.handleStamp(from, m, e.Uptime)
+	case descriptor.SuspicionList:
+		d.handleSuspicionList(m)
+	case descriptor.QuotaDemand:
+		d.quotas.HandleDemand(d.uptime, from, m)
+	case descriptor.QuotaGrant:
+		d.quotas.HandleGrant(d.uptime, e.From, m)
+	case descriptor.TallyReport:
+		d.writer.Merge(m.Tally)
+	case descriptor.TallyReceipt:
+		d.counter.Confirm(m)
+	case descriptor.Claim, descriptor.Verdict, descriptor.KeySettlement, descriptor.KeyHandover:
+		d.handleKeyMessage(from, m)
+	default:
+		if !d.handleStateMessage(e, from) {
+			d.handleServiceMessage(from, m)
+		}
+	}
+}
+
+// handleStateMessage handles the messages that replicate members and documents, and reports
+// whether the message is one.
+func (d *Decider[E, D, P, L]) handleStateMessage(e descriptor.Received, from descriptor.Member) bool {
 	switch m := e.Message.(type) {
 	case descriptor.Members:
 		d.gossiper.HandleMembers(e.At, e.From, m)
@@ -38,26 +66,10 @@
 		for _, part := range d.spreader.Answer(m) {
 			d.send(from, part)
 		}
-	case descriptor.Freshness:
-		d.handleProof(from, m, e.Uptime)
-		d.handleFreshness(from, m)
-	case descriptor.ClockStamp:
-		d.handleStamp(from, m, e.Uptime)
-	case descriptor.SuspicionList:
-		d.handleSuspicionList(m)
-	case descriptor.QuotaDemand:
-		d.quotas.HandleDemand(d.uptime, from, m)
-	case descriptor.QuotaGrant:
-		d.quotas.HandleGrant(d.uptime, e.From, m)
-	case descriptor.TallyReport:
-		d.writer.Merge(m.Tally)
-	case descriptor.TallyReceipt:
-		d.counter.Confirm(m)
-	case descriptor.Claim, descriptor.Verdict, descriptor.KeySettlement, descriptor.KeyHandover:
-		d.handleKeyMessage(from, m)
 	default:
-		d.handleServiceMessage(from, m)
+		return false
 	}
+	return true
 }
 
 func (d *Decider[E, D, P, L]) send(to descriptor.Member, m descriptor.Message) {
