Trace requests that are refused before a balancer admits them

Cause: a request that was refused for its quota or for lack of a recent configuration left no line with its identifier, so a refusal could not be explained from the log.

--- a/decider/arrive.go
+++ b/decider/arrive.go
@@ -117,6 +117,9 @@
 func (d *Decider[E, D, P, L]) refuse(e descriptor.Arrived, reason descriptor.Reason, outcome descriptor.Outcome, retry time.Duration) {
 	d.emit(descriptor.Refuse{Request: e.Request, Reason: reason, Outcome: outcome, Retry: retry})
 	d.counter.End(d.now, e.Service, e.Class, reason, outcome, 0, 0)
+	if d.options.Routing {
+		d.traceRefused(e, reason)
+	}
 }
 
 func (d *Decider[E, D, P, L]) callerGone(e descriptor.CallerGone) {
--- a/decider/quota_test.go
+++ b/decider/quota_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	// silent has the backend servers not answer.
 	silent bool
 	counts map[string]descriptor.QuotaCounts
+	// explained counts the refusals over a quota whose trace names the customer.
+	explained int
 }
 
 func newQuotaFleet(seed uint64, n int, customers ...declarer.Customer) *quotaFleet {
@@ -66,6 +69,10 @@
 	switch a := action.(type) {
 	case descriptor.QuotaCounts:
 		f.counts[id] = a
+	case descriptor.RequestTrace:
+		if a.Reason == descriptor.QuotaExceeded && strings.Contains(a.Entries[0].Cause, "for customer ") {
+			f.explained++
+		}
 	case descriptor.Refuse:
 		delete(f.arrived, a.Request)
 	case descriptor.Dispatch:
@@ -179,6 +186,8 @@
 		asserter.AtLeast(t, c.Name+": ran", float64(len(f.ran[c.Name])), 0.95*c.Rate*10)
 	}
 	asserter.AtLeast(t, "refused", len(f.refused), 1000)
+	// Without a trace, a refusal can't be explained from its identifier.
+	asserter.Equal(t, "refusals with a trace", f.explained, len(f.refused))
 	for _, r := range f.refused {
 		asserter.Equal(t, "reason", r.Reason, descriptor.QuotaExceeded)
 		asserter.Equal(t, "outcome", r.Outcome, descriptor.NotRun)
--- a/decider/trace.go
+++ b/decider/trace.go
@@ -20,22 +20,29 @@
 
 // traceUnlocated emits the trace of a request that was refused before it was passed on.
 func (d *Decider[E, D, P, L]) traceUnlocated(e descriptor.Unlocated) {
-	d.emit(descriptor.RequestTrace{
-		At:              e.At,
-		Request:         e.Request,
-		Label:           e.Label,
-		Revision:        e.Version,
-		ConfirmationAge: d.now.Sub(d.relayer.Current(d.options.kinds())),
-		Reason:          e.Reason,
-		Outcome:         descriptor.NotRun,
-		Latency:         e.Latency,
-		Entries: []descriptor.TraceEntry{{
-			At:      e.At,
-			Number:  descriptor.NoteRefused,
-			Request: e.Request,
-			Cause:   fmt.Sprintf("%v by routing %d", e.Reason, e.Version),
-		}},
-	})
+	d.emitRefused(descriptor.RequestTrace{
+		At: e.At, Request: e.Request, Label: e.Label, Revision: e.Version, Reason: e.Reason, Latency: e.Latency,
+	}, fmt.Sprintf("%v by routing %d", e.Reason, e.Version))
+}
+
+// traceRefused emits the trace of a request that was refused before a balancer admitted it.
+func (d *Decider[E, D, P, L]) traceRefused(e descriptor.Arrived, reason descriptor.Reason) {
+	cause := fmt.Sprintf("%v by routing %d", reason, e.Routing)
+	if e.Customer != "" {
+		cause += " for customer " + e.Customer
+	}
+	d.emitRefused(descriptor.RequestTrace{
+		At: d.now, Request: e.Request, Label: e.Label, Service: e.Service, Class: e.Class, Revision: e.Routing,
+		Reason: reason, Latency: d.now.Sub(e.At),
+	}, cause)
+}
+
+// emitRefused emits the trace of a refusal as its only entry.
+func (d *Decider[E, D, P, L]) emitRefused(t descriptor.RequestTrace, cause string) {
+	t.Outcome = descriptor.NotRun
+	t.ConfirmationAge = d.now.Sub(d.relayer.Current(d.options.kinds()))
+	t.Entries = []descriptor.TraceEntry{{At: t.At, Number: descriptor.NoteRefused, Request: t.Request, Cause: cause}}
+	d.emit(t)
 }
 
 // emitTrace emits the request trace of an ended request.
