Dial all seeds after the start, so that a fleet that starts at once is one

Cause: an instance dialed one seed, and others only after 7 to 22 s. Change: in the first 2 s all seeds are dialed in turn; an instance that started less than 6 s ago sends its records to others that know few; what an introduction by an instance of the same time brings is passed on.

--- a/decider/restarts_test.go
+++ b/decider/restarts_test.go
@@ -39,6 +39,17 @@
 	checkRestarts(t, 219)
 }
 
+// TestMembersOfWholeStart guards against instances that start all at once and learn of each other
+// only with the digests after ten seconds: each was introduced by one that knew few, and passed
+// nothing on.
+func TestMembersOfWholeStart(t *testing.T) {
+	f := newRollingFleet(100)
+	f.run(membersKnownLimit)
+	for _, n := range f.nodes {
+		asserter.Equal(t, n.self.ID+": members", len(n.decider.gossiper.Members()), len(f.nodes))
+	}
+}
+
 func checkRestarts(t *testing.T, n int) {
 	t.Helper()
 	f := newRollingFleet(n)
--- a/decider/rolling_test.go
+++ b/decider/rolling_test.go
@@ -25,6 +25,7 @@
 	rollingListChange  = 2 * time.Second
 	rollingDomains     = 3
 	rollingSeeds       = 10
+	rollingJoin        = 2 * time.Second
 	rollingRoutes      = 120
 	rollingServices    = 6
 	rollingServers     = 40
@@ -444,7 +445,7 @@
 	}
 	sort.Strings(ids)
 	wait := rollingSeed
-	if len(n.links) == 0 {
+	if len(n.links) == 0 || f.now.Sub(n.started) < rollingJoin {
 		wait = rollingRedial / 2
 	}
 	if f.now.Sub(n.seededAt) >= wait {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -162,12 +162,13 @@
 	// introduction is how far this instance is in learning of all members from another one.
 	introduction introduction
 	// introducer is the instance that answered the last introduction, introducedAt is when
-	// that ended, or zero, and reviews counts the comparisons since.
+	// that ended, or the start of this instance, and reviews counts the comparisons since.
 	introducer string
 	// answers holds when this instance sent all members to one that starts, lately.
 	answers      []time.Time
 	introducedAt time.Time
 	reviews      int
+	startedAt    time.Time
 	sequence     uint64
 	// digest holds the hash sums of the records of all members that are neither
 	// dead nor left.
@@ -190,6 +191,8 @@
 		marked:    container.NewTable[uint64, string](),
 		wanted:    container.NewTable[uint64, wantedRecord](),
 		accusers:  make(map[string]time.Time),
+
+		introducedAt: now, startedAt: now,
 	}
 	g.store(self, now)
 	return g
@@ -258,6 +261,11 @@
 	g.store(g.self, now)
 }
 
+// startTime is the time after the start of an instance in which it sends all records to others that
+// know few. Where the whole fleet starts, nobody knows it yet, and what an instance told of the
+// number of members that it knows is out of date at once.
+const startTime = 6 * time.Second
+
 // LinkOpened handles a new link to an instance. An instance that knows few members asks for
 // the others. One of an earlier build does not: if it just started, knows few members, and the
 // fleet has at most maxInitialMembers members, it is sent all live records, and otherwise only
@@ -266,12 +274,15 @@
 	before, known := g.members.Get(e.Peer.ID)
 	g.links.Put(e.Peer.ID, link{receivedAt: e.At, types: e.Types})
 	g.merge(e.Peer, e.At)
+	introduced := e.Known > 0 && e.Known*introducedRatio >= len(g.ring)
 	if e.Types >= descriptor.TypeMemberChanges {
 		g.sendChanges(e.Peer.ID, []descriptor.Member{g.self})
 		g.introduce(e.At, e.Peer.ID, e.Known)
+		if !introduced && e.At.Sub(g.startedAt) < startTime {
+			g.sendRecords(e.Peer.ID, g.liveRecords())
+		}
 		return
 	}
-	introduced := e.Known > 0 && e.Known*introducedRatio >= len(g.ring)
 	if known && before.member.Incarnation == e.Peer.Incarnation || introduced || g.members.Len() > maxInitialMembers {
 		g.send(e.Peer.ID, descriptor.Members{Records: []descriptor.Member{g.self}})
 		return
--- a/gossiper/introduction.go
+++ b/gossiper/introduction.go
@@ -149,12 +149,27 @@
 	}
 }
 
-// endIntroduction notes that the asked instance sent records. They are not spread again: that
-// instance has spread what is new.
+// startedTogether is the largest difference between the starts of two instances, by their own
+// clocks, from which on one may know the fleet when the other starts.
+const startedTogether = 10 * time.Second
+
+// establishedBefore reports whether an instance started so long before this one that it knows
+// the fleet, by their incarnations, which are start times in microseconds.
+func (g *Gossiper) establishedBefore(id string) bool {
+	e, ok := g.members.Get(id)
+	return ok && g.self.Incarnation-e.member.Incarnation >= startedTogether.Microseconds()
+}
+
+// endIntroduction notes that the asked instance sent records. They are not spread again if that
+// instance knows the fleet: then it has spread what is new. Where the whole fleet starts, each
+// instance knows few, and passes on what it learns.
 func (g *Gossiper) endIntroduction(now time.Time, from string, records []descriptor.Member) {
 	if g.introduction.from != from {
 		return
 	}
+	if !g.establishedBefore(from) {
+		records = nil
+	}
 	for _, m := range records {
 		if sources, ok := g.pending.Get(m.ID); ok && m.ID != g.self.ID && len(sources) == 1 && sources[0] == from {
 			g.pending.Delete(m.ID)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -40,6 +40,10 @@
 	// half to one and a half of seedInterval, and mostly in the lower half of this range
 	// because it is drawn anew at each check.
 	seedInterval = 15 * time.Second
+	// joinTime is the time after the start in which all seeds are dialed. If each instance of a
+	// fleet that starts at once dialed one seed, the instances of each seed would form a part of
+	// their own until seedInterval has passed.
+	joinTime = 2 * time.Second
 	// maxIdleTime is the time without messages other than heartbeats and digests after
 	// which an instance closes a link that it dialed and no longer wants.
 	maxIdleTime = 30 * time.Second
@@ -99,7 +103,10 @@
 	// lastSeedDial is when a seed was last chosen to be dialed, including one that was not
 	// dialed because it is this instance or already linked.
 	lastSeedDial time.Time
-	traffic      Traffic
+	// started is when the linker started, and nextSeed the position of the next seed to dial.
+	started  time.Time
+	nextSeed int
+	traffic  Traffic
 }
 
 // Traffic counts the bytes and messages of all links.
@@ -135,6 +142,8 @@
 		dialed:  make(map[string]time.Time),
 		queued:  make(map[string][]descriptor.Message),
 		seeds:   o.Seeds,
+
+		started: time.Now(), nextSeed: rand.IntN(1 << 10),
 	}
 	go func() {
 		ticker := time.NewTicker(maintainInterval)
@@ -265,18 +274,20 @@
 	return result
 }
 
-// seedToDial returns a random seed and whether to dial it now. The time between dials is
-// half of redialDelay while there is no link at all, and follows seedInterval otherwise.
+// seedToDial returns the next seed and whether to dial it now. The time between dials is half of
+// redialDelay while there is no link at all and after the start, and follows seedInterval
+// otherwise.
 func (l *Linker) seedToDial(now time.Time) (string, bool) {
 	wait := seedInterval/2 + rand.N(seedInterval)
-	if len(l.links) == 0 {
+	if len(l.links) == 0 || now.Sub(l.started) < joinTime {
 		wait = redialDelay / 2
 	}
 	if len(l.seeds) == 0 || now.Sub(l.lastSeedDial) < wait {
 		return "", false
 	}
 	l.lastSeedDial = now
-	seed := l.seeds[rand.IntN(len(l.seeds))]
+	l.nextSeed++
+	seed := l.seeds[l.nextSeed%len(l.seeds)]
 	return seed, seed != l.options.Self().Inner && !l.linkedTo(seed)
 }
 
