--- a/server/reload.go
+++ b/server/reload.go
@@ -11,8 +11,8 @@
 )
 
 // Reload puts changed settings in force: the seeds, the log's level and limits, the grace
-// time, the bounds of retries and the settings of customers. It logs the sections with other changes, which need a
-// restart. The settings must have been checked.
+// time, the bounds of retries and the settings of customers. It logs the sections with other
+// changes, which need a restart. The settings must have been checked.
 func (s *Server) Reload(settings configurer.Settings) {
 	s.reloadMu.Lock()
 	defer s.reloadMu.Unlock()
