--- /dev/null
+++ b/review/examiner/fleet.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// healthPath is the health path of all services.
+const healthPath = "/health"
+
+// bounds are the bounds of the small deployments, with which the template of the deploy file is filled.
+var bounds = map[string]string{
+	"bounds.grace_s": "6", "bounds.budget_ratio": "0.2", "bounds.budget_extra": "64", "bounds.budget_window_s": "10",
+	"limits.cpu_share": "0.32", "limits.cpu_cores": "1", "zone": "a", "ip": "127.0.0.1",
+}
+
+// machine is the memory in megabytes and the descriptors of a machine.
+type machine struct{ memory, descriptors int }
+
+// smallMachine is a machine of the small deployments.
+var smallMachine = machine{284, 4100}
+
+// instance is one process of the project.
+type instance struct {
+	name, front, ready string
+	cmd                *exec.Cmd
+	log                *os.File
+}
+
+// fleet is the store and the instances of a case.
+type fleet struct {
+	record    *record
+	store     *store
+	folder    string
+	instances []*instance
+}
+
+// newFleet starts a store with a configuration and the instances, and waits until they are ready.
+func newFleet(rec *record, count int, m machine, routes []route) (*fleet, error) {
+	s, err := newStore()
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "examiner")
+	if err != nil {
+		return nil, err
+	}
+	f := &fleet{record: rec, store: s, folder: folder}
+	s.put("op/config", configuration(1, routes))
+	ports, err := freePorts(5 * count)
+	if err != nil {
+		return f, err
+	}
+	for i := range count {
+		if err := f.start(i, m, ports); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// freePorts returns free ports of the loopback interface.
+func freePorts(n int) ([]string, error) {
+	var ports []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer closeQuietly(l)
+		_, port, _ := net.SplitHostPort(l.Addr().String())
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
+
+// start starts an instance as the deploy file does.
+func (f *fleet) start(i int, m machine, ports []string) error {
+	own := ports[5*i : 5*i+5]
+	at := func(k int) string { return "127.0.0.1:" + own[k] }
+	values := map[string]string{
+		"node_name": fmt.Sprintf("edge-a-%d", i+1), "listen.front": at(0), "listen.ready": at(1), "listen.directory": at(2),
+		"listen.control": at(3), "seeds": "127.0.0.1:" + ports[3], "platform.address": f.store.address(),
+		"limits.memory_mb": strconv.Itoa(m.memory), "limits.max_fds": strconv.Itoa(m.descriptors),
+	}
+	for k, v := range bounds {
+		values[k] = v
+	}
+	settings, err := render("deploy/entry.ini", values)
+	if err != nil {
+		return err
+	}
+	// One machine has all instances of a case, so that the port for operators differs.
+	settings = strings.Replace(settings, "127.0.0.1:7200", at(4), 1)
+	path := filepath.Join(f.folder, values["node_name"]+".conf")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(f.folder, values["node_name"]+".log"))
+	if err != nil {
+		return err
+	}
+	p := &instance{name: values["node_name"], front: at(0), ready: at(1), log: log}
+	p.cmd = exec.Command("target/monsoonswitch", "serve", "--settings", path)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	f.record.write("instance %s starts: callers %s, process %d", p.name, p.front, p.cmd.Process.Pid)
+	f.instances = append(f.instances, p)
+	return nil
+}
+
+// render fills a template of the deploy file.
+func render(path string, values map[string]string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	text := string(data)
+	for k, v := range values {
+		text = strings.ReplaceAll(text, "{{"+k+"}}", v)
+	}
+	for {
+		before, rest, ok := strings.Cut(text, "{{")
+		if !ok {
+			return text, nil
+		}
+		_, after, _ := strings.Cut(rest, "}}")
+		text = before + after
+	}
+}
+
+// errNotReady reports instances that did not become ready.
+var errNotReady = errors.New("instances are not ready")
+
+// wait waits until all instances are ready and have been so for settleTime.
+func (f *fleet) wait() error {
+	end := time.Now().Add(20 * time.Second)
+	for _, p := range f.instances {
+		for !p.isReady() {
+			if time.Now().After(end) {
+				return errNotReady
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	time.Sleep(settleTime)
+	return nil
+}
+
+// settleTime is the time between the readiness of the instances and the first request: traffic starts 8 s
+// after the machines do, and a machine is in touch after 3 s.
+const settleTime = 5 * time.Second
+
+func (p *instance) isReady() bool {
+	response, err := http.Get("http://" + p.ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// peakMemory returns the largest resident size of the process so far, in bytes, or 0 if it has ended.
+func (p *instance) peakMemory() int64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, ok := strings.Cut(string(data), "VmHWM:")
+	if !ok {
+		return 0
+	}
+	fields := strings.Fields(rest)
+	n, _ := strconv.ParseInt(fields[0], 10, 64)
+	return n << 10
+}
+
+// close ends all processes of the fleet and removes its folder.
+func (f *fleet) close() {
+	for _, p := range f.instances {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+		_ = p.log.Close()
+	}
+	_ = f.store.listener.Close()
+	_ = os.RemoveAll(f.folder)
+}
+
+// route is a route of the configuration.
+type route struct {
+	host, prefix, kind, service string
+	timeout, target             float64
+	attempts                    int
+}
+
+// configuration returns the value of op/config.
+func configuration(version int, routes []route) map[string]any {
+	rows, services := []any{}, []any{}
+	named := make(map[string]bool)
+	for i, r := range routes {
+		rows = append(rows, []any{fmt.Sprintf("r-%d", i+1), r.host, r.prefix, r.kind, r.timeout, r.target, 1, nil, r.attempts, r.service})
+		if !named[r.service] {
+			named[r.service] = true
+			services = append(services, []any{r.service, healthPath, 390, "h1", false})
+		}
+	}
+	return map[string]any{
+		"version": fmt.Sprintf("r%d", version),
+		"routes": map[string]any{
+			"columns": []string{"name", "hostname", "path_prefix", "kind", "timeout_s", "target_latency_s", "priority", "traffic_split", "max_attempts", "service"},
+			"rows":    rows,
+		},
+		"services": map[string]any{"columns": []string{"name", "health_path", "max_connections", "protocol", "tls"}, "rows": services},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": 15},
+	}
+}
