review: case 6, instances with a path to the store act on an old configuration

Cause: while announcements tell that the store does not answer, only ten instances ask it, so that all others wait when those ten are cut from it. Ports lie below those of outgoing connections.

--- a/review/examiner/fleet.go
+++ b/review/examiner/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -30,9 +31,18 @@
 
 // instance is one process of the project.
 type instance struct {
-	name, front, ready string
-	cmd                *exec.Cmd
-	log                *os.File
+	name, front, ready, inner string
+	// settings is the path of the settings file.
+	settings string
+	cmd      *exec.Cmd
+	log      *os.File
+}
+
+// command returns the command of the deploy file.
+func (p *instance) command() *exec.Cmd {
+	cmd := exec.Command("target/monsoonswitch", "serve", "--settings", p.settings)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	return cmd
 }
 
 // fleet is the store and the instances of a case.
@@ -41,10 +51,18 @@
 	store     *store
 	folder    string
 	instances []*instance
+	// gate returns the way of an instance to the store; nil means the same for all.
+	gate func(*store, int) http.Handler
 }
 
-// newFleet starts a store with a configuration and the instances, and waits until they are ready.
+// newFleet starts a store with a configuration, and the instances.
 func newFleet(rec *record, count int, m machine, routes []route) (*fleet, error) {
+	return newGatedFleet(rec, count, m, routes, nil)
+}
+
+// newGatedFleet starts a store with a configuration, and the instances. Each instance has a way of its own to
+// the store, which gate returns; nil means the same for all.
+func newGatedFleet(rec *record, count int, m machine, routes []route, gate func(*store, int) http.Handler) (*fleet, error) {
 	s, err := newStore()
 	if err != nil {
 		return nil, err
@@ -53,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: rec, store: s, folder: folder}
+	f := &fleet{record: rec, store: s, folder: folder, gate: gate}
 	s.put("op/config", configuration(1, routes))
 	ports, err := freePorts(5 * count)
 	if err != nil {
@@ -67,17 +85,23 @@
 	return f, nil
 }
 
+// firstPort and lastPort bound the ports of the instances. They lie below those that the system gives to
+// outgoing connections, which could take one between its choice and its use.
+const firstPort, lastPort = 12000, 30000
+
 // freePorts returns free ports of the loopback interface.
 func freePorts(n int) ([]string, error) {
 	var ports []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for port := firstPort + rand.N(lastPort-firstPort)/2; port < lastPort && len(ports) < n; port++ {
+		l, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer closeQuietly(l)
-		_, port, _ := net.SplitHostPort(l.Addr().String())
-		ports = append(ports, port)
+		closeQuietly(l)
+		ports = append(ports, strconv.Itoa(port))
+	}
+	if len(ports) < n {
+		return nil, errNoPorts
 	}
 	return ports, nil
 }
@@ -88,12 +112,20 @@
 	at := func(k int) string { return "127.0.0.1:" + own[k] }
 	values := map[string]string{
 		"node_name": fmt.Sprintf("edge-a-%d", i+1), "listen.front": at(0), "listen.ready": at(1), "listen.directory": at(2),
-		"listen.control": at(3), "seeds": "127.0.0.1:" + ports[3], "platform.address": f.store.address(),
+		"listen.control": at(3), "seeds": seedsOf(ports), "platform.address": f.store.address(),
 		"limits.memory_mb": strconv.Itoa(m.memory), "limits.max_fds": strconv.Itoa(m.descriptors),
 	}
 	for k, v := range bounds {
 		values[k] = v
 	}
+	if f.gate != nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		go func() { _ = http.Serve(l, f.gate(f.store, i)) }()
+		values["platform.address"] = l.Addr().String()
+	}
 	settings, err := render("deploy/entry.ini", values)
 	if err != nil {
 		return err
@@ -108,9 +140,8 @@
 	if err != nil {
 		return err
 	}
-	p := &instance{name: values["node_name"], front: at(0), ready: at(1), log: log}
-	p.cmd = exec.Command("target/monsoonswitch", "serve", "--settings", path)
-	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p := &instance{name: values["node_name"], front: at(0), ready: at(1), inner: at(3), settings: path, log: log}
+	p.cmd = p.command()
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
@@ -119,6 +150,15 @@
 	return nil
 }
 
+// seedsOf returns the addresses of the first instances, up to three.
+func seedsOf(ports []string) string {
+	var list []string
+	for i := 3; i < len(ports) && len(list) < seedCount; i += 5 {
+		list = append(list, "127.0.0.1:"+ports[i])
+	}
+	return strings.Join(list, ",")
+}
+
 // render fills a template of the deploy file.
 func render(path string, values map[string]string) (string, error) {
 	data, err := os.ReadFile(path)
@@ -139,6 +179,9 @@
 	}
 }
 
+// errNoPorts reports that there are too few free ports.
+var errNoPorts = errors.New("too few free ports")
+
 // errNotReady reports instances that did not become ready.
 var errNotReady = errors.New("instances are not ready")
 
--- a/review/examiner/main.go
+++ b/review/examiner/main.go
@@ -25,6 +25,8 @@
 	"memory":         playMemory,
 	"names":          playNames,
 	"crowd":          playCrowd,
+	"seeds":          playSeeds,
+	"stale":          playStale,
 }
 
 // record is the file that tells what was sent, answered and run.
