Let each instance find out whether the store is away

Cause: relayer.MustQuery let only substitutes query while announcements tell of an old read.

Now the other instances query it too, from 250 ms after the substitutes on: twice as many every 75 ms, then a third of the fleet, at most 400 at once, in turns of 1 s. One that is served continues until an earlier one in the order announces; before, all such instances stopped together. The proof for API keys used random turns of eight instances and uses the same order now.

--- a/decider/customers.go
+++ b/decider/customers.go
@@ -2,11 +2,8 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 )
@@ -24,9 +21,9 @@
 	// startTime is the time that a starting instance has to hear of a proof before it queries the
 	// store for one.
 	startTime = 1200 * time.Millisecond
-	// proofTurn is the time for which an instance queries the store in its turn, while the store
-	// answers none of the instances that are chosen to query it.
-	proofTurn = 1500 * time.Millisecond
+	// continueTime is the age of the last read of the store up to which it counts as serving this
+	// instance.
+	continueTime = 1500 * time.Millisecond
 	// pruneInterval is the time between removals of old stamps.
 	pruneInterval = time.Second
 )
@@ -156,22 +153,11 @@
 	return d.strict() && d.now.Sub(d.syncedAt) >= startTime && !d.prover.Heard(share(queryShare, d.options.Withdraw))
 }
 
-// mayProve reports whether this instance may query the store for a proof although it is not chosen
-// to. While the store answers none of those that are chosen, about substituteCount others query it
-// in each proofTurn, since the store may serve them.
-func (d *Decider[E, D, P, L]) mayProve() bool {
-	if !d.relayer.StoreAway(d.now) {
-		return true
-	}
-	turn := d.options.Self.ID + "/" + strconv.FormatInt(int64(d.now.Sub(d.started)/proofTurn), 10)
-	return xxhash.Sum64String(turn)%uint64(max(1, d.index.Members())) < substituteCount
-}
-
 // mustContinue reports whether this instance continues to query the store, which serves it. Of
 // several such instances only the first in the order of watchers and then of the names continues:
-// if all stopped because they hear of each other, none would give a proof.
+// if all stopped because they hear of each other, none would announce what the store holds.
 func (d *Decider[E, D, P, L]) mustContinue(watchers []descriptor.Member) bool {
-	if !d.strict() || !d.watching || d.now.Sub(d.relayer.Read(d.options.kinds())) >= proofTurn {
+	if !d.watching || d.now.Sub(d.relayer.Read(d.options.kinds())) >= continueTime {
 		return false
 	}
 	rank := func(id string) int {
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -44,8 +44,10 @@
 	cut func(from, to string) bool
 	// apart holds the instances that can open no links.
 	apart map[string]bool
-	// storeDown reports whether the store is unavailable.
+	// storeDown reports whether the store is unavailable, and storeCut whether it is to one
+	// instance. Nil means that none is cut from it.
 	storeDown bool
+	storeCut  func(id string) bool
 	// refused lists the refused requests.
 	refused []descriptor.Refuse
 	// backends is the list of backend servers in the store.
@@ -211,7 +213,7 @@
 		}
 		f.ticks++
 		for _, id := range f.order {
-			if f.watches[id] && !f.storeDown && f.ticks%6 == 0 {
+			if f.watches[id] && !f.storeDown && f.ticks%6 == 0 && !f.isCut(id) {
 				f.read(id, f.version)
 			}
 			f.step(id, descriptor.Ticked{At: f.now, Uptime: f.uptimeOf(id)})
@@ -219,6 +221,9 @@
 	}
 }
 
+// isCut reports whether an instance is cut from the store.
+func (f *routedFleet) isCut(id string) bool { return f.storeCut != nil && f.storeCut(id) }
+
 func (f *routedFleet) uptimeOf(id string) time.Duration {
 	if f.uptime == nil {
 		return 0
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -87,8 +87,9 @@
 		chosen = chosen && containsMember(watchers[:min(len(watchers), routedWatcherCount)], d.options.Self.ID)
 	}
 	if d.options.Routing && d.synced {
-		alone = d.relayer.MustQuery(d.now, d.options.kinds(), substitute)
-		alone = alone || d.mustProve() && (substitute || d.mayProve()) || d.mustContinue(watchers)
+		place := relayer.NewPlace(d.options.Self.ID, substitute, substituteCount, d.index.Members())
+		alone = d.relayer.MustQuery(d.now, d.options.kinds(), place)
+		alone = alone || d.mustProve() && d.relayer.MayQuery(d.now, place) || d.mustContinue(watchers)
 	}
 	active := (chosen || alone) && !d.shutdown.started
 	if active == d.watching {
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -152,13 +152,12 @@
 // MustQuery reports whether an instance that is not selected to watch the store must
 // query it. Once it reports true, it does so until announcements have kept
 // arriving for steadyTime. While announcements tell that the store does not answer the
-// instances that watch it, only a substitute queries it: the store may serve others, but
-// queries of the whole fleet would overload it.
-func (r *Relayer) MustQuery(now time.Time, kinds []descriptor.Kind, substitute bool) bool {
+// instances that watch it, it does so only as MayQuery allows.
+func (r *Relayer) MustQuery(now time.Time, kinds []descriptor.Kind, place Place) bool {
 	if now.Sub(r.announced) >= maxConfirmationAge {
 		r.steadySince = time.Time{}
 		r.querying = r.querying || now.Sub(r.Current(kinds)) >= maxConfirmationAge
-		r.querying = r.querying && (substitute || !r.StoreAway(now))
+		r.querying = r.querying && r.MayQuery(now, place)
 		return r.querying
 	}
 	if r.steadySince.IsZero() {
@@ -168,6 +167,13 @@
 	return r.querying
 }
 
+// MayQuery reports whether an instance that is not selected to watch the store may query it.
+// All may unless announcements tell that the store does not answer those that watch it. That
+// may be true of these alone, so that each other instance has to find out for itself; see Place.
+func (r *Relayer) MayQuery(now time.Time, place Place) bool {
+	return !r.StoreAway(now) || place.hasTurn(now.Sub(r.newestAsOf)-maxConfirmationAge)
+}
+
 // StoreAway reports whether announcements arrive and tell that the store does not answer.
 func (r *Relayer) StoreAway(now time.Time) bool {
 	return now.Sub(r.heardAt) < maxConfirmationAge && now.Sub(r.newestAsOf) >= maxConfirmationAge
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -120,29 +120,38 @@
 	})
 }
 
+// lastPlace and substitutePlace are the places of the last of 64 instances to query a store that is away,
+// and of one of its 8 substitutes.
+var (
+	lastPlace       = Place{substitutes: 8, ahead: 64, turns: 3, turn: 1}
+	substitutePlace = Place{substitutes: 8, isSubstitute: true}
+)
+
 // TestStoreAway guards against the whole fleet querying a store that does not answer the
-// instances that watch it. Substitutes must still find out whether it answers others, and
-// every instance must query it if announcements do not arrive, or tell of documents that
+// instances that watch it. Each must still find out by itself whether it answers, and
+// every instance must query it at once if announcements do not arrive, or tell of documents that
 // it lacks.
 func TestStoreAway(t *testing.T) {
-	const outage = 3 * time.Second
+	const never = time.Duration(-1)
 	for _, c := range []struct {
-		name       string
-		substitute bool
-		age        time.Duration
-		interval   time.Duration
-		sum        uint64
-		want       bool
+		name     string
+		place    Place
+		age      time.Duration
+		interval time.Duration
+		sum      uint64
+		// want is the age of the last confirmation at which the instance queries the store.
+		want time.Duration
 	}{
-		{"announcements tell of an outage", false, outage, outageInterval, 1, false},
-		{"a substitute", true, outage, outageInterval, 1, true},
-		{"no announcements", false, 0, 2 * maxConfirmationAge, 1, true},
-		{"announcements of other documents", false, 0, announceInterval, 2, true},
+		{"announcements tell of an outage", lastPlace, time.Hour, outageInterval, 1, maxConfirmationAge + 500*time.Millisecond},
+		{"a substitute", substitutePlace, time.Hour, outageInterval, 1, maxConfirmationAge},
+		{"announcements tell of no outage", lastPlace, 0, announceInterval, 1, never},
+		{"no announcements", lastPlace, 0, time.Hour, 1, maxConfirmationAge},
+		{"announcements of other documents", lastPlace, 0, announceInterval, 2, maxConfirmationAge},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newWatcher(at(0))
-			got := false
-			for now, next, sequence := at(0), at(0), uint64(1); now.Before(at(outage + time.Second)); now = now.Add(100 * time.Millisecond) {
+			got := never
+			for now, next, sequence := at(0), at(0), uint64(1); now.Before(at(3*time.Second)) && got == never; now = now.Add(50 * time.Millisecond) {
 				if !now.Before(next) {
 					next = now.Add(c.interval)
 					sequence++
@@ -150,31 +159,84 @@
 					r.HandleFreshness(now, descriptor.Freshness{Origin: "a", Incarnation: 1, Sequence: sequence, Sum: c.sum, Age: age.Milliseconds()})
 					r.ApplyAnnouncements("a", 1)
 				}
-				got = r.MustQuery(now, kinds, c.substitute) || got
+				if r.MustQuery(now, kinds, c.place) {
+					got = now.Sub(at(0))
+				}
 			}
-			asserter.Equal(t, "queries the store", got, c.want)
+			asserter.Equal(t, "first query", got, c.want)
 		})
 	}
 }
 
+// TestPlaces guards against instances that never query a store which others find away, and against a
+// whole fleet that keeps querying one which is really away.
+func TestPlaces(t *testing.T) {
+	const (
+		substitutes = 8
+		step        = 10 * time.Millisecond
+		outage      = 12 * time.Second
+		// rejoinLimit is the time without disturbance after which the platform counts an instance as in
+		// touch.
+		rejoinLimit = 3 * time.Second
+	)
+	for _, n := range []int{1, 12, 36, 293, 1200} {
+		t.Run(fmt.Sprintf("%d instances", n), func(t *testing.T) {
+			list := members(n)
+			lastTurn := make([]time.Duration, n)
+			most, mostEarly := 0, 0
+			for age := time.Duration(0); age < outage; age += step {
+				querying := 0
+				for i, m := range list {
+					if NewPlace(m.ID, i < substitutes, substitutes, n).hasTurn(age) {
+						querying++
+						lastTurn[i] = age
+					}
+					asserter.AtMost(t, "time without a query of "+m.ID, age-lastTurn[i], rejoinLimit)
+					if age == time.Second {
+						asserter.True(t, m.ID+" queried the store within a second", lastTurn[i] > 0)
+					}
+				}
+				switch {
+				case age < substituteTime:
+					mostEarly = max(mostEarly, querying)
+				case age >= 2*time.Second:
+					most = max(most, querying)
+				}
+			}
+			asserter.AtMost(t, "instances that query first", mostEarly, substitutes)
+			asserter.AtMost(t, "instances that query at once later", most, substitutes+n/2)
+		})
+	}
+	t.Run("7100 instances", func(t *testing.T) {
+		const n = 7100
+		querying := 0
+		for _, m := range members(n) {
+			if NewPlace(m.ID, false, substitutes, n).hasTurn(outage) {
+				querying++
+			}
+		}
+		asserter.AtMost(t, "instances that query at once later", querying, maxGroup+maxGroup/4)
+	})
+}
+
 func TestMustQuery(t *testing.T) {
 	t.Run("without messages from peers, queries the store well within two seconds", func(t *testing.T) {
 		r := newWatcher(at(0))
-		asserter.Equal(t, "after 1 s", r.MustQuery(at(time.Second), kinds, false), false)
-		asserter.Equal(t, "after 1.3 s", r.MustQuery(at(1300*time.Millisecond), kinds, false), true)
+		asserter.Equal(t, "after 1 s", r.MustQuery(at(time.Second), kinds, lastPlace), false)
+		asserter.Equal(t, "after 1.3 s", r.MustQuery(at(1300*time.Millisecond), kinds, lastPlace), true)
 	})
 	t.Run("keeps querying until announcements arrive regularly", func(t *testing.T) {
 		r := newWatcher(at(0))
-		r.MustQuery(at(1300*time.Millisecond), kinds, false)
+		r.MustQuery(at(1300*time.Millisecond), kinds, lastPlace)
 		for _, k := range kinds {
 			r.RecordRead(k, at(1400*time.Millisecond))
 		}
-		asserter.Equal(t, "after an own read", r.MustQuery(at(1500*time.Millisecond), kinds, false), true)
+		asserter.Equal(t, "after an own read", r.MustQuery(at(1500*time.Millisecond), kinds, lastPlace), true)
 		for i := range 6 {
 			now := at(2*time.Second + time.Duration(i)*300*time.Millisecond)
 			r.HandleFreshness(now, descriptor.Freshness{Origin: "a", Incarnation: 1, Sequence: uint64(i + 1), Sum: 1})
 			r.ApplyAnnouncements("a", 1)
-			asserter.Equal(t, fmt.Sprint("announcement ", i), r.MustQuery(now, kinds, false), i < 4)
+			asserter.Equal(t, fmt.Sprint("announcement ", i), r.MustQuery(now, kinds, lastPlace), i < 4)
 		}
 	})
 }
