Notice callers that leave while nothing reads their connections

Cause: the instance learned of the close from net/http, which reads one byte from the connection to watch it, but only after the end of the body, and until the first byte of the next request. Requests without a body in the same queue were dropped in time.

Now the system is asked whether the peer has closed its side, which unread bytes don't hide. listener.conn keeps back the first byte of the next request and waits for the end instead; a session checks the connection every 100 ms while its body is not read to the end, also while it waits for a directory; and each request is checked once before it is passed to the control goroutine, since it may have been behind another one or waited for memory.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 package forwarder
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -78,6 +79,9 @@
 	// Memory is what the bodies of requests hold their memory of, beside the bound UploadBytes; nil
 	// means that there is nothing else.
 	Memory SharedMemory
+	// CallerLeft reports whether the caller has closed the connection of a request with the given
+	// context, also while bytes that it sent before are unread; nil means that it is not known.
+	CallerLeft func(context.Context) bool
 	// BackendConnections bounds the connections to backend servers; 0 means that there is no bound.
 	BackendConnections int
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -88,16 +88,9 @@
 	forwarder *Forwarder
 }
 
-func newFixture(t *testing.T, backend http.HandlerFunc) *fixture {
-	return newFixtureWith(t, Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, backend)
-}
-
-func newFixtureWith(t *testing.T, o Options, backend http.HandlerFunc) *fixture {
-	b := httptest.NewServer(backend)
-	t.Cleanup(b.Close)
-	control := &singleBackend{address: strings.TrimPrefix(b.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
-	f := New(o, NewStandardDialect(o), control, recorder.New())
-	f.SetDirectory(&descriptor.Directory{Ready: true, Services: map[string]*descriptor.ServiceEntry{"ledger": {
+// readyDirectory returns the directory of an instance that serves one service.
+func readyDirectory() *descriptor.Directory {
+	return &descriptor.Directory{Ready: true, Services: map[string]*descriptor.ServiceEntry{"ledger": {
 		Service: declarer.Service{
 			Name:    "ledger",
 			Classes: []declarer.Class{{Name: "all", Idempotent: true}},
@@ -107,7 +100,19 @@
 			{ID: "far", Public: "10.0.0.1:80", Domain: "far"},
 			{ID: "near", Public: "10.0.0.2:80", Domain: "near"},
 		},
-	}}})
+	}}}
+}
+
+func newFixture(t *testing.T, backend http.HandlerFunc) *fixture {
+	return newFixtureWith(t, Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerHeader: "Caller"}, backend)
+}
+
+func newFixtureWith(t *testing.T, o Options, backend http.HandlerFunc) *fixture {
+	b := httptest.NewServer(backend)
+	t.Cleanup(b.Close)
+	control := &singleBackend{address: strings.TrimPrefix(b.URL, "http://"), open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
+	f := New(o, NewStandardDialect(o), control, recorder.New())
+	f.SetDirectory(readyDirectory())
 	front := httptest.NewServer(f)
 	t.Cleanup(front.Close)
 	return &fixture{t: t, front: front, control: control, forwarder: f}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -66,15 +66,14 @@
 
 func newSession(f *Forwarder, w http.ResponseWriter, r *http.Request) *session {
 	return &session{
-		forwarder:  f,
-		w:          w,
-		r:          r,
-		id:         descriptor.RequestID(f.requests.Add(1)),
-		started:    time.Now(),
-		uptime:     timekeeper.Uptime(),
-		callerDone: r.Context().Done(),
-		attempts:   make(map[descriptor.AttemptID]*attempt),
-		copied:     make(chan delivery, 1),
+		forwarder: f,
+		w:         w,
+		r:         r,
+		id:        descriptor.RequestID(f.requests.Add(1)),
+		started:   time.Now(),
+		uptime:    timekeeper.Uptime(),
+		attempts:  make(map[descriptor.AttemptID]*attempt),
+		copied:    make(chan delivery, 1),
 	}
 }
 
@@ -216,6 +215,8 @@
 // serve serves the request until it ends. The caller's body is not read any more then.
 func (s *session) serve() {
 	s.body = newCallerBody(s)
+	stopWatch := s.watchCaller()
+	defer stopWatch()
 	if s.body != nil {
 		// The answer may begin before the caller has sent the whole body.
 		_ = http.NewResponseController(s.w).EnableFullDuplex()
@@ -227,7 +228,12 @@
 		return
 	}
 	s.admitted = s.body.admit()
-	actions := s.forwarder.control.Open(s.arrived())
+	arrived := s.arrived()
+	if s.departed() {
+		s.refuseUnlocated(descriptor.Abandoned)
+		return
+	}
+	actions := s.forwarder.control.Open(arrived)
 	defer s.forwarder.control.Release(s.id)
 	defer s.stopAttempts()
 	for {
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -218,7 +219,10 @@
 	a.put(c.class.places(), back)
 }
 
-// peek reads one byte while a request is served, by which net/http learns that the caller left.
+// peek waits while a request is served until the peer leaves, or until the read deadline. net/http
+// watches the connection by reading one byte. It would stop watching if it got the first byte of the
+// next request, so that byte is kept back. It is passed on where the system can't report the end of a
+// connection with unread bytes.
 func (c *conn) peek(p []byte) (int, error) {
 	if len(c.buffer) == 0 {
 		n, err := c.Conn.Read(p)
@@ -229,6 +233,9 @@
 			return 0, errNotAdmitted
 		}
 	}
+	if err := awaitPeerClosed(c.Conn); !errors.Is(err, errNotObservable) {
+		return 0, err
+	}
 	c.given = 1
 	p[0] = c.buffer[0]
 	return 1, nil
--- a/server/server.go
+++ b/server/server.go
@@ -181,6 +181,7 @@
 		Catcher:        s.catcher,
 		UploadBytes:    s.admission.UploadLimit(),
 		Memory:         s.admission,
+		CallerLeft:     listener.PeerClosed,
 
 		BackendConnections: s.backendConnections(),
 	}
