Withdraw requests of callers that left before they are sent

A caller that leaves between the decision to send its request on and the moment at which the request has a connection had it run all the same: a busy control goroutine decides with old knowledge, and a connection may be dialed or wait for a place for half a second. Unsafe work is not cancelled when its caller leaves, since its outcome would be unknown; here nothing was sent.

A session checks the connection again before it sends a request on, if the last check is over 100 ms old. An attempt without a connection is withdrawn when the caller leaves, and ends with a fault of its own, which is no evidence against the backend server. A caller that closed only its sending side gets no refusal for work that was dispatched, as it gets no answer of it.

--- a/balancer/fail.go
+++ b/balancer/fail.go
@@ -22,7 +22,7 @@
 	b.trace(r, descriptor.NoteAttemptFailed, a.id, a.backend, e.Fault.String(), 0)
 	b.release(r, i)
 	r = r.WithoutAttempt(i)
-	ran := e.Fault != descriptor.FaultConnect && e.Fault != descriptor.FaultShed && e.Fault != descriptor.FaultWrongBackend
+	ran := e.Fault.MayHaveRun()
 	if ran {
 		r = r.WithMayHaveRun()
 	} else {
@@ -42,7 +42,7 @@
 	if r.count > 0 {
 		return
 	}
-	if e.Fault == descriptor.FaultRequestBody || r.callerGone {
+	if e.Fault == descriptor.FaultRequestBody || e.Fault == descriptor.FaultWithdrawn || r.callerGone {
 		b.refuse(r, descriptor.Abandoned, r.outcome(), 0)
 		return
 	}
--- a/descriptor/enums.go
+++ b/descriptor/enums.go
@@ -134,11 +134,22 @@
 	// FaultWrongBackend means that a different backend server answered at the address
 	// and did not run the work.
 	FaultWrongBackend
+	// FaultWithdrawn means that nothing was sent, because the caller had left.
+	FaultWithdrawn
 )
 
+// MayHaveRun reports whether the work may have run in spite of the fault.
+func (f Fault) MayHaveRun() bool {
+	switch f {
+	case FaultConnect, FaultShed, FaultWrongBackend, FaultWithdrawn:
+		return false
+	}
+	return true
+}
+
 // String returns the name used in logs and dumps.
 func (f Fault) String() string {
-	names := [...]string{"connect", "shed", "broken", "cut", "source", "status", "foreign"}
+	names := [...]string{"connect", "shed", "broken", "cut", "source", "status", "foreign", "withdrawn"}
 	if f < 0 || int(f) >= len(names) {
 		return "unknown"
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -42,6 +42,8 @@
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
 	closing   sync.Once
+	// stage is attemptWaiting until the request has a connection, or is withdrawn.
+	stage atomic.Int32
 	// connectionsUsed counts the connections that carried the request.
 	// firstIdleNanos is how long the first one had been idle, in nanoseconds.
 	connectionsUsed atomic.Int32
@@ -51,6 +53,25 @@
 	connectionBroke atomic.Bool
 }
 
+// Values of attempt.stage.
+const (
+	attemptWaiting int32 = iota
+	attemptSent
+	attemptWithdrawn
+)
+
+// withdraw cancels the attempt if nothing was sent yet. It posts a failure with FaultWithdrawn then.
+func (t *attempt) withdraw() {
+	if t.stage.CompareAndSwap(attemptWaiting, attemptWithdrawn) {
+		t.cancel()
+	}
+}
+
+// begin reports whether the request may be sent. It can't be withdrawn from then on.
+func (t *attempt) begin() bool {
+	return t.stage.CompareAndSwap(attemptWaiting, attemptSent) || t.stage.Load() == attemptSent
+}
+
 // run sends the request and posts the result.
 func (t *attempt) run() {
 	s := t.session
@@ -214,14 +235,14 @@
 }
 
 // gotConn is called by net/http when a request gets a connection, before it is sent. It closes
-// a connection that must not carry the request: then nothing is sent. net/http resends an
+// a connection that must not carry the request, or whose request was withdrawn: then nothing is sent. net/http resends an
 // idempotent request by itself when a reused connection breaks. This is correct if the
 // connection was idle for longer than FreshTime and the backend server closed it
 // meanwhile. Otherwise the request may have crashed the backend server, so the attempt
 // is cancelled and its failure is posted to the control goroutine.
 func (t *attempt) gotConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*connection); ok {
-		withheld := !c.carry(t.expectedID)
+		withheld := !c.carry(t.expectedID) || !t.begin()
 		t.withheld.Store(withheld)
 		if withheld {
 			t.session.forwarder.recorder.Withhold()
@@ -245,6 +266,10 @@
 // fail posts a failed attempt, unless the attempt was cancelled for another reason than a
 // broken connection.
 func (t *attempt) fail(err error) {
+	if t.stage.Load() == attemptWithdrawn {
+		t.post(descriptor.FaultWithdrawn, Head{})
+		return
+	}
 	if t.ctx.Err() != nil && !t.connectionBroke.Load() {
 		return
 	}
--- a/forwarder/departure.go
+++ b/forwarder/departure.go
@@ -26,9 +26,9 @@
 	return w.stop
 }
 
-// departed reports whether the caller has left before the request is passed to the control goroutine. It
-// may have done so while the request was behind another on its connection, or waited for memory or for a
-// newer directory.
+// departed reports whether the caller has left. It is asked before the request is passed to the control
+// goroutine, since the request may have been behind another on its connection, or waited for memory or for a
+// newer directory, and again before it is sent on.
 func (s *session) departed() bool {
 	select {
 	case <-s.callerDone:
@@ -36,7 +36,11 @@
 	default:
 	}
 	left := s.forwarder.options.CallerLeft
-	return s.body.sourceFailed() || left != nil && left(s.r.Context())
+	if s.body.sourceFailed() || left != nil && left(s.r.Context()) {
+		return true
+	}
+	s.presentAt = time.Now()
+	return false
 }
 
 // departureWatch checks in intervals whether the caller of a session has left.
--- a/forwarder/departure_test.go
+++ b/forwarder/departure_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -24,8 +26,11 @@
 	// open holds the actions of the requests by ID, and labels their labels in the order of arrival.
 	open   map[descriptor.RequestID]chan descriptor.RequestAction
 	labels []string
-	// gone is the number of requests whose callers have left.
-	gone int
+	// gone is the number of requests whose callers have left, and withdrawn that of attempts that sent nothing
+	// therefore.
+	gone, withdrawn int
+	// ignoresGone is set to act as if the departures of callers were not known yet.
+	ignoresGone bool
 }
 
 // Open implements Control.
@@ -41,12 +46,29 @@
 func (c *queueing) Post(event descriptor.Event) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if e, ok := event.(descriptor.CallerGone); ok {
+	refusal := descriptor.Refuse{Reason: descriptor.Abandoned, Outcome: descriptor.NotRun}
+	switch e := event.(type) {
+	case descriptor.CallerGone:
 		c.gone++
-		c.open[e.Request] <- descriptor.Refuse{Request: e.Request, Reason: descriptor.Abandoned, Outcome: descriptor.NotRun}
+		if !c.ignoresGone {
+			c.open[e.Request] <- refusal
+		}
+	case descriptor.Failed:
+		if e.Fault == descriptor.FaultWithdrawn {
+			c.withdrawn++
+		}
+		c.open[e.Request] <- refusal
 	}
 }
 
+// dispatch sends the newest request to a backend server.
+func (c *queueing) dispatch(b descriptor.Backend) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	newest := slices.Max(slices.Collect(maps.Keys(c.open)))
+	c.open[newest] <- descriptor.Dispatch{Request: newest, Attempt: 1, Backend: b}
+}
+
 // Release implements Control.
 func (c *queueing) Release(descriptor.RequestID) {}
 
@@ -60,7 +82,7 @@
 // newQueueingFixture returns the address of a forwarder behind the listener for callers, and its control.
 func newQueueingFixture(t *testing.T) (string, *queueing) {
 	control := &queueing{open: make(map[descriptor.RequestID]chan descriptor.RequestAction)}
-	o := Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerLeft: listener.PeerClosed}
+	o := Options{StallTimeout: 10 * time.Second, Keep: time.Second, CallerLeft: listener.PeerClosed, BackendConnections: 1, ConnectTimeout: 10 * time.Second}
 	f := New(o, labelledDialect{NewStandardDialect(o)}, control, recorder.New())
 	f.SetDirectory(readyDirectory())
 	l, err := listener.New(listener.Options{Address: "127.0.0.1:0", UnencryptedHTTP2: true, StreamBytes: StreamBytes}, f)
@@ -125,6 +147,42 @@
 	}
 }
 
+// TestDepartureBeforeSending guards against requests that are sent on after their callers have left, since the
+// control goroutine does not know it yet or the request has no connection yet.
+func TestDepartureBeforeSending(t *testing.T) {
+	for _, c := range departureCases {
+		t.Run("dispatched late "+c.name, func(t *testing.T) {
+			address, control := newQueueingFixture(t)
+			log := &pathLog{}
+			server := listenRaw(t, func(net.Conn) { log.add("/a") })
+			control.ignoresGone = true
+			conn := sendText(t, address, c.text)
+			wantArrived(t, control, c.waiting)
+			asserter.NoError(t, "close", conn.Close())
+			time.Sleep(departureInterval)
+			control.dispatch(descriptor.Backend{ID: "b", Address: server})
+			wantWithdrawn(t, control)
+			asserter.Equal(t, "reached the backend server", log.has("/a"), false)
+		})
+		t.Run("waiting for a connection "+c.name, func(t *testing.T) {
+			address, control := newQueueingFixture(t)
+			held := make(chan struct{})
+			t.Cleanup(func() { close(held) })
+			server := descriptor.Backend{ID: "b", Address: listenRaw(t, func(net.Conn) { <-held })}
+			sendText(t, address, departureCases[0].text)
+			wantArrived(t, control, 1)
+			control.dispatch(server)
+			control.ignoresGone = true
+			conn := sendText(t, address, c.text)
+			wantArrived(t, control, 1+c.waiting)
+			control.dispatch(server)
+			time.Sleep(departureInterval)
+			asserter.NoError(t, "close", conn.Close())
+			wantWithdrawn(t, control)
+		})
+	}
+}
+
 // sendText opens a connection and writes bytes.
 func sendText(t *testing.T, address, text string) net.Conn {
 	conn, err := net.Dial("tcp", address)
@@ -154,3 +212,15 @@
 	})
 	asserter.AtMost(t, "time until it is known", time.Since(closed), departureLimit)
 }
+
+// wantWithdrawn fails unless an attempt is withdrawn within departureLimit.
+func wantWithdrawn(t *testing.T, control *queueing) {
+	t.Helper()
+	closed := time.Now()
+	asserter.Eventually(t, "attempt is withdrawn", 5*time.Second, func() bool {
+		control.mu.Lock()
+		defer control.mu.Unlock()
+		return control.withdrawn == 1
+	})
+	asserter.AtMost(t, "time until it is withdrawn", time.Since(closed), departureLimit)
+}
--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -45,8 +45,10 @@
 	// posted, and callerLeft is set then.
 	callerDone <-chan struct{}
 	callerLeft bool
-	attempts   map[descriptor.AttemptID]*attempt
-	running    sync.WaitGroup
+	// presentAt is when the caller was last known to be present.
+	presentAt time.Time
+	attempts  map[descriptor.AttemptID]*attempt
+	running   sync.WaitGroup
 	// delivering is the attempt whose answer is copied to the caller, or nil. Until the
 	// result arrives on copied, only the goroutine that copies uses w.
 	delivering *attempt
@@ -282,8 +284,8 @@
 	s.forwarder.control.Post(event)
 }
 
-// recordCallerGone records that the caller disconnected and posts this to the control
-// goroutine. Only the first call has an effect.
+// recordCallerGone records that the caller disconnected, posts this to the control goroutine and
+// withdraws what was not sent yet. Only the first call has an effect.
 func (s *session) recordCallerGone(now time.Time) {
 	s.callerDone = nil
 	if s.callerLeft {
@@ -291,6 +293,9 @@
 	}
 	s.callerLeft = true
 	s.forwarder.control.Post(descriptor.CallerGone{At: now, Request: s.id})
+	for _, t := range s.attempts {
+		t.withdraw()
+	}
 }
 
 // precheck returns a reason and true if the request is refused without being passed to
@@ -386,19 +391,31 @@
 			s.abortAnswer(a.Reason, s.stopDelivery().bytes)
 		}
 		s.cancelAttempts()
+		if s.callerLeft && len(s.attempts) > 0 {
+			// A caller that closed only its sending side would take a refusal for the outcome of what
+			// was dispatched.
+			s.abortAnswer(a.Reason, 0)
+		}
 		s.refuse(a)
 		return true
 	}
 	return false
 }
 
-// dispatch starts an attempt. The attempt is not cancelled when the caller disconnects,
-// because the control goroutine decides whether it ends early.
+// dispatch starts an attempt. Once it is sent it is not cancelled when the caller disconnects,
+// because the control goroutine decides whether it ends early. If the caller has left meanwhile,
+// which the control goroutine may not know yet, nothing is sent.
 func (s *session) dispatch(a descriptor.Dispatch) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(s.r.Context()))
 	t := &attempt{session: s, id: a.Attempt, backend: a.Backend, ctx: ctx, cancel: cancel}
 	s.attempts[a.Attempt] = t
 	s.forwarder.recorder.Attempt()
+	if time.Since(s.presentAt) >= departureInterval && s.departed() {
+		s.recordCallerGone(time.Now())
+	}
+	if s.callerLeft {
+		t.withdraw()
+	}
 	s.running.Add(1)
 	go func() {
 		defer s.running.Done()
