Send capacities with the names of instances to ask, and compare them

Two parts of the fleet held two lists of the instances that callers are sent to, so that two sets of grantors each kept a part of the limits.

Cause: MemberChanges.Near lost the capacities, which travel beside records; a record of the same version was never merged again and the digests did not compare capacities, so a newcomer kept 0 for good; and one record without a capacity changed the choice of all instances.

Capacities now travel beside Near. A record completes another one of its incarnation. A record without a capacity has another hash, and counts as the least capable member. A capacity that becomes known ranks the list again. The hash of the list goes with the digests of members: event 3007 names it, 3008 tells of instances that differ.

The fleet of these tests now delivers messages as they are encoded. Hello of the round trip names its capacity, as it does on the wire.

--- a/allocator/callers.go
+++ b/allocator/callers.go
@@ -42,7 +42,7 @@
 // instances of their failure domain, so that the least capable one bounds what they serve
 // together.
 func (g *groups) callers(role string, slots int) []descriptor.Member {
-	if !g.capacitiesKnown() {
+	if !g.anyCapacityKnown() {
 		return g.serving(role, CallerCount(slots, g.domains.Len()))
 	}
 	hash := xxhash.Sum64String(role)
@@ -55,16 +55,17 @@
 	return interleave(lists)
 }
 
-// capacitiesKnown reports whether the capacity of every member is known.
-func (g *groups) capacitiesKnown() bool {
+// anyCapacityKnown reports whether the capacity of a member is known. A member of unknown capacity
+// counts as the least capable one then, so that one odd record doesn't change the whole choice.
+func (g *groups) anyCapacityKnown() bool {
 	for _, d := range g.domains.All {
 		for _, m := range d.members.All {
-			if m.Capacity <= 0 {
-				return false
+			if m.Capacity > 0 {
+				return true
 			}
 		}
 	}
-	return true
+	return false
 }
 
 // byCapacity returns all members with the largest capacity first, and those of one capacity
--- a/allocator/callers_test.go
+++ b/allocator/callers_test.go
@@ -62,6 +62,37 @@
 			asserter.Equal(t, "instances by failure domain", got, domains)
 		})
 	}
+	t.Run("a record without a capacity changes the place of that member alone", func(t *testing.T) {
+		x, y := NewIndex(), NewIndex()
+		members := fleetOf(5, [2]int{3, 800}, [2]int{55, 160})
+		x.SetCallers("callers", 2160)
+		y.SetCallers("callers", 2160)
+		for i, m := range members {
+			x.Put(m)
+			if i == len(members)-1 {
+				m.Capacity = 0
+			}
+			y.Put(m)
+		}
+		x.Settle()
+		y.Settle()
+		asserter.Equal(t, "instances", y.Get("callers"), x.Get("callers"))
+	})
+	t.Run("a capacity that becomes known counts", func(t *testing.T) {
+		x := NewIndex()
+		members := fleetOf(1, [2]int{1, 800}, [2]int{4, 160})
+		large := members[0]
+		members[0].Capacity = 0
+		x.SetCallers("callers", 100)
+		for _, m := range members {
+			x.Put(m)
+		}
+		x.Settle()
+		asserter.Equal(t, "before", contains(x.Get("callers"), large.ID), false)
+		x.Put(large)
+		x.Settle()
+		asserter.Equal(t, "after", contains(x.Get("callers"), large.ID), true)
+	})
 	t.Run("a lost one is replaced", func(t *testing.T) {
 		x := NewIndex()
 		x.SetCallers("callers", 2160)
--- a/allocator/index.go
+++ b/allocator/index.go
@@ -68,10 +68,10 @@
 		x.groups.remove(before)
 	}
 	x.groups.put(m)
+	x.callersStale = x.callersStale || !ok || before.Domain != m.Domain || before.Capacity != m.Capacity
 	if ok && before.Domain == m.Domain {
 		return x.replace(m)
 	}
-	x.callersStale = true
 	return x.rerank(func(service string, r serviceRecord) bool {
 		return !r.callers && (contains(r.serving, m.ID) || mayEnter(service, r, m))
 	})
--- a/decider/compare.go
+++ b/decider/compare.go
@@ -95,6 +95,7 @@
 		d.completeSync()
 	}
 	if !m.Answer {
+		d.compareCallers(from, m)
 		d.answerComparison(from, m)
 	}
 }
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -105,6 +105,8 @@
 	census  *allocator.Census
 	heard   float64
 	relayer *relayer.Relayer
+	// callerList is what is compared of the instances that callers are sent to.
+	callerList callerList
 	// prover keeps the proof that the routing is recent.
 	prover    *relayer.Prover
 	customers customers
@@ -188,24 +190,26 @@
 // New returns the decider of an instance that starts at now.
 func New[E any, D detector.Policy[E], P picker.Policy, L limiter.Policy](o Options, now time.Time) *Decider[E, D, P, L] {
 	d := &Decider[E, D, P, L]{
-		options:   o,
-		now:       now,
-		started:   now,
-		gossiper:  gossiper.New(o.Self, now),
-		spreader:  spreader.New(),
-		counter:   counter.New(o.Self),
-		index:     allocator.NewIndex(),
-		census:    allocator.NewCensus(),
-		heard:     1,
-		relayer:   relayer.New(),
-		prover:    relayer.NewProver(o.Self, o.Seed),
-		fullyRead: container.NewTable[descriptor.Kind, bool](),
-		children:  make(map[string][]descriptor.Member),
-		declared:  container.NewTable[string, declaration](),
-		served:    container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
-		quotas:    rationer.New(o.Self.ID, o.Quotas, 0),
-		crashes:   quarantiner.NewRegister(),
-		departed:  balancer.NewDeparted(),
+		options:  o,
+		now:      now,
+		started:  now,
+		gossiper: gossiper.New(o.Self, now),
+		spreader: spreader.New(),
+		counter:  counter.New(o.Self),
+		index:    allocator.NewIndex(),
+		census:   allocator.NewCensus(),
+		heard:    1,
+		relayer:  relayer.New(),
+
+		callerList: callerList{differs: make(map[string]time.Time)},
+		prover:     relayer.NewProver(o.Self, o.Seed),
+		fullyRead:  container.NewTable[descriptor.Kind, bool](),
+		children:   make(map[string][]descriptor.Member),
+		declared:   container.NewTable[string, declaration](),
+		served:     container.NewTable[string, *balancer.Balancer[E, D, P, L]](),
+		quotas:     rationer.New(o.Self.ID, o.Quotas, 0),
+		crashes:    quarantiner.NewRegister(),
+		departed:   balancer.NewDeparted(),
 
 		restoration: newRestoration(),
 		requests:    container.NewTable[descriptor.RequestID, string](),
@@ -259,6 +263,7 @@
 		d.linkOpened(e)
 	case descriptor.LinkClosed:
 		d.gossiper.LinkClosed(e)
+		delete(d.callerList.differs, e.Peer)
 		d.spreader.Forget(e.Peer)
 	case descriptor.DocumentsRead:
 		d.handleDocumentsRead(e)
--- a/decider/documents.go
+++ b/decider/documents.go
@@ -193,6 +193,7 @@
 		return
 	}
 	if service == callersRole {
+		d.updateCallerList()
 		d.updateQuotas()
 		for name := range d.declared.All {
 			d.updateServing(name)
--- a/decider/rolling_test.go
+++ b/decider/rolling_test.go
@@ -371,7 +371,7 @@
 	if m.Type() != descriptor.TypeHeartbeat && m.Type() != descriptor.TypeDigest && m.Type() != descriptor.TypeComparison {
 		n.usedAt[to] = n.fleet.now
 	}
-	n.count(to, m)
+	m = n.count(to, m)
 	if n.fleet.cut != nil && n.fleet.cut(n.self.ID, to, m) {
 		return
 	}
@@ -383,11 +383,16 @@
 	})
 }
 
-// count adds the encoded size of a message.
-func (n *rollingNode) count(to string, m descriptor.Message) {
+// count adds the encoded size of a message, and returns the message that arrives, which may have lost
+// what is not encoded.
+func (n *rollingNode) count(to string, m descriptor.Message) descriptor.Message {
 	data, err := messenger.Encode(m)
 	if err != nil {
-		return
+		return m
+	}
+	arrives, err := messenger.Decode(data)
+	if err != nil {
+		return m
 	}
 	b := &n.fleet.bytes
 	b.byType[m.Type()] += len(data)
@@ -400,6 +405,7 @@
 	if n.fleet.byID[to].self.Domain != n.self.Domain {
 		b.crossed[m.Type()] += len(data)
 	}
+	return arrives
 }
 
 // dial opens a link, which takes two steps.
--- a/descriptor/changes.go
+++ b/descriptor/changes.go
@@ -39,6 +39,8 @@
 	Must bool `cbor:",omitempty" json:",omitempty"`
 	// Near holds some members in the failure domain of the receiver, which asked for all.
 	Near []Member `cbor:",omitempty" json:",omitempty"`
+	// NearCapacities holds the capacities of Near.
+	NearCapacities []int32 `cbor:",omitempty" json:",omitempty"`
 }
 
 // Type implements Message.
@@ -79,6 +81,9 @@
 	Count   int    `cbor:"c,omitempty" json:",omitempty"`
 	// Checks holds the check of each bucket of members; see container.BucketSums.Checks.
 	Checks []byte `cbor:"k,omitempty" json:",omitempty"`
+	// Callers is the hash of the IDs of the instances that callers are sent to, in their order, or 0 if
+	// it isn't sent.
+	Callers uint64 `cbor:"l,omitempty" json:",omitempty"`
 	// Documents is the hash of the digest of the documents.
 	Documents uint64 `cbor:"d,omitempty" json:",omitempty"`
 	// DocumentCount, DocumentSet and DocumentSums are the digest of the documents, if it is
--- a/descriptor/compact.go
+++ b/descriptor/compact.go
@@ -1,6 +1,10 @@
 package descriptor
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Compact forms of messages. Package messenger sets them before it encodes a message, and sets
 // the values that decisions use after it decoded one.
@@ -23,29 +27,49 @@
 
 // WithCapacities returns m with Capacities set from Records.
 func (m Members) WithCapacities() Members {
-	for i, r := range m.Records {
-		if r.Capacity > 0 && m.Capacities == nil {
-			m.Capacities = make([]int32, len(m.Records))
-		}
-		if r.Capacity > 0 {
-			m.Capacities[i] = r.Capacity
-		}
-	}
+	m.Capacities = capacitiesOf(m.Records)
 	return m
 }
 
 // WithRecordCapacities returns m with the capacities of Records set from Capacities.
 func (m Members) WithRecordCapacities() Members {
-	records := make([]Member, len(m.Records))
-	for i, r := range m.Records {
-		if i < len(m.Capacities) {
-			r.Capacity = max(0, m.Capacities[i])
+	m.Records, m.Capacities = withCapacities(m.Records, m.Capacities), nil
+	return m
+}
+
+// WithNearCapacities returns m with NearCapacities set from Near.
+func (m MemberChanges) WithNearCapacities() MemberChanges {
+	m.NearCapacities = capacitiesOf(m.Near)
+	return m
+}
+
+// WithRecordCapacities returns m with the capacities of Near set from NearCapacities.
+func (m MemberChanges) WithRecordCapacities() MemberChanges {
+	m.Near, m.NearCapacities = withCapacities(m.Near, m.NearCapacities), nil
+	return m
+}
+
+// capacitiesOf returns the capacities of records, or nil if none is known.
+func capacitiesOf(records []Member) []int32 {
+	var capacities []int32
+	for i, r := range records {
+		if r.Capacity > 0 && capacities == nil {
+			capacities = make([]int32, len(records))
+		}
+		if r.Capacity > 0 {
+			capacities[i] = r.Capacity
 		}
-		records[i] = r
 	}
-	m.Records = records
-	m.Capacities = nil
-	return m
+	return capacities
+}
+
+// withCapacities returns records with their capacities, as far as there are some.
+func withCapacities(records []Member, capacities []int32) []Member {
+	result := slices.Clone(records)
+	for i := range min(len(result), len(capacities)) {
+		result[i].Capacity = max(0, capacities[i])
+	}
+	return result
 }
 
 // outcomeRow is the encoded form of BackendOutcomes, an array without field names.
--- a/descriptor/notes.go
+++ b/descriptor/notes.go
@@ -26,6 +26,8 @@
 	NoteMemberDead       = 3003
 	NoteMemberLeft       = 3004
 	NoteLinkRefused      = 3006
+	NoteCallers          = 3007
+	NoteCallersDiffer    = 3008
 	NoteEjected          = 4001
 	NoteReinstated       = 4003
 	NoteAvoided          = 4004
--- a/descriptor/values.go
+++ b/descriptor/values.go
@@ -78,7 +78,8 @@
 	// a member that left.
 	Successor string `json:"Heir"`
 	// Capacity is the processor of the instance in thousandths of a core, or 0 if it is
-	// unknown. It travels beside the record; see Members.
+	// unknown. It travels beside the record; see Members. It belongs to an incarnation, like the
+	// addresses and the failure domain: a record may lack it, but never tells another one.
 	Capacity int32 `cbor:"-" json:",omitempty"`
 }
 
@@ -104,6 +105,14 @@
 	return m
 }
 
+// WithMissing returns m with what it lacks of an incarnation set from o, another record of it.
+func (m Member) WithMissing(o Member) Member {
+	if m.Incarnation == o.Incarnation && m.Capacity <= 0 {
+		m.Capacity = o.Capacity
+	}
+	return m
+}
+
 // WithReady returns m with Ready set.
 func (m Member) WithReady(ready bool) Member {
 	m.Ready = ready
--- a/gossiper/changes_test.go
+++ b/gossiper/changes_test.go
@@ -179,3 +179,45 @@
 		}
 	})
 }
+
+// TestMissingCapacity guards against a record that lacks its capacity for good, since a record of the same
+// version is not merged and the digests of both are equal.
+func TestMissingCapacity(t *testing.T) {
+	now := time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+	whole := descriptor.Member{ID: "b", Incarnation: 1, Version: 2, Domain: "d", Capacity: 800}
+	lacking := whole
+	lacking.Capacity = 0
+	newOne := func(m descriptor.Member) *Gossiper {
+		g := New(descriptor.Member{ID: "a", Incarnation: 1, Domain: "d", Capacity: 160}, now)
+		g.HandleMembers(now, "c", descriptor.Members{Records: []descriptor.Member{m}})
+		g.Drain()
+		return g
+	}
+	capacity := func(g *Gossiper) int32 {
+		m, _ := g.Member("b")
+		return m.Capacity
+	}
+	t.Run("digests differ", func(t *testing.T) {
+		asserter.True(t, "differ", newOne(whole).Digest().Hash() != newOne(lacking).Digest().Hash())
+	})
+	t.Run("a record of the same version brings it", func(t *testing.T) {
+		g := newOne(lacking)
+		g.HandleMembers(now, "c", descriptor.Members{Records: []descriptor.Member{whole}})
+		asserter.Equal(t, "capacity", capacity(g), 800)
+		_, changes := g.Drain()
+		asserter.Equal(t, "changes", len(changes), 1)
+		asserter.Equal(t, "digest", g.Digest().Hash(), newOne(whole).Digest().Hash())
+	})
+	t.Run("a newer record of the same incarnation doesn't lose it", func(t *testing.T) {
+		g := newOne(whole)
+		g.HandleMembers(now, "c", descriptor.Members{Records: []descriptor.Member{lacking.WithVersion(3)}})
+		asserter.Equal(t, "capacity", capacity(g), 800)
+	})
+	t.Run("another incarnation may have another one", func(t *testing.T) {
+		g := newOne(whole)
+		restarted := lacking
+		restarted.Incarnation = 2
+		g.HandleMembers(now, "c", descriptor.Members{Records: []descriptor.Member{restarted}})
+		asserter.Equal(t, "capacity", capacity(g), 0)
+	})
+}
--- a/gossiper/compare.go
+++ b/gossiper/compare.go
@@ -11,6 +11,9 @@
 	return ok && l.types >= t
 }
 
+// SetCallers sets the hash of the instances that callers are sent to, which is sent with the digests.
+func (g *Gossiper) SetCallers(sum uint64) { g.callers = sum }
+
 // sendDigest sends the digests of the members and documents: short sums, or all buckets to an
 // instance of an earlier build.
 func (g *Gossiper) sendDigest(to string, l link, documents container.BucketSums) {
@@ -18,7 +21,7 @@
 		g.send(to, descriptor.Digest{Members: g.digest, Documents: documents})
 		return
 	}
-	g.send(to, descriptor.Comparison{Members: g.digest.Hash(), Count: g.digest.Count, Documents: documents.Hash()})
+	g.send(to, descriptor.Comparison{Members: g.digest.Hash(), Count: g.digest.Count, Callers: g.callers, Documents: documents.Hash()})
 }
 
 // Compare handles the short sums of the members at another instance. It returns the checks of
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -174,6 +174,8 @@
 	// digest holds the hash sums of the records of all members that are neither
 	// dead nor left.
 	digest container.BucketSums
+	// callers is the hash of the instances that callers are sent to; see SetCallers.
+	callers uint64
 	// ringChanged is set when the ring changed since the watched instances were
 	// chosen.
 	ringChanged bool
@@ -331,6 +333,8 @@
 		}
 		return
 	}
+	held := e.member.WithMissing(m)
+	m = m.WithMissing(held)
 	if m.Newer(e.member) {
 		if m.Incarnation == e.member.Incarnation && m.Version == e.member.Version {
 			m.Accusers = union(m.Accusers, e.member.Accusers)
@@ -338,6 +342,10 @@
 		g.store(m, now)
 		return
 	}
+	if held.Capacity != e.member.Capacity {
+		g.store(held, now)
+		e.member = held
+	}
 	g.noteSource(m, e.member)
 	if sameVersion(m, e.member) && m.State == descriptor.Suspect && e.member.State == descriptor.Suspect {
 		accusers := union(m.Accusers, e.member.Accusers)
@@ -432,11 +440,15 @@
 }
 
 // recordHash returns the hash of a record. Accusers are omitted, because they
-// differ between instances while a suspicion spreads.
+// differ between instances while a suspicion spreads. Of what belongs to an incarnation only the
+// capacity may be missing at an instance; known ones leave the hash as in earlier builds.
 func recordHash(m descriptor.Member) uint64 {
 	h := xxhash.Sum64String(m.ID)
 	h = h*31 + uint64(m.Incarnation)
 	h = h*31 + uint64(m.Version)
+	if m.Capacity <= 0 {
+		h = h*31 + 1
+	}
 	return container.Scramble(h*31 + uint64(m.State))
 }
 
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -46,6 +46,8 @@
 	descriptor.NoteMemberDead:       {logrus.WarnLevel, "instance declared dead"},
 	descriptor.NoteMemberLeft:       {logrus.InfoLevel, "instance left"},
 	descriptor.NoteLinkRefused:      {logrus.WarnLevel, "link refused"},
+	descriptor.NoteCallers:          {logrus.InfoLevel, "instances that callers are sent to changed"},
+	descriptor.NoteCallersDiffer:    {logrus.WarnLevel, "instances that callers are sent to differ"},
 	descriptor.NoteEjected:          {logrus.WarnLevel, "backend server ejected"},
 	descriptor.NoteReinstated:       {logrus.InfoLevel, "backend server reinstated after ejection"},
 	descriptor.NoteAvoided:          {logrus.InfoLevel, "backend server avoided"},
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -75,6 +75,8 @@
 		m = v.WithCapacity()
 	case descriptor.Members:
 		m = v.WithCapacities()
+	case descriptor.MemberChanges:
+		m = v.WithNearCapacities()
 	case descriptor.SuspicionList:
 		m = v.WithMarks()
 	case descriptor.Outcomes:
@@ -137,7 +139,7 @@
 	descriptor.TypeClockStamp:    decode[descriptor.ClockStamp],
 	descriptor.TypeQuotaDemand:   decode[descriptor.QuotaDemand],
 	descriptor.TypeQuotaGrant:    decode[descriptor.QuotaGrant],
-	descriptor.TypeMemberChanges: decode[descriptor.MemberChanges],
+	descriptor.TypeMemberChanges: decodeWith(descriptor.MemberChanges.WithRecordCapacities),
 	descriptor.TypeComparison:    decode[descriptor.Comparison],
 }
 
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -13,11 +13,11 @@
 // samples returns one message of each type.
 func samples() []descriptor.Message {
 	at := time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
-	member := descriptor.Member{ID: "a", Incarnation: 3, Version: 4, Public: "p", Inner: "i", Domain: "d", State: descriptor.Suspect, Accusers: []string{"b"}, Ready: true, Successor: "h"}
+	member := descriptor.Member{ID: "a", Incarnation: 3, Version: 4, Public: "p", Inner: "i", Domain: "d", State: descriptor.Suspect, Accusers: []string{"b"}, Ready: true, Successor: "h", Capacity: 200}
 	service := &declarer.Service{Name: "s", Floor: 2, Classes: []declarer.Class{{Name: "c", Target: time.Second}}, Routes: []declarer.Route{{Name: "r", Path: "/", Class: "c"}}}
 	reference := descriptor.Reference{Kind: descriptor.KindBackends, Name: "s", Revision: 5}
 	return []descriptor.Message{
-		descriptor.Hello{Protocol: Version, From: member},
+		descriptor.Hello{Protocol: Version, From: member, Capacity: member.Capacity},
 		descriptor.Heartbeat{Sequence: 1},
 		descriptor.Members{Records: []descriptor.Member{member}, Buckets: 3},
 		descriptor.Digest{Members: container.BucketSums{Count: 2}.With(1<<60, 9)},
@@ -44,7 +44,7 @@
 		descriptor.QuotaDemand{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, Fresh: true, List: []descriptor.CustomerDemand{{Mark: 1 << 63, Permits: 3, Ahead: 1}}},
 		descriptor.QuotaGrant{Stamp: 1 << 40, Slots: 1 << 63, Fleet: 8, Fresh: true, List: []descriptor.CustomerGrant{{Mark: 1 << 63, Permits: 2, Life: 500, Wait: 40}}},
 		descriptor.MemberChanges{List: []descriptor.MemberChange{member.Change()}, Buckets: 3, Wanted: []uint64{1 << 63}, All: true, Here: true, Must: true, Near: []descriptor.Member{member}},
-		descriptor.Comparison{Members: 1 << 63, Count: 2, Checks: make([]byte, 128), Urgent: true, Answer: true}.WithDocuments(container.BucketSums{}.With(1<<60, 9)),
+		descriptor.Comparison{Members: 1 << 63, Count: 2, Callers: 1 << 62, Checks: make([]byte, 128), Urgent: true, Answer: true}.WithDocuments(container.BucketSums{}.With(1<<60, 9)),
 		descriptor.Drain{Service: "s", Backend: "b"},
 		descriptor.KeyHandover{Instance: "a", Incarnation: 1, Keys: []descriptor.KeyRecord{{Key: "k", State: 1, Holder: "b"}}, Last: true, Total: 1, Issuers: []descriptor.KeyIssuer{{Instance: "c", Incarnation: 2, Floor: 3}}},
 	}
