Reuse the entries of classes that are no longer declared

The balancer of each service kept an entry for each name of a class ever declared, so that the positions in open requests stay valid; the forwarder kept a counter for each name of a route.

A new class takes over the entry of one that is not declared and has no open requests. The forwarder drops the counters of routes that a routing doesn't have.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -101,9 +101,9 @@
 
 	service  declarer.Service
 	revision uint64
-	// classes has an entry for each class that was ever declared. references and
-	// queues are indexed like classes; a queue is divided by the ranks of customers.
-	// classPositions holds the index of each name.
+	// classes has an entry for each class that is declared or has open requests, and for classes that
+	// were, up to the largest number at a time. references and queues are indexed like classes; a queue
+	// is divided by the ranks of customers. classPositions holds the index of each name.
 	classes        []class
 	classPositions map[string]int
 	references     []detector.Reference
@@ -258,26 +258,64 @@
 }
 
 // Declare applies a declaration. A class that is no longer declared takes no new
-// requests but keeps its entry, so that positions never change.
+// requests but keeps its entry, so that positions of open requests don't change. A new class takes
+// over such an entry if it has no open requests: names of classes may change without end.
 func (b *Balancer[E, D, P, L]) Declare(s declarer.Service, revision uint64) {
 	for c := range b.classes {
 		b.classes[c].retired = true
 	}
+	var added []declarer.Class
 	for _, declared := range s.Classes {
 		c := b.classIndex(declared.Name)
 		if c < 0 {
-			c = len(b.classes)
-			b.classPositions[declared.Name] = c
-			b.classes = append(b.classes, class{})
-			b.references = append(b.references, detector.Reference{})
-			b.queues = append(b.queues, container.NewRankedQueue[string, descriptor.RequestID]())
+			added = append(added, declared)
+			continue
 		}
 		b.classes[c] = b.classes[c].WithDeclared(declared)
 	}
+	b.addClasses(added)
 	b.service = s
 	b.revision = revision
 }
 
+// addClasses adds classes that are not known, in the entries of unused ones first.
+func (b *Balancer[E, D, P, L]) addClasses(added []declarer.Class) {
+	if len(added) == 0 {
+		return
+	}
+	unused := b.unusedClasses()
+	for _, declared := range added {
+		c := len(b.classes)
+		if len(unused) > 0 {
+			c, unused = unused[0], unused[1:]
+			delete(b.classPositions, b.classes[c].declared.Name)
+		} else {
+			b.classes = append(b.classes, class{})
+			b.references = append(b.references, detector.Reference{})
+			b.queues = append(b.queues, nil)
+		}
+		b.classPositions[declared.Name] = c
+		b.classes[c] = class{}.WithDeclared(declared)
+		b.references[c] = detector.Reference{}
+		b.queues[c] = container.NewRankedQueue[string, descriptor.RequestID]()
+	}
+}
+
+// unusedClasses returns the positions of the classes that are not declared and have no open requests.
+func (b *Balancer[E, D, P, L]) unusedClasses() []int {
+	open := make([]bool, len(b.classes))
+	for _, r := range b.requests.All {
+		open[r.class] = true
+	}
+	var unused []int
+	for c := range b.classes {
+		if b.classes[c].retired && !open[c] {
+			unused = append(unused, c)
+		}
+	}
+	return unused
+}
+
 // Takes reports whether the declaration in force has a class, so that new requests of it are
 // taken.
 func (b *Balancer[E, D, P, L]) Takes(class string) bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"monsoonswitch/catcher"
+	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
 	"monsoonswitch/recorder"
 )
@@ -169,7 +170,24 @@
 
 // SetDirectory replaces the directory and wakes requests that wait for a new one.
 func (f *Forwarder) SetDirectory(d *descriptor.Directory) {
-	close(f.snapshot.Swap(newSnapshot(d)).replaced)
+	before := f.snapshot.Swap(newSnapshot(d))
+	close(before.replaced)
+	if d.Routes != nil && d.Routes != before.Routes {
+		f.forgetRoutes(d.Routes.Routing())
+	}
+}
+
+// forgetRoutes drops the counts of the routes that a routing doesn't have.
+func (f *Forwarder) forgetRoutes(r declarer.Routing) {
+	names := make(map[string]bool, len(r.Routes))
+	for _, route := range r.Routes {
+		names[route.Class.Name] = true
+	}
+	for name := range f.routeCounts.Range {
+		if !names[name.(string)] {
+			f.routeCounts.Delete(name)
+		}
+	}
 }
 
 // Probe connects to a backend server in the background and posts whether this
--- a/forwarder/relocate_test.go
+++ b/forwarder/relocate_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"monsoonswitch/asserter"
 	"monsoonswitch/declarer"
 	"monsoonswitch/descriptor"
+	"monsoonswitch/recorder"
 )
 
 // behind is a Control that has another directory in force than the one that requests were
@@ -82,3 +84,20 @@
 		})
 	}
 }
+
+// TestCountsOfRoutes guards against memory that grows with each name of a route ever declared.
+func TestCountsOfRoutes(t *testing.T) {
+	f := New(Options{}, StandardDialect{}, nil, recorder.New())
+	for v := range 20 {
+		name := fmt.Sprint("route-", v)
+		r := declarer.Routing{Version: uint64(v), Routes: []declarer.HostRoute{{Host: "a", Path: "/", Class: declarer.Class{Name: name}}}}
+		f.SetDirectory(&descriptor.Directory{Routes: declarer.NewRouteIndex(r)})
+		f.countRoute(name)
+		asserter.Equal(t, "count of a new route", f.countRoute(name), uint64(2))
+	}
+	names := 0
+	for range f.routeCounts.Range {
+		names++
+	}
+	asserter.Equal(t, "routes with a count", names, 1)
+}
