Try the store once a turn while it seems away

An instance in its turn now follows each source until the first call that fails (Follower.Try, Watch with Trial). One that is served goes on, and becomes an ordinary follower once the store is not away any more.

TestTrial guards both ends; TestOutageQueries bounds the instances that repeat failed calls to the watchers and substitutes.

--- a/decider/readers_cut_test.go
+++ b/decider/readers_cut_test.go
@@ -78,5 +78,12 @@
 	for range 200 {
 		f.run(routedTick)
 		asserter.AtMost(t, "watching", f.watching(), routedWatcherCount+substituteCount+len(f.order)/2)
+		repeating := 0
+		for _, id := range f.order {
+			if f.watches[id] && !f.trying[id] {
+				repeating++
+			}
+		}
+		asserter.AtMost(t, "repeating calls that fail", repeating, routedWatcherCount+substituteCount)
 	}
 }
--- a/decider/routed_test.go
+++ b/decider/routed_test.go
@@ -25,6 +25,8 @@
 	now       time.Time
 	linked    map[[2]string]bool
 	watches   map[string]bool
+	// trying holds the instances that watch the store until a call fails.
+	trying map[string]bool
 	// version is that of the routing in the store, revision that of its backend
 	// list.
 	version, revision uint64
@@ -81,7 +83,7 @@
 func newRoutedFleet(n int) *routedFleet {
 	f := &routedFleet{
 		instances: make(map[string]*Routed), now: time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC),
-		linked: make(map[[2]string]bool), watches: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1, clock: 1e6, routing: routingOf,
+		linked: make(map[[2]string]bool), watches: make(map[string]bool), trying: make(map[string]bool), partitioned: make(map[string]bool), version: 1, revision: 1, clock: 1e6, routing: routingOf,
 		backends:  []descriptor.Backend{{ID: "b", Address: "b:80", Slots: 3}},
 		sentBytes: make(map[descriptor.MessageType]int),
 	}
@@ -150,7 +152,7 @@
 			}
 			f.pending = append(f.pending, routedMessage{from: id, to: a.To.ID, message: a.Message})
 		case descriptor.Watch:
-			f.watches[id] = a.Active
+			f.watches[id], f.trying[id] = a.Active, a.Trial
 		case descriptor.Refuse:
 			f.refused = append(f.refused, a)
 		}
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -92,12 +92,14 @@
 		alone = alone || d.mustProve() && d.relayer.MayQuery(d.now, place) || d.mustContinue(watchers)
 	}
 	active := (chosen || alone) && !d.shutdown.started
-	if active == d.watching {
+	// Instances that only find out whether the store serves them don't repeat calls that fail.
+	trial := active && d.options.Routing && !substitute && d.synced && d.relayer.StoreAway(d.now)
+	if active == d.watching && trial == d.trying {
 		return
 	}
-	d.watching = active
-	d.emit(descriptor.Watch{Active: active})
-	if active {
+	d.watching, d.trying = active, trial
+	d.emit(descriptor.Watch{Active: active, Trial: trial})
+	if active && !trial {
 		d.note(descriptor.NoteWatching, d.options.Self.ID, "watches the platform's store")
 	}
 }
--- a/descriptor/actions.go
+++ b/descriptor/actions.go
@@ -99,8 +99,12 @@
 	Incarnation int64
 }
 
-// Watch starts or stops the watch of this instance on the platform's store.
-type Watch struct{ Active bool }
+// Watch starts or stops the watch of this instance on the platform's store. With Trial it ends by
+// itself with the first call that fails: the instance finds out whether the store serves it.
+type Watch struct {
+	Active bool
+	Trial  bool `json:",omitempty"`
+}
 
 // Relocate asks the traffic goroutine of a request to look up its service and class again,
 // because the directory that they were taken from is no longer in force. Nothing was decided
--- a/server/server.go
+++ b/server/server.go
@@ -268,7 +268,11 @@
 	case descriptor.Write, descriptor.WriteTallies, descriptor.WriteClaim:
 		s.writer.Do(a)
 	case descriptor.Watch:
-		s.follower.SetActive(a.Active)
+		if a.Trial {
+			s.follower.Try()
+		} else {
+			s.follower.SetActive(a.Active)
+		}
 	case descriptor.Note:
 		s.log.Note(a)
 	case descriptor.QuotaCounts:
--- a/storer/follower.go
+++ b/storer/follower.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -85,8 +86,17 @@
 	catcher  *catcher.Catcher
 
 	mu sync.Mutex
-	// cancel stops following; it is nil while the follower is not active.
+	// active is nil while the follower is not active.
+	active *following
+}
+
+// following is the time for which a follower is active.
+type following struct {
+	ctx    context.Context
 	cancel context.CancelFunc
+	// trial is set if each source is followed only until its first failed call, and ended once one is not
+	// followed any more for that.
+	trial, ended atomic.Bool
 }
 
 // NewFollower returns a follower that is not active. Panics in reading the platform are reported
@@ -99,27 +109,48 @@
 func (f *Follower) SetActive(active bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if active == (f.cancel != nil) {
-		return
+	if active && f.active != nil {
+		f.active.trial.Store(false)
+		if !f.active.ended.Load() {
+			return
+		}
 	}
-	if !active {
-		f.cancel()
-		f.cancel = nil
-		return
+	if f.active != nil {
+		f.active.cancel()
+		f.active = nil
+	}
+	if active {
+		f.start(false)
+	}
+}
+
+// Try starts following each source until its first failed call, unless the follower is active.
+func (f *Follower) Try() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.active == nil {
+		f.start(true)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	f.cancel = cancel
+}
+
+// start starts following. mu is held.
+func (f *Follower) start(trial bool) {
+	a := &following{}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.trial.Store(trial)
+	f.active = a
 	for _, feed := range f.feeds {
-		go func() { f.runSteps(ctx, feed.Name, newFeedReader(f, feed).step) }()
+		go func() { f.runSteps(a, feed.Name, newFeedReader(f, feed).step) }()
 	}
 	if f.client.listSource != nil {
-		go func() { f.runSteps(ctx, "list", f.listStep()) }()
+		go func() { f.runSteps(a, "list", f.listStep()) }()
 	}
 }
 
-// runSteps calls step until ctx ends, with growing random delays after errors. It
-// reports changes of reachability.
-func (f *Follower) runSteps(ctx context.Context, source string, step func(context.Context) error) {
+// runSteps calls step until the follower is not active, with growing random delays after errors. In a trial
+// it returns after the first one. It reports changes of reachability.
+func (f *Follower) runSteps(a *following, source string, step func(context.Context) error) {
+	ctx := a.ctx
 	wait := firstRetryDelay
 	failing := false
 	for ctx.Err() == nil {
@@ -139,6 +170,10 @@
 			wait = firstRetryDelay
 			continue
 		}
+		if a.trial.Load() {
+			a.ended.Store(true)
+			return
+		}
 		if sleep(ctx, wait/2+rand.N(wait)) != nil {
 			return
 		}
--- a/storer/storer_test.go
+++ b/storer/storer_test.go
@@ -142,6 +142,55 @@
 	})
 }
 
+// TestTrial guards against instances that repeat calls to a store which does not answer them, when they only
+// find out whether it does, and against a trial that ends for good.
+func TestTrial(t *testing.T) {
+	s, c := startPlatform(t)
+	out := sink{make(chan descriptor.Event, 100)}
+	f := storer.NewFollower(c, []storer.Feed{storer.Declarations()}, storer.Pace{Wait: 100 * time.Millisecond}, out, out, nil)
+	defer f.SetActive(false)
+	wantRead := func(t *testing.T, what string) {
+		t.Helper()
+		select {
+		case <-out.events:
+		case <-time.After(20 * time.Second):
+			t.Fatal(what + ": got no read")
+		}
+	}
+	wantNone := func(t *testing.T) {
+		t.Helper()
+		select {
+		case <-out.events:
+			t.Error("got a read, want none")
+		case <-time.After(1500 * time.Millisecond):
+		}
+	}
+	t.Run("it ends with the first failed call", func(t *testing.T) {
+		s.SetFault(imitator.StoreFault{Outage: true})
+		f.Try()
+		time.Sleep(200 * time.Millisecond)
+		s.SetFault(imitator.StoreFault{})
+		wantNone(t)
+	})
+	t.Run("a follower that must follow starts again", func(t *testing.T) {
+		f.SetActive(true)
+		wantRead(t, "after the trial")
+		f.SetActive(false)
+	})
+	t.Run("a trial that succeeds goes on, and then in spite of failed calls", func(t *testing.T) {
+		f.Try()
+		wantRead(t, "in the trial")
+		f.SetActive(true)
+		s.SetFault(imitator.StoreFault{Outage: true})
+		time.Sleep(300 * time.Millisecond)
+		s.SetFault(imitator.StoreFault{})
+		for len(out.events) > 0 {
+			<-out.events
+		}
+		wantRead(t, "after an outage")
+	})
+}
+
 func FuzzParseDocument(f *testing.F) {
 	f.Add("config/service/a", []byte(`{"Name":"a"}`))
 	f.Add("config/eject/a", []byte(`[{"Backend":"b"}]`))
