Bound the names that callers choose, and account for bodies before they wait

The balancer remembers up to 256 unanswered requests a service with the whole identifier that the caller sent, of up to 60,000 bytes. The memory of the body of an HTTP/2 request was taken once its route was known, and a request without one waits up to 900 ms.

Identifiers and names of callers are cut at 256 bytes. The memory of a body is taken before anything waits; without it a request without a route is refused at once with 503 and a time to wait.

--- a/forwarder/session.go
+++ b/forwarder/session.go
@@ -81,13 +81,25 @@
 
 // describe sets what the head of the request says about it.
 func (s *session) describe() {
-	s.label = s.forwarder.dialect.Label(s.r)
+	s.label = bounded(s.forwarder.dialect.Label(s.r))
 	if p := s.forwarder.dialect.CallerTimeout(s.r); p > 0 {
 		s.callerDeadline = s.started.Add(p)
 		s.deadline = s.callerDeadline
 	}
 }
 
+// maxNameBytes bounds what is kept of the names that callers choose, in bytes. Decisions remember requests
+// for longer than they are open.
+const maxNameBytes = 256
+
+// bounded returns at most the first maxNameBytes of a name. It doesn't keep the rest in memory.
+func bounded(name string) string {
+	if len(name) <= maxNameBytes {
+		return name
+	}
+	return strings.Clone(name[:maxNameBytes])
+}
+
 // locate finds the service and the class of the request.
 func (s *session) locate() (descriptor.Reason, bool) {
 	directory := s.forwarder.snapshot.Load()
@@ -123,6 +135,10 @@
 			// The process may end before the directory is updated.
 			return descriptor.Misdirected, false
 		}
+		if !s.admitted {
+			// What was received of the body would wait without being accounted for.
+			return descriptor.UploadsFull, false
+		}
 		select {
 		case <-d.replaced:
 			d = s.forwarder.snapshot.Load()
@@ -165,6 +181,9 @@
 	if s.relocations > maxRelocations {
 		return descriptor.Starting, false
 	}
+	if !s.admitted {
+		return descriptor.UploadsFull, false
+	}
 	timer := time.NewTimer(routeUpdateWait)
 	defer timer.Stop()
 	select {
@@ -225,11 +244,11 @@
 		defer s.body.close()
 		defer s.body.release(unreadBodyTimeout)
 	}
+	s.admitted = s.body.admit()
 	if reason, ok := s.precheck(); ok {
 		s.refuseUnlocated(reason)
 		return
 	}
-	s.admitted = s.body.admit()
 	arrived := s.arrived()
 	if s.departed() {
 		s.refuseUnlocated(descriptor.Abandoned)
@@ -268,9 +287,15 @@
 	}
 }
 
+// uploadsRetry is the wait that callers are asked to keep if there is no memory for a body.
+const uploadsRetry = time.Second
+
 // refuseUnlocated refuses a request for which no service or class was found.
 func (s *session) refuseUnlocated(reason descriptor.Reason) {
 	a := descriptor.Refuse{Reason: reason}
+	if reason == descriptor.UploadsFull {
+		a.Retry = uploadsRetry
+	}
 	if reason == descriptor.Starting && s.r.Header.Get(headerKey) != "" {
 		// The promise of a key covers all requests with it. This instance doesn't know yet
 		// whether an earlier one ran elsewhere.
@@ -341,7 +366,7 @@
 func (s *session) caller() string {
 	if h := s.forwarder.options.CallerHeader; h != "" {
 		if v := s.r.Header.Get(h); v != "" {
-			return v
+			return bounded(v)
 		}
 	}
 	return hostOf(s.r.RemoteAddr)
--- a/forwarder/uploads_test.go
+++ b/forwarder/uploads_test.go
@@ -139,3 +139,51 @@
 		})
 	}
 }
+
+// TestUploadsWithoutRoute guards against bodies that wait for a route without being accounted for.
+func TestUploadsWithoutRoute(t *testing.T) {
+	const limit = 4 << 20
+	newRouted := func(t *testing.T) *fixture {
+		x, _ := uploadFixture(t, limit)
+		// The directory is too old to tell that there is no such route.
+		x.forwarder.SetDirectory(routes(time.Now().Add(-time.Minute), "/a/"))
+		return x
+	}
+	upload := func(x *fixture) (int, time.Duration) {
+		started := time.Now()
+		r := x.request("POST", "/b/", strings.NewReader(strings.Repeat("x", 100<<10)))
+		r.Host = "a.example"
+		response, _, err := x.do(r)
+		asserter.NoError(x.t, "send", err)
+		return response.StatusCode, time.Since(started)
+	}
+	t.Run("what waits is held", func(t *testing.T) {
+		x := newRouted(t)
+		ended := make(chan int, 1)
+		go func() { status, _ := upload(x); ended <- status }()
+		asserter.Eventually(t, "bytes are held", routeUpdateWait, func() bool { return x.forwarder.uploads.held() > 0 })
+		asserter.Equal(t, "status", <-ended, http.StatusServiceUnavailable)
+		x.wantHeld(0)
+	})
+	t.Run("what can't be held is refused at once", func(t *testing.T) {
+		x := newRouted(t)
+		asserter.True(t, "all is taken", x.forwarder.uploads.takeNeeded(limit))
+		status, waited := upload(x)
+		asserter.Equal(t, "status", status, http.StatusServiceUnavailable)
+		asserter.AtMost(t, "time", waited, routeUpdateWait/2)
+		x.wantHeld(limit)
+	})
+}
+
+// TestLongNames guards against decisions that remember names of any length which callers chose.
+func TestLongNames(t *testing.T) {
+	x := newFixtureWith(t, Options{StallTimeout: 10 * time.Second, CallerHeader: "Caller"}, func(w http.ResponseWriter, _ *http.Request) {})
+	x.forwarder.dialect = labelledDialect{x.forwarder.dialect.(StandardDialect)}
+	long := strings.Repeat("n", 20<<10)
+	r := x.request("GET", "/"+long, nil)
+	r.Header.Set("Caller", long)
+	_, _, err := x.do(r)
+	asserter.NoError(t, "send", err)
+	asserter.Equal(t, "label", x.control.arrived().Label, long[:maxNameBytes])
+	asserter.Equal(t, "caller", x.control.arrived().Caller, long[:maxNameBytes])
+}
