Split the choice of instances that watch the store

The choice is now a value, descriptor.Watch, returned by chooseWatch and chooseQuery. No behaviour changes but that an instance which is chosen to watch doesn't evaluate whether it would have to query.

--- a/decider/customers.go
+++ b/decider/customers.go
@@ -157,7 +157,7 @@
 // several such instances only the first in the order of watchers and then of the names continues:
 // if all stopped because they hear of each other, none would announce what the store holds.
 func (d *Decider[E, D, P, L]) mustContinue(watchers []descriptor.Member) bool {
-	if !d.watching || d.now.Sub(d.relayer.Read(d.options.kinds())) >= continueTime {
+	if !d.watch.Active || d.now.Sub(d.relayer.Read(d.options.kinds())) >= continueTime {
 		return false
 	}
 	rank := func(id string) int {
--- a/decider/decider.go
+++ b/decider/decider.go
@@ -138,9 +138,10 @@
 	traces *container.Table[descriptor.RequestID, []descriptor.TraceEntry]
 	notes  *container.Ring[descriptor.Note]
 
-	// synced reports whether the configuration is known, and watching whether
-	// this instance watches the platform's store. trying is set if it does so until a call fails.
-	synced, watching, trying bool
+	// synced reports whether the configuration is known, and watch whether this instance watches the
+	// platform's store.
+	synced bool
+	watch  descriptor.Watch
 	// membersKnown reports whether the list of members is taken to be complete;
 	// syncedAt is when synced was set.
 	membersKnown bool
--- a/decider/decider_test.go
+++ b/decider/decider_test.go
@@ -140,7 +140,7 @@
 		d := ready(t, 12)
 		watching := 0
 		for _, id := range d.order {
-			if d.instances[id].watching {
+			if d.instances[id].watch.Active {
 				watching++
 			}
 		}
--- a/decider/dump.go
+++ b/decider/dump.go
@@ -13,7 +13,7 @@
 		Instance:  d.gossiper.Self(),
 		Ready:     d.synced && !d.shutdown.started,
 		Leaving:   d.shutdown.started,
-		Watching:  d.watching,
+		Watching:  d.watch.Active,
 		Links:     d.gossiper.Links(),
 		Members:   d.gossiper.Members(),
 		Documents: d.spreader.List(),
--- a/decider/tick.go
+++ b/decider/tick.go
@@ -73,41 +73,59 @@
 // introductionTime is the time after its start in which an instance learns of most others.
 const introductionTime = 700 * time.Millisecond
 
-// updateWatching decides whether this instance watches the platform's store. The
-// few chosen by rendezvous do. So does an instance that started and did not get
-// the configuration from others in time, or under a routing one that misses
-// freshness announcements.
+// updateWatching decides whether this instance watches the platform's store.
 func (d *Decider[E, D, P, L]) updateWatching() {
-	watchers := d.index.Get(watchRole)
-	substitute := containsMember(watchers, d.options.Self.ID)
-	// An instance that just started knows few others, so that it seems to be chosen.
-	chosen := substitute && (!d.options.Routing || d.now.Sub(d.started) >= introductionTime)
-	alone := !d.synced && d.now.Sub(d.started) >= d.options.PeerWait
-	if d.options.Routing {
-		chosen = chosen && containsMember(watchers[:min(len(watchers), routedWatcherCount)], d.options.Self.ID)
-	}
-	if d.options.Routing && d.synced {
-		place := relayer.NewPlace(d.options.Self.ID, substitute, substituteCount, d.index.Members())
-		alone = d.relayer.MustQuery(d.now, d.options.kinds(), place)
-		alone = alone || d.mustProve() && d.relayer.MayQuery(d.now, place) || d.mustContinue(watchers)
+	next := descriptor.Watch{}
+	if !d.shutdown.started {
+		next = d.chooseWatch()
 	}
-	active := (chosen || alone) && !d.shutdown.started
-	// Instances that only find out whether the store serves them don't repeat calls that fail.
-	trial := active && d.options.Routing && !substitute && d.synced && d.relayer.StoreAway(d.now)
-	if active == d.watching && trial == d.trying {
+	if next == d.watch {
 		return
 	}
-	d.watching, d.trying = active, trial
-	d.emit(descriptor.Watch{Active: active, Trial: trial})
-	if active && !trial {
+	d.watch = next
+	d.emit(next)
+	if next.Active && !next.Trial {
 		d.note(descriptor.NoteWatching, d.options.Self.ID, "watches the platform's store")
 	}
 }
 
+// chooseWatch returns whether this instance has to watch the platform's store. The few chosen by
+// rendezvous do. So does an instance that started and did not get the configuration from others in time,
+// or under a routing one that misses freshness announcements.
+func (d *Decider[E, D, P, L]) chooseWatch() descriptor.Watch {
+	watchers := d.index.Get(watchRole)
+	late := !d.synced && d.now.Sub(d.started) >= d.options.PeerWait
+	if !d.options.Routing {
+		return descriptor.Watch{Active: containsMember(watchers, d.options.Self.ID) || late}
+	}
+	first := containsMember(watchers[:min(len(watchers), routedWatcherCount)], d.options.Self.ID)
+	// An instance that just started knows few others, so that it seems to be chosen.
+	if first && d.now.Sub(d.started) >= introductionTime || late {
+		return descriptor.Watch{Active: true}
+	}
+	if !d.synced {
+		return descriptor.Watch{}
+	}
+	return d.chooseQuery(watchers)
+}
+
+// chooseQuery returns whether this instance queries the store although it is not chosen to watch it. One
+// that only finds out whether the store serves it doesn't repeat calls that fail.
+func (d *Decider[E, D, P, L]) chooseQuery(watchers []descriptor.Member) descriptor.Watch {
+	substitute := containsMember(watchers, d.options.Self.ID)
+	place := relayer.NewPlace(d.options.Self.ID, substitute, substituteCount, d.index.Members())
+	mustQuery := d.relayer.MustQuery(d.now, d.options.kinds(), place)
+	mustProve := d.mustProve() && d.relayer.MayQuery(d.now, place)
+	if !mustQuery && !mustProve && !d.mustContinue(watchers) {
+		return descriptor.Watch{}
+	}
+	return descriptor.Watch{Active: true, Trial: !substitute && d.relayer.StoreAway(d.now)}
+}
+
 // sendFreshness announces to the other instances that the store has nothing
 // newer, if this instance watches the store.
 func (d *Decider[E, D, P, L]) sendFreshness() {
-	if !d.options.Routing || !d.watching || !d.synced {
+	if !d.options.Routing || !d.watch.Active || !d.synced {
 		return
 	}
 	p, ok := d.relayer.NextFreshness(d.now, d.gossiper.Self(), d.options.kinds(), d.spreader.Digest().Hash())
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -42,7 +42,7 @@
 	// the caller, which may then have the whole answer.
 	wholeRead atomic.Bool
 	closing   sync.Once
-	// stage is attemptWaiting until the request has a connection, or is withdrawn.
+	// stage is one of attemptWaiting, attemptSent and attemptWithdrawn.
 	stage atomic.Int32
 	// connectionsUsed counts the connections that carried the request.
 	// firstIdleNanos is how long the first one had been idle, in nanoseconds.
@@ -53,10 +53,13 @@
 	connectionBroke atomic.Bool
 }
 
-// Values of attempt.stage.
+// Stages of an attempt. Of attemptSent and attemptWithdrawn the first one holds for good.
 const (
+	// attemptWaiting is the stage of an attempt that has no connection yet.
 	attemptWaiting int32 = iota
+	// attemptSent is the stage from the moment on at which it may be sent.
 	attemptSent
+	// attemptWithdrawn is the stage of an attempt whose caller left before.
 	attemptWithdrawn
 )
 
@@ -235,9 +238,9 @@
 }
 
 // gotConn is called by net/http when a request gets a connection, before it is sent. It closes
-// a connection that must not carry the request, or whose request was withdrawn: then nothing is sent. net/http resends an
-// idempotent request by itself when a reused connection breaks. This is correct if the
-// connection was idle for longer than FreshTime and the backend server closed it
+// a connection that must not carry the request, or whose request was withdrawn: then nothing is
+// sent. net/http resends an idempotent request by itself when a reused connection breaks. This is
+// correct if the connection was idle for longer than FreshTime and the backend server closed it
 // meanwhile. Otherwise the request may have crashed the backend server, so the attempt
 // is cancelled and its failure is posted to the control goroutine.
 func (t *attempt) gotConn(info httptrace.GotConnInfo) {
--- a/forwarder/uploads_test.go
+++ b/forwarder/uploads_test.go
@@ -177,7 +177,7 @@
 
 // TestLongNames guards against decisions that remember names of any length which callers chose.
 func TestLongNames(t *testing.T) {
-	x := newFixtureWith(t, Options{StallTimeout: 10 * time.Second, CallerHeader: "Caller"}, func(w http.ResponseWriter, _ *http.Request) {})
+	x := newFixtureWith(t, Options{StallTimeout: 10 * time.Second, CallerHeader: "Caller"}, func(http.ResponseWriter, *http.Request) {})
 	x.forwarder.dialect = labelledDialect{x.forwarder.dialect.(StandardDialect)}
 	long := strings.Repeat("n", 20<<10)
 	r := x.request("GET", "/"+long, nil)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -333,6 +333,7 @@
 		}
 		return
 	}
+	// Either record may lack what the other one tells of their incarnation.
 	held := e.member.WithMissing(m)
 	m = m.WithMissing(held)
 	if m.Newer(e.member) {
