--- a/review/inspector/main.go
+++ b/review/inspector/main.go
@@ -23,6 +23,7 @@
 var scenarios = map[string]scenario{
 	"early": playEarly,
 	"crash": playCrash,
+	"pause": playPause,
 	"stale": playStale,
 	"quota": playQuota,
 }
